--- /dev/null
+++ b/cmake/modules.cmake
@@ -0,0 +1,29 @@
+# Helpers that declare the libraries, programs and tests of this project.
+
+# amaranthlatch_library(<name> DEPENDS <targets...>)
+# Builds libs/<name>/src/*.cc into the target amaranthlatch_<name>, and libs/<name>/tests/*_test.cc
+# into one CppUTest program that CTest runs.
+function(amaranthlatch_library name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS;TEST_DEPENDS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS src/*.cc)
+  add_library(amaranthlatch_${name} STATIC ${sources})
+  target_include_directories(amaranthlatch_${name} PUBLIC include PRIVATE src)
+  target_link_libraries(amaranthlatch_${name} PUBLIC ${ARG_DEPENDS})
+  file(GLOB test_sources CONFIGURE_DEPENDS tests/*.cc)
+  if(test_sources)
+    amaranthlatch_test(${name}_test SOURCES ${test_sources} DEPENDS amaranthlatch_${name}
+                       ${ARG_TEST_DEPENDS})
+    target_include_directories(${name}_test PRIVATE src tests)
+  endif()
+endfunction()
+
+# amaranthlatch_test(<target> SOURCES <files...> DEPENDS <targets...>)
+function(amaranthlatch_test target)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_executable(${target} ${ARG_SOURCES} ${CMAKE_SOURCE_DIR}/cmake/test_main.cc)
+  target_link_libraries(${target} PRIVATE ${ARG_DEPENDS} CppUTest Threads::Threads)
+  # The detector redefines operator new, which standard headers do not survive.
+  target_compile_definitions(${target} PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED)
+  add_test(NAME ${target} COMMAND ${target})
+  set_tests_properties(${target} PROPERTIES TIMEOUT 300)
+endfunction()
--- /dev/null
+++ b/libs/calls/include/amaranthlatch/calls/message.h
@@ -0,0 +1,107 @@
+// Messages between the calls reducers of an entry node and a gate.
+
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "amaranthlatch/calls/request.h"
+#include "amaranthlatch/document/service_document.h"
+#include "amaranthlatch/membership/member.h"
+#include "amaranthlatch/utils/time.h"
+
+namespace amaranthlatch::calls {
+
+// Names one attempt of one call mesh-wide.
+struct AttemptId {
+  membership::NodeId entry;
+  std::uint64_t entry_boot = 0;
+  std::uint64_t call = 0;
+  std::uint32_t attempt = 0;
+  auto operator<=>(const AttemptId&) const = default;
+};
+
+struct CallRequest {
+  AttemptId id;
+  // The gate refuses as not run where these do not name its own process.
+  std::uint64_t gate_incarnation = 0;
+  std::uint64_t gate_boot = 0;
+  std::string service;
+  std::string route;
+  document::Version version = 0;
+  HttpRequest request;
+  // Time left at sending; clocks of nodes are not compared.
+  utils::Duration remaining{};
+  bool idempotent = false;
+  document::Priority priority = document::Priority::kNormal;
+  std::uint64_t fingerprint = 0;
+  // Permit token as the caller presented it; empty without one.
+  std::string permit;
+  std::uint64_t max_response_bytes = 0;
+  bool operator==(const CallRequest&) const = default;
+};
+
+struct CallReply {
+  AttemptId id;
+  Answer answer;
+  // Load of the gate: hints for the choice of backend servers.
+  std::uint32_t in_flight = 0;
+  std::uint32_t queued = 0;
+  // Home gate of a suspect request where code is kSuspectElsewhere.
+  membership::NodeId redirect;
+  bool operator==(const CallReply&) const = default;
+};
+
+// Fences an attempt: a request that arrives after it is refused. A running one is cancelled if
+// `abort` is set, that is when the caller is gone or the deadline has passed.
+struct CallCancel {
+  AttemptId id;
+  bool abort = false;
+  bool operator==(const CallCancel&) const = default;
+};
+
+// `ran` is false only if the attempt did not run and never will.
+struct CallCancelReply {
+  AttemptId id;
+  bool ran = false;
+  bool operator==(const CallCancelReply&) const = default;
+};
+
+struct PermitRequest {
+  std::uint64_t request = 0;
+  std::string service;
+  std::string route;
+  bool operator==(const PermitRequest&) const = default;
+};
+
+struct PermitReply {
+  std::uint64_t request = 0;
+  utils::ErrorCode code = utils::ErrorCode::kOk;
+  std::string permit;
+  std::uint32_t expires_in_ms = 0;
+  bool operator==(const PermitReply&) const = default;
+};
+
+// Requests that were in flight when a backend server of the service died.
+struct CrashReport {
+  std::string service;
+  std::vector<std::uint64_t> fingerprints;
+  // Names the death, so that a repeated report counts once.
+  membership::NodeId gate;
+  std::uint64_t gate_boot = 0;
+  std::uint64_t crash = 0;
+  bool operator==(const CrashReport&) const = default;
+};
+
+struct CrashCleared {
+  std::string service;
+  std::uint64_t fingerprint = 0;
+  bool operator==(const CrashCleared&) const = default;
+};
+
+using Message = std::variant<CallRequest, CallReply, CallCancel, CallCancelReply, PermitRequest,
+                             PermitReply, CrashReport, CrashCleared>;
+
+}  // namespace amaranthlatch::calls
--- /dev/null
+++ b/libs/document/include/amaranthlatch/document/route_table.h
@@ -0,0 +1,34 @@
+// Read access to the documents in force.
+
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string_view>
+
+#include "amaranthlatch/document/service_document.h"
+
+namespace amaranthlatch::document {
+
+// The route that a request takes. `route` points into `document`.
+struct RouteMatch {
+  std::shared_ptr<const ServiceDocument> document;
+  Version version = 0;
+  const Route* route = nullptr;
+
+  bool operator==(const RouteMatch&) const = default;
+};
+
+class RouteTable {
+ public:
+  virtual ~RouteTable() = default;
+
+  // Ignores a port in `host` and a query in `path`.
+  virtual std::optional<RouteMatch> Match(std::string_view host, std::string_view path,
+                                          std::string_view method) const = 0;
+
+  // The document in force of a service, or null.
+  virtual std::shared_ptr<const ServiceDocument> Find(std::string_view service) const = 0;
+};
+
+}  // namespace amaranthlatch::document
--- /dev/null
+++ b/libs/document/include/amaranthlatch/document/service_document.h
@@ -0,0 +1,92 @@
+// Values of a service document: how a service is reached, split and protected.
+
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "amaranthlatch/utils/time.h"
+
+namespace amaranthlatch::document {
+
+// Version of a document: the offset of its record in the log. 0 means none.
+using Version = std::uint64_t;
+
+using Labels = std::map<std::string, std::string>;
+
+// Order of service at a backend server under load; lower values go first.
+enum class Priority : std::uint8_t { kInternal = 0, kInteractive = 1, kNormal = 2, kBatch = 3 };
+inline constexpr std::size_t kPriorityCount = 4;
+
+// Backend servers whose labels contain all of these belong to the version.
+struct VersionSelector {
+  Labels labels;
+
+  bool operator==(const VersionSelector&) const = default;
+};
+
+struct SplitTarget {
+  // Never empty after parsing: defaults to the document's own service.
+  std::string service;
+  std::string version;
+  std::uint32_t weight = 0;
+
+  bool operator==(const SplitTarget&) const = default;
+};
+
+struct Route {
+  std::string name;
+  std::string path_prefix;
+  // Empty means every method.
+  std::vector<std::string> methods;
+  // At least one target with a weight above 0.
+  std::vector<SplitTarget> split;
+  bool idempotent = false;
+  bool permit_required = false;
+  Priority priority = Priority::kNormal;
+  utils::Duration deadline{};
+  std::uint64_t max_request_bytes = 0;
+  std::uint64_t max_response_bytes = 0;
+
+  bool operator==(const Route&) const = default;
+};
+
+struct Protection {
+  std::uint32_t slots = 0;
+  std::uint32_t connections = 0;
+  // Per priority class.
+  std::uint32_t queue_length = 0;
+  utils::Duration queue_time{};
+  std::uint32_t retry_budget_percent = 0;
+  std::uint32_t max_attempts = 0;
+  utils::Duration slow_start{};
+
+  bool operator==(const Protection&) const = default;
+};
+
+enum class LocalityPreference : std::uint8_t { kZone, kRegion, kNone };
+
+struct Locality {
+  LocalityPreference prefer = LocalityPreference::kZone;
+  // Share of a level's slots in use above which calls go to the next level.
+  std::uint32_t spill_load_percent = 0;
+
+  bool operator==(const Locality&) const = default;
+};
+
+struct ServiceDocument {
+  std::string service;
+  std::string owner;
+  std::vector<std::string> hosts;
+  std::map<std::string, VersionSelector> versions;
+  std::vector<Route> routes;
+  Protection protection;
+  Locality locality;
+
+  bool operator==(const ServiceDocument&) const = default;
+};
+
+}  // namespace amaranthlatch::document
