--- /dev/null
+++ b/libs/node/include/amaranthlatch/node/effect.h
@@ -0,0 +1,35 @@
+// Outputs of the node reducer. Effects of one module only are that module's own types.
+
+#pragma once
+
+#include <string>
+#include <variant>
+
+#include "amaranthlatch/calls/effect.h"
+#include "amaranthlatch/distribution/effect.h"
+#include "amaranthlatch/membership/effect.h"
+#include "amaranthlatch/node/message.h"
+
+namespace amaranthlatch::node {
+
+struct SendMessage {
+  membership::NodeId to;
+  Message message;
+  bool operator==(const SendMessage&) const = default;
+};
+
+// One of the promises of docs/design.md section 1.3 does not hold: the host logs it and stops.
+struct InvariantViolated {
+  std::string promise;
+  std::string detail;
+  bool operator==(const InvariantViolated&) const = default;
+};
+
+using Effect =
+    std::variant<SendMessage, InvariantViolated, membership::MemberChanged, membership::HoldChanged,
+                 distribution::ReadLog, distribution::AppendLog, distribution::VerdictInForce,
+                 distribution::ReadinessChanged, distribution::FoldStopped, calls::AnswerCaller,
+                 calls::AnswerPermit, calls::RunOnBackendServer, calls::CancelOnBackendServer,
+                 calls::DrainFinished, calls::QuarantineChanged>;
+
+}  // namespace amaranthlatch::node
--- /dev/null
+++ b/libs/node/include/amaranthlatch/node/message.h
@@ -0,0 +1,15 @@
+// Every message between two nodes.
+
+#pragma once
+
+#include <variant>
+
+#include "amaranthlatch/calls/message.h"
+#include "amaranthlatch/distribution/message.h"
+#include "amaranthlatch/membership/message.h"
+
+namespace amaranthlatch::node {
+
+using Message = std::variant<membership::Message, distribution::Message, calls::Message>;
+
+}  // namespace amaranthlatch::node
