Add the first version of transport, HTTP client and HTTP server

The host needs its I/O before the reducer is there. Transport over nng with one listener and a bounded cache of links; HTTP client on libcurl's multi interface; HTTP server on RESTinio; all on one Asio io_context.

libcurl 7.88 repeats a request on a reused connection that closes before the first byte. The callback that it makes before each write (CURLOPT_PREREQFUNCTION) refuses a second write unless the first put no byte on the wire, so connections can be reused for every method.

nng's listener pauses for 100 ms after a connection without its protocol header: a probe of a peer's port made each new link take 104 ms.

--- /dev/null
+++ b/libs/runtime/include/amaranthlatch/runtime/http_client.h
@@ -0,0 +1,53 @@
+// Outgoing HTTP exchanges: to this node's backend server and to the platform's log.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <tl/expected.hpp>
+
+#include "amaranthlatch/calls/event.h"
+#include "amaranthlatch/calls/request.h"
+#include "amaranthlatch/utils/time.h"
+
+namespace amaranthlatch::runtime {
+
+struct HttpExchange {
+  // "ip:port" of the server.
+  std::string address;
+  calls::HttpRequest request;
+  // The exchange ends with a failure after this time.
+  utils::Duration time_limit{};
+  std::uint64_t max_response_bytes = 0;
+  // Time without a first byte after which a new connection is tried; zero for never.
+  utils::Duration silent_after{};
+  // A repeatable exchange ends as soon as its connection is found silent. Any other one is waited
+  // for until the time limit, because its answer may still come and nobody may run it again.
+  bool repeatable = false;
+};
+
+struct HttpFailure {
+  calls::BackendFailure failure = calls::BackendFailure::kConnectionLost;
+  // The server refuses new connections.
+  bool process_dead = false;
+  std::string detail;
+};
+
+using HttpOutcome = tl::expected<calls::HttpResponse, HttpFailure>;
+
+class HttpClient {
+ public:
+  using Done = std::function<void(HttpOutcome)>;
+
+  virtual ~HttpClient() = default;
+
+  // Writes the request at most once on the wire. `done` is called later, exactly once, also after
+  // Cancel. The id must not be in use.
+  virtual void Start(std::uint64_t id, HttpExchange exchange, Done done) = 0;
+
+  // Ends the exchange with kCancelled and closes its connection; no effect on an unknown id.
+  virtual void Cancel(std::uint64_t id) = 0;
+};
+
+}  // namespace amaranthlatch::runtime
--- /dev/null
+++ b/libs/runtime/include/amaranthlatch/runtime/nng_transport.h
@@ -0,0 +1,64 @@
+// Transport over nng: one listening PULL socket and a bounded cache of PUSH sockets.
+//
+// A message waits in this process until its link stands and nng has taken the one before it. It is
+// reported as not sent if the link cannot be made, or if too many wait. When a link is lost its
+// socket is closed, so that nng does not deliver old messages over a later connection.
+//
+// PUSH links carry nothing back. A peer that owes an answer and from which nothing was heard for an
+// interval gets a keep-alive message over the same link and answers over its own. After three more
+// intervals without any message the link is closed and reported as lost; the next Send dials anew.
+
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "amaranthlatch/runtime/transport.h"
+#include "amaranthlatch/utils/result.h"
+#include "amaranthlatch/utils/time.h"
+
+namespace amaranthlatch::runtime {
+
+struct NngTransportOptions {
+  // "ip:port" of the listener; also names this node to its peers.
+  membership::NodeId address;
+  // Authenticates keep-alive messages between nodes of one mesh.
+  std::string secret;
+  std::size_t max_message_bytes = 16UL * 1024 * 1024;
+  std::size_t max_links = 512;
+  // Messages that wait on one link.
+  std::size_t max_waiting_messages = 256;
+  std::size_t max_waiting_bytes = 16UL * 1024 * 1024;
+  // Received messages on their way to the io_context.
+  std::size_t max_received_messages = 1024;
+  utils::Duration dial_limit = utils::Milliseconds(1000);
+  utils::Duration keep_alive_interval = utils::Milliseconds(1000);
+};
+
+class NngTransport final : public Transport {
+ public:
+  // Listens at once. The listener must outlive the transport.
+  static utils::Result<std::unique_ptr<NngTransport>> Create(asio::io_context& context,
+                                                             NngTransportOptions options,
+                                                             TransportListener& listener);
+  ~NngTransport() override;
+
+  std::uint64_t Send(const membership::NodeId& to, std::string bytes,
+                     bool answer_expected) override;
+  void NoteHeard(const membership::NodeId& peer) override;
+  const TransportCounters& Counters() const override;
+
+  // Links that stand or are being made.
+  std::size_t LinkCount() const;
+
+ private:
+  class Impl;
+  explicit NngTransport(std::shared_ptr<Impl> impl);
+
+  std::shared_ptr<Impl> impl;
+};
+
+}  // namespace amaranthlatch::runtime
--- /dev/null
+++ b/libs/runtime/include/amaranthlatch/runtime/transport.h
@@ -0,0 +1,56 @@
+// One-way messages between nodes. The transport carries opaque bytes; sealing is the host's.
+
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "amaranthlatch/membership/member.h"
+
+namespace amaranthlatch::runtime {
+
+// What a transport reports. All calls come on the io_context's thread, never from within Send.
+class TransportListener {
+ public:
+  virtual ~TransportListener() = default;
+
+  virtual void OnMessage(std::string bytes) = 0;
+
+  // The message with this ticket has not left the process and never will.
+  virtual void OnNotSent(const membership::NodeId& to, std::uint64_t ticket) = 0;
+
+  // The link to the peer is lost; messages handed over before may or may not have arrived.
+  virtual void OnPeerLost(const membership::NodeId& peer) = 0;
+};
+
+struct TransportCounters {
+  std::uint64_t messages_sent = 0;
+  std::uint64_t messages_received = 0;
+  std::uint64_t messages_not_sent = 0;
+  std::uint64_t messages_too_large = 0;
+  std::uint64_t keep_alives_sent = 0;
+  std::uint64_t keep_alive_bytes_sent = 0;
+  std::uint64_t links_opened = 0;
+  std::uint64_t links_lost = 0;
+  std::uint64_t links_silent = 0;
+  std::uint64_t links_evicted = 0;
+  // Receiving stopped because the queue to the io_context was full.
+  std::uint64_t receive_pauses = 0;
+};
+
+class Transport {
+ public:
+  virtual ~Transport() = default;
+
+  // Queues the message and returns a ticket that names it in OnNotSent. Never blocks. A link is
+  // found silent only while an answer is expected on it.
+  virtual std::uint64_t Send(const membership::NodeId& to, std::string bytes,
+                             bool answer_expected) = 0;
+
+  // The host has verified that a message came from this peer: its link is not silent.
+  virtual void NoteHeard(const membership::NodeId& peer) = 0;
+
+  virtual const TransportCounters& Counters() const = 0;
+};
+
+}  // namespace amaranthlatch::runtime
--- /dev/null
+++ b/libs/runtime/src/caller_socket.cc
@@ -0,0 +1,78 @@
+// Closing a connection with a last answer.
+
+#include "caller_socket.h"
+
+#include <array>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <chrono>
+#include <cstddef>
+
+namespace amaranthlatch::runtime::details {
+
+namespace {
+
+constexpr auto kLingerTime = std::chrono::seconds(1);
+constexpr std::size_t kDropBufferBytes = 4096;
+// Closes in progress at once; above it connections are closed without a text.
+constexpr int kMaxLingering = 64;
+
+class LingeringClose : public std::enable_shared_from_this<LingeringClose> {
+ public:
+  LingeringClose(asio::ip::tcp::socket socket, std::string text)
+      : socket(std::move(socket)), text(std::move(text)), timer(this->socket.get_executor()) {
+    ++count;
+  }
+  ~LingeringClose() { --count; }
+  LingeringClose(const LingeringClose&) = delete;
+  LingeringClose& operator=(const LingeringClose&) = delete;
+
+  static int Count() { return count; }
+
+  void Start() {
+    this->timer.expires_after(kLingerTime);
+    this->timer.async_wait([self = this->shared_from_this()](const asio::error_code& error) {
+      if (!error) {
+        self->socket.close();
+      }
+    });
+    asio::async_write(
+        this->socket, asio::buffer(this->text),
+        [self = this->shared_from_this()](const asio::error_code& error, std::size_t /*bytes*/) {
+          asio::error_code ignored;
+          self->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+          self->Continue(error);
+        });
+  }
+
+ private:
+  void Continue(const asio::error_code& error) {
+    if (error) {
+      this->timer.cancel();
+      return;
+    }
+    this->socket.async_read_some(
+        asio::buffer(this->dropped),
+        [self = this->shared_from_this()](const asio::error_code& failed, std::size_t /*bytes*/) {
+          self->Continue(failed);
+        });
+  }
+
+  // Sockets are used on the io_context's thread only.
+  static inline thread_local int count = 0;
+
+  asio::ip::tcp::socket socket;
+  const std::string text;
+  asio::steady_timer timer;
+  std::array<char, kDropBufferBytes> dropped{};
+};
+
+}  // namespace
+
+void CloseAfterWriting(asio::ip::tcp::socket socket, std::string text) {
+  if (LingeringClose::Count() < kMaxLingering) {
+    std::make_shared<LingeringClose>(std::move(socket), std::move(text))->Start();
+  }
+}
+
+}  // namespace amaranthlatch::runtime::details
--- /dev/null
+++ b/libs/runtime/src/curl_multi.h
@@ -0,0 +1,63 @@
+// Drives a libcurl multi handle on an Asio io_context.
+
+#pragma once
+
+#include <curl/curl.h>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace amaranthlatch::runtime::details {
+
+class CurlMulti {
+ public:
+  // `finished` is called for each transfer that libcurl reports as done, outside of libcurl.
+  using Finished = std::function<void(CURL*, CURLcode)>;
+
+  CurlMulti(asio::io_context& context, std::size_t max_connections, Finished finished);
+  ~CurlMulti();
+  CurlMulti(const CurlMulti&) = delete;
+  CurlMulti& operator=(const CurlMulti&) = delete;
+
+  // Sets the options by which the handle's connections belong to this object, then starts it.
+  bool Add(CURL* easy);
+  void Remove(CURL* easy);
+
+ private:
+  // A socket of libcurl, registered with Asio for as long as it is open.
+  struct Watched {
+    explicit Watched(asio::io_context& context) : socket(context) {}
+    asio::ip::tcp::socket socket;
+    // CURL_POLL_* that libcurl wants to hear of.
+    int wanted = CURL_POLL_NONE;
+    bool reading = false;
+    bool writing = false;
+  };
+  using WatchedPointer = std::shared_ptr<Watched>;
+
+  static curl_socket_t OpenSocket(void* self, curlsocktype purpose, curl_sockaddr* address);
+  static int CloseSocket(void* self, curl_socket_t socket);
+  static int SocketCallback(CURL* easy, curl_socket_t socket, int what, void* self, void* data);
+  static int TimerCallback(CURLM* multi, long timeout_ms,
+                           void* self);  // NOLINT(google-runtime-int)
+
+  void Watch(const WatchedPointer& watched);
+  void WaitFor(const WatchedPointer& watched, bool read);
+  void OnReady(const WatchedPointer& watched, bool read, bool failed);
+  void Act(curl_socket_t socket, int events);
+  void CollectFinished();
+
+  asio::io_context& context;
+  Finished finished;
+  CURLM* multi;
+  asio::steady_timer timer;
+  std::unordered_map<curl_socket_t, WatchedPointer> sockets;
+  // Expires with this object: completions that come later do nothing.
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace amaranthlatch::runtime::details
--- /dev/null
+++ b/libs/runtime/src/curl_transfer.h
@@ -0,0 +1,65 @@
+// One exchange on a libcurl easy handle.
+
+#pragma once
+
+#include <curl/curl.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "amaranthlatch/runtime/http_client.h"
+
+namespace amaranthlatch::runtime::details {
+
+struct SlistDeleter {
+  void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+
+class CurlTransfer {
+ public:
+  // `easy` is borrowed and fresh or reset.
+  CurlTransfer(CURL* easy, HttpExchange exchange, std::size_t max_header_bytes,
+               utils::Duration connect_limit);
+  CurlTransfer(const CurlTransfer&) = delete;
+  CurlTransfer& operator=(const CurlTransfer&) = delete;
+
+  CURL* Easy() const { return this->easy; }
+  const HttpExchange& Exchange() const { return this->exchange; }
+  bool HasFirstByte() const { return this->first_byte; }
+
+  // Whether a byte of the request may have been written.
+  bool MayBeSent() const;
+
+  // The outcome of a transfer that libcurl reported as done. `process_dead` is not decided here.
+  HttpOutcome Outcome(CURLcode result);
+
+ private:
+  static int BeforeRequest(void* self, char* remote_ip, char* local_ip, int remote_port,
+                           int local_port);
+  static std::size_t OnHeader(char* data, std::size_t size, std::size_t count, void* self);
+  static std::size_t OnBody(char* data, std::size_t size, std::size_t count, void* self);
+
+  void SetRequest();
+  void SetMethod();
+  void AddHeaders();
+  void AddHeader(const std::string& line);
+  bool AddHeaderLine(std::string_view line);
+  bool IsComplete() const;
+  bool HasNoBody() const;
+
+  CURL* easy;
+  HttpExchange exchange;
+  std::size_t max_header_bytes;
+  std::unique_ptr<curl_slist, SlistDeleter> headers;
+  calls::HttpResponse response;
+  std::size_t header_bytes = 0;
+  // How often libcurl has begun to write the request.
+  int writes = 0;
+  bool first_byte = false;
+  bool too_large = false;
+};
+
+}  // namespace amaranthlatch::runtime::details
--- /dev/null
+++ b/libs/runtime/src/nng_transport.cc
@@ -0,0 +1,361 @@
+// The cache of links, keep-alive, and reports to the listener.
+
+#include "amaranthlatch/runtime/nng_transport.h"
+
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/thread_pool.hpp>
+#include <chrono>
+#include <functional>
+#include <list>
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "amaranthlatch/runtime/connection_probe.h"
+#include "keep_alive.h"
+#include "nng_link.h"
+#include "nng_receiver.h"
+
+namespace amaranthlatch::runtime {
+
+namespace {
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+// Keep-alive messages without an answer after which a link counts as silent.
+constexpr int kSilentIntervals = 3;
+
+// A link within a zone stands after about 2 ms; one that does not by this time is probed.
+constexpr utils::Duration kProbeDelay = utils::Milliseconds(20);
+
+// The protocol header of a PUSH socket. nng's listener takes no connections for 100 ms after one
+// that was closed without it.
+constexpr std::string_view kPushHeader("\0SP\0\0\x50\0\0", 8);
+
+}  // namespace
+
+// Owned by the transport; completions hold weak references.
+class NngTransport::Impl : public std::enable_shared_from_this<NngTransport::Impl> {
+ public:
+  Impl(asio::io_context& context, NngTransportOptions options, TransportListener& listener)
+      : context(context),
+        options(std::move(options)),
+        listener(listener),
+        codec(this->options.secret),
+        tick(context) {}
+
+  utils::Result<void> Listen() {
+    details::NngReceiver::Options receive;
+    receive.address = this->options.address;
+    receive.max_message_bytes = this->options.max_message_bytes;
+    receive.max_queued = this->options.max_received_messages;
+    auto created = details::NngReceiver::Create(
+        this->context, receive, [this](std::string bytes) { this->OnFrame(std::move(bytes)); });
+    if (!created) {
+      return tl::unexpected(created.error());
+    }
+    this->receiver = std::move(*created);
+    return {};
+  }
+
+  void Stop() {
+    this->receiver.reset();
+    this->links.clear();
+    this->tick.cancel();
+    this->closer.join();
+  }
+
+  std::uint64_t Send(const membership::NodeId& to, std::string bytes, bool answer_expected) {
+    const std::uint64_t ticket = ++this->last_ticket;
+    if (bytes.size() >= this->options.max_message_bytes) {
+      ++this->counters.messages_too_large;
+      this->ReportNotSent(to, ticket);
+      return ticket;
+    }
+    Peer* const peer = this->FindOrDial(to);
+    if (peer == nullptr || !peer->link->Send(ticket, details::MessageFrame(std::move(bytes)))) {
+      this->ReportNotSent(to, ticket);
+      return ticket;
+    }
+    ++this->counters.messages_sent;
+    if (answer_expected && !peer->unheard_since) {
+      peer->unheard_since = std::chrono::steady_clock::now();
+      this->ScheduleTick();
+    }
+    return ticket;
+  }
+
+  void NoteHeard(const membership::NodeId& id) {
+    const auto found = this->links.find(id);
+    if (found != this->links.end()) {
+      found->second.unheard_since.reset();
+      found->second.keep_alives = 0;
+    }
+  }
+
+  const TransportCounters& Counters() {
+    this->counters.receive_pauses = this->receiver ? this->receiver->Pauses() : 0;
+    return this->counters;
+  }
+
+  std::size_t LinkCount() const { return this->links.size(); }
+
+ private:
+  struct Peer {
+    std::unique_ptr<details::NngLink> link;
+    std::unique_ptr<asio::steady_timer> dial_timer;
+    std::list<membership::NodeId>::iterator use;
+    // When an answer became due, if nothing was heard from the peer since.
+    std::optional<SteadyTime> unheard_since;
+    int keep_alives = 0;
+    std::uint64_t nonce = 0;
+    std::uint64_t serial = 0;
+  };
+
+  void ReportNotSent(const membership::NodeId& to, std::uint64_t ticket) {
+    ++this->counters.messages_not_sent;
+    asio::post(this->context, [weak = this->weak_from_this(), to, ticket] {
+      if (const auto self = weak.lock()) {
+        self->listener.OnNotSent(to, ticket);
+      }
+    });
+  }
+
+  Peer* FindOrDial(const membership::NodeId& id) {
+    const auto found = this->links.find(id);
+    if (found != this->links.end()) {
+      this->uses.splice(this->uses.begin(), this->uses, found->second.use);
+      return &found->second;
+    }
+    if (this->links.size() >= this->options.max_links) {
+      ++this->counters.links_evicted;
+      this->Close(membership::NodeId(this->uses.back()));
+    }
+    return this->Dial(id);
+  }
+
+  Peer* Dial(const membership::NodeId& id) {
+    Peer peer;
+    peer.serial = ++this->last_serial;
+    auto link = details::NngLink::Create(
+        this->context, {id, this->options.max_waiting_messages, this->options.max_waiting_bytes},
+        this->EventsOf(id),
+        [this](std::function<void()> work) { asio::post(this->closer, std::move(work)); });
+    if (!link) {
+      return nullptr;
+    }
+    ++this->counters.links_opened;
+    peer.link = std::move(*link);
+    this->uses.push_front(id);
+    peer.use = this->uses.begin();
+    peer.dial_timer = std::make_unique<asio::steady_timer>(this->context);
+    Peer& stored = this->links[id] = std::move(peer);
+    this->LimitDial(id, stored);
+    return &stored;
+  }
+
+  details::NngLink::Events EventsOf(const membership::NodeId& id) {
+    details::NngLink::Events events;
+    events.on_up = [this, id] { this->links.at(id).dial_timer->cancel(); };
+    events.on_down = [this, id] { this->Lose(id); };
+    events.on_not_sent = [this, id](std::uint64_t ticket) { this->ReportNotSent(id, ticket); };
+    return events;
+  }
+
+  // nng dials in the background and does not say that a peer refuses. A connection of our own
+  // shows that; a peer that does not answer is given up after the dial limit.
+  void LimitDial(const membership::NodeId& id, Peer& peer) {
+    this->After(*peer.dial_timer, kProbeDelay, [this, id, serial = peer.serial] {
+      const auto found = this->links.find(id);
+      if (found != this->links.end() && found->second.serial == serial) {
+        this->ProbeDial(id, found->second);
+      }
+    });
+  }
+
+  void ProbeDial(const membership::NodeId& id, Peer& peer) {
+    const std::uint64_t serial = peer.serial;
+    this->After(*peer.dial_timer, this->options.dial_limit,
+                [this, id, serial] { this->GiveUpDial(id, serial); });
+    ProbeConnection(this->context, id, this->options.dial_limit, kPushHeader,
+                    [weak = this->weak_from_this(), id, serial](ProbeResult result) {
+                      const auto self = weak.lock();
+                      if (self && result == ProbeResult::kRefused) {
+                        self->GiveUpDial(id, serial);
+                      }
+                    });
+  }
+
+  void After(asio::steady_timer& timer, utils::Duration time, std::function<void()> action) {
+    timer.expires_after(time);
+    timer.async_wait(
+        [weak = this->weak_from_this(), action = std::move(action)](const asio::error_code& error) {
+          const auto self = weak.lock();
+          if (!error && self) {
+            action();
+          }
+        });
+  }
+
+  void GiveUpDial(const membership::NodeId& id, std::uint64_t serial) {
+    const auto found = this->links.find(id);
+    if (found != this->links.end() && found->second.serial == serial &&
+        !found->second.link->IsUp()) {
+      this->Lose(id);
+    }
+  }
+
+  void Lose(const membership::NodeId& id) {
+    ++this->counters.links_lost;
+    const membership::NodeId peer = id;
+    this->Close(peer);
+    asio::post(this->context, [weak = this->weak_from_this(), peer] {
+      if (const auto self = weak.lock()) {
+        self->listener.OnPeerLost(peer);
+      }
+    });
+  }
+
+  // Messages that nng has not been given are reported as not sent.
+  void Close(const membership::NodeId& id) {
+    const auto found = this->links.find(id);
+    if (found == this->links.end()) {
+      return;
+    }
+    for (const std::uint64_t ticket : found->second.link->Waiting()) {
+      // Ticket 0 names keep-alive messages.
+      if (ticket != 0) {
+        this->ReportNotSent(id, ticket);
+      }
+    }
+    // Closed later: this may run within an event of the link.
+    found->second.link->Detach();
+    std::shared_ptr<details::NngLink> link = std::move(found->second.link);
+    asio::post(this->context, [link = std::move(link)] {});
+    this->uses.erase(found->second.use);
+    this->links.erase(found);
+  }
+
+  void OnFrame(std::string frame) {
+    if (frame.empty()) {
+      return;
+    }
+    if (static_cast<details::FrameKind>(frame.front()) == details::FrameKind::kMessage) {
+      ++this->counters.messages_received;
+      frame.erase(0, 1);
+      this->listener.OnMessage(std::move(frame));
+      return;
+    }
+    if (const auto message = this->codec.Decode(frame)) {
+      this->OnKeepAlive(*message);
+    }
+  }
+
+  void OnKeepAlive(const details::KeepAlive& message) {
+    if (message.kind == details::FrameKind::kKeepAlive) {
+      Peer* const peer = this->FindOrDial(message.from);
+      if (peer != nullptr) {
+        this->SendKeepAlive(*peer, details::FrameKind::kKeepAliveAnswer, message.nonce);
+      }
+      return;
+    }
+    const auto found = this->links.find(message.from);
+    if (found != this->links.end() && found->second.nonce == message.nonce) {
+      this->NoteHeard(message.from);
+    }
+  }
+
+  void SendKeepAlive(Peer& peer, details::FrameKind kind, std::uint64_t nonce) {
+    std::string frame = this->codec.Encode({kind, this->options.address, nonce});
+    const std::size_t bytes = frame.size();
+    if (peer.link->Send(0, std::move(frame))) {
+      ++this->counters.keep_alives_sent;
+      this->counters.keep_alive_bytes_sent += bytes;
+    }
+  }
+
+  void ScheduleTick() {
+    if (this->ticking) {
+      return;
+    }
+    this->ticking = true;
+    this->After(this->tick, this->options.keep_alive_interval, [this] { this->OnTick(); });
+  }
+
+  void OnTick() {
+    this->ticking = false;
+    const SteadyTime now = std::chrono::steady_clock::now();
+    std::vector<membership::NodeId> silent;
+    bool waiting = false;
+    for (auto& [id, peer] : this->links) {
+      if (!peer.unheard_since) {
+        continue;
+      }
+      waiting = true;
+      if (now - *peer.unheard_since < this->options.keep_alive_interval || !peer.link->IsUp()) {
+        continue;
+      }
+      if (peer.keep_alives >= kSilentIntervals) {
+        silent.push_back(id);
+        continue;
+      }
+      ++peer.keep_alives;
+      peer.nonce = ++this->last_nonce;
+      this->SendKeepAlive(peer, details::FrameKind::kKeepAlive, peer.nonce);
+    }
+    for (const membership::NodeId& id : silent) {
+      ++this->counters.links_silent;
+      this->Lose(id);
+    }
+    if (waiting) {
+      this->ScheduleTick();
+    }
+  }
+
+  asio::io_context& context;
+  const NngTransportOptions options;
+  TransportListener& listener;
+  const details::KeepAliveCodec codec;
+  asio::steady_timer tick;
+  bool ticking = false;
+  asio::thread_pool closer{1};
+  std::unique_ptr<details::NngReceiver> receiver;
+  std::unordered_map<membership::NodeId, Peer> links;
+  // Most recently used first.
+  std::list<membership::NodeId> uses;
+  TransportCounters counters;
+  std::uint64_t last_ticket = 0;
+  std::uint64_t last_serial = 0;
+  std::uint64_t last_nonce = 0;
+};
+
+utils::Result<std::unique_ptr<NngTransport>> NngTransport::Create(asio::io_context& context,
+                                                                  NngTransportOptions options,
+                                                                  TransportListener& listener) {
+  auto impl = std::make_shared<Impl>(context, std::move(options), listener);
+  if (auto listening = impl->Listen(); !listening) {
+    impl->Stop();
+    return tl::unexpected(listening.error());
+  }
+  return std::unique_ptr<NngTransport>(new NngTransport(std::move(impl)));
+}
+
+NngTransport::NngTransport(std::shared_ptr<Impl> impl) : impl(std::move(impl)) {}
+
+NngTransport::~NngTransport() { this->impl->Stop(); }
+
+std::uint64_t NngTransport::Send(const membership::NodeId& to, std::string bytes,
+                                 bool answer_expected) {
+  return this->impl->Send(to, std::move(bytes), answer_expected);
+}
+
+void NngTransport::NoteHeard(const membership::NodeId& peer) { this->impl->NoteHeard(peer); }
+
+const TransportCounters& NngTransport::Counters() const { return this->impl->Counters(); }
+
+std::size_t NngTransport::LinkCount() const { return this->impl->LinkCount(); }
+
+}  // namespace amaranthlatch::runtime
--- /dev/null
+++ b/libs/runtime/tests/http_client_test.cc
@@ -0,0 +1,176 @@
+// Tests of the HTTP client against servers that misbehave.
+
+#include <CppUTest/TestHarness.h>
+
+#include <optional>
+
+#include "amaranthlatch/runtime/curl_http_client.h"
+#include "test_support.h"
+
+namespace amaranthlatch::runtime {
+
+using calls::BackendFailure;
+
+constexpr const char* kOkAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+TEST_GROUP(HttpClientTest) {
+  asio::io_context context;
+  std::unique_ptr<CurlHttpClient> client = *CurlHttpClient::Create(context, {});
+  std::uint64_t last_id = 0;
+
+  static HttpExchange Exchange(const ScriptedServer& server, const std::string& method,
+                               const std::string& body) {
+    HttpExchange exchange;
+    exchange.address = server.Address();
+    exchange.request = {method, "/blocks?x=1", "field-log.example", {{"x-trace", "7"}}, body};
+    exchange.time_limit = utils::Seconds(5);
+    exchange.max_response_bytes = 1000;
+    return exchange;
+  }
+
+  HttpOutcome Run(HttpExchange exchange) {
+    std::optional<HttpOutcome> outcome;
+    client->Start(++last_id, std::move(exchange),
+                  [&outcome](HttpOutcome result) { outcome = std::move(result); });
+    CHECK_TRUE(RunUntil(context, [&outcome] { return outcome.has_value(); }));
+    return *outcome;
+  }
+
+  // Answers the first request and closes after reading the second, on the reused connection.
+  void ExpectOneWriteOnReusedConnection(const std::string& method, const std::string& body) {
+    ScriptedServer server(context, [](ScriptedServer::Connection& connection, int request) {
+      if (request == 1) {
+        connection.Write(kOkAnswer);
+      } else {
+        connection.Close();
+      }
+    });
+    CHECK_TRUE(Run(Exchange(server, "GET", "")).has_value());
+    const HttpOutcome outcome = Run(Exchange(server, method, body));
+    CHECK_FALSE(outcome.has_value());
+    CHECK_TRUE(outcome.error().failure == BackendFailure::kConnectionLost);
+    CHECK_FALSE(outcome.error().process_dead);
+    RunFor(context, std::chrono::milliseconds(100));
+    LONGS_EQUAL(2, server.requests);
+  }
+};
+
+// Guards against a block that is recorded twice because libcurl repeats a POST by itself.
+TEST(HttpClientTest, WritesPostWithBodyOnce) { ExpectOneWriteOnReusedConnection("POST", "block"); }
+
+// Guards against the same for requests in which libcurl has no body to rewind.
+TEST(HttpClientTest, WritesPostWithoutBodyOnce) { ExpectOneWriteOnReusedConnection("POST", ""); }
+TEST(HttpClientTest, WritesDeleteOnce) { ExpectOneWriteOnReusedConnection("DELETE", ""); }
+TEST(HttpClientTest, WritesGetOnce) { ExpectOneWriteOnReusedConnection("GET", ""); }
+TEST(HttpClientTest, WritesHeadOnce) { ExpectOneWriteOnReusedConnection("HEAD", ""); }
+TEST(HttpClientTest, WritesLargePutOnce) {
+  ExpectOneWriteOnReusedConnection("PUT", std::string(300000, 'x'));
+}
+
+// Guards against a new connection for each call, and against changed targets and bodies.
+TEST(HttpClientTest, ReusesConnections) {
+  std::string seen;
+  ScriptedServer server(
+      context, [](ScriptedServer::Connection& connection, int) { connection.Write(kOkAnswer); });
+  for (int i = 0; i < 5; ++i) {
+    const HttpOutcome outcome = Run(Exchange(server, "POST", "body"));
+    CHECK_TRUE(outcome.has_value());
+    LONGS_EQUAL(200, outcome->status);
+    STRCMP_EQUAL("ok", outcome->body.c_str());
+  }
+  LONGS_EQUAL(1, server.connections);
+}
+
+// Guards against a truncated answer that is passed on as complete.
+TEST(HttpClientTest, DetectsIncompleteAnswers) {
+  const std::vector<std::string> answers = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+      "HTTP/1.1 200 OK\r\n\r\nabc",
+      "HTTP/1.1 200 OK\r\nContent-Le",
+  };
+  for (const std::string& answer : answers) {
+    ScriptedServer server(context, [&answer](ScriptedServer::Connection& connection, int) {
+      connection.Write(answer);
+      connection.Close();
+    });
+    const HttpOutcome outcome = Run(Exchange(server, "GET", ""));
+    CHECK_FALSE_TEXT(outcome.has_value(), answer.c_str());
+    CHECK_TRUE(outcome.error().failure == BackendFailure::kConnectionLost);
+  }
+}
+
+// Guards against unbounded memory for answers.
+TEST(HttpClientTest, RefusesTooLargeAnswers) {
+  for (const char* framing : {"Content-Length: 5000", "Transfer-Encoding: chunked"}) {
+    ScriptedServer server(context, [framing](ScriptedServer::Connection& connection, int) {
+      connection.Write(std::string("HTTP/1.1 200 OK\r\n") + framing + "\r\n\r\n1388\r\n" +
+                       std::string(5000, 'x'));
+    });
+    const HttpOutcome outcome = Run(Exchange(server, "GET", ""));
+    CHECK_TRUE(outcome.error().failure == BackendFailure::kTooLarge);
+  }
+}
+
+// Guards against a silent connection that holds an idempotent call until its deadline.
+TEST(HttpClientTest, FindsSilentConnections) {
+  ScriptedServer server(context, [](ScriptedServer::Connection&, int) {});
+  HttpExchange exchange = Exchange(server, "GET", "");
+  exchange.silent_after = utils::Milliseconds(50);
+  exchange.repeatable = true;
+  const HttpOutcome outcome = Run(exchange);
+  CHECK_TRUE(outcome.error().failure == BackendFailure::kSilent);
+  CHECK_FALSE(outcome.error().process_dead);
+}
+
+// Guards against a late answer that is given up although nobody may run the request again.
+TEST(HttpClientTest, WaitsForLateAnswersOfUnrepeatableRequests) {
+  ScriptedServer server(context, [](ScriptedServer::Connection&, int) {});
+  HttpExchange exchange = Exchange(server, "POST", "block");
+  exchange.silent_after = utils::Milliseconds(20);
+  std::optional<HttpOutcome> outcome;
+  client->Start(1, exchange, [&outcome](HttpOutcome result) { outcome = std::move(result); });
+  RunFor(context, std::chrono::milliseconds(150));
+  CHECK_FALSE(outcome.has_value());
+  server.open.front()->Write(kOkAnswer);
+  CHECK_TRUE(RunUntil(context, [&outcome] { return outcome.has_value(); }));
+  CHECK_TRUE(outcome->has_value());
+}
+
+// Guards against a crash that is taken for a lost connection, and against a false "may have run".
+TEST(HttpClientTest, TellsDeadProcesses) {
+  auto server = std::make_unique<ScriptedServer>(
+      context, [](ScriptedServer::Connection& connection, int) { connection.Close(); });
+  const HttpExchange exchange = Exchange(*server, "POST", "block");
+  std::optional<HttpOutcome> outcome;
+  client->Start(1, exchange, [&outcome](HttpOutcome result) { outcome = std::move(result); });
+  CHECK_TRUE(RunUntil(context, [&server] { return server->requests == 1; }));
+  server.reset();
+  CHECK_TRUE(RunUntil(context, [&outcome] { return outcome.has_value(); }));
+  CHECK_TRUE(outcome->error().failure == BackendFailure::kConnectionLost);
+  CHECK_TRUE(outcome->error().process_dead);
+  const HttpOutcome refused = Run(exchange);
+  CHECK_TRUE(refused.error().failure == BackendFailure::kNotConnected);
+}
+
+// Guards against work that goes on at a backend server after its caller has gone.
+TEST(HttpClientTest, CancellationClosesTheConnection) {
+  ScriptedServer server(context, [](ScriptedServer::Connection&, int) {});
+  std::optional<HttpOutcome> outcome;
+  client->Start(1, Exchange(server, "POST", "block"),
+                [&outcome](HttpOutcome result) { outcome = std::move(result); });
+  CHECK_TRUE(RunUntil(context, [&server] { return server.requests == 1; }));
+  client->Cancel(1);
+  CHECK_TRUE(RunUntil(context, [&outcome] { return outcome.has_value(); }));
+  CHECK_TRUE(outcome->error().failure == BackendFailure::kCancelled);
+  asio::error_code error;
+  CHECK_TRUE(RunUntil(context, [&] {
+    char byte = 0;
+    server.open.front()->socket.non_blocking(true);
+    server.open.front()->socket.receive(asio::buffer(&byte, 1), 0, error);
+    return error == asio::error::eof || error == asio::error::connection_reset;
+  }));
+}
+
+}  // namespace amaranthlatch::runtime
--- /dev/null
+++ b/libs/runtime/tests/transport_test.cc
@@ -0,0 +1,170 @@
+// Tests of the transport between nodes.
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+#include "amaranthlatch/runtime/nng_transport.h"
+#include "keep_alive.h"
+#include "test_support.h"
+
+namespace amaranthlatch::runtime {
+
+namespace {
+
+// A port that nobody listens on.
+std::string FreeAddress() {
+  asio::io_context context;
+  const asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+struct Recorder : TransportListener {
+  void OnMessage(std::string bytes) override { this->messages.push_back(std::move(bytes)); }
+  void OnNotSent(const membership::NodeId&, std::uint64_t ticket) override {
+    this->not_sent.push_back(ticket);
+  }
+  void OnPeerLost(const membership::NodeId& peer) override { this->lost.push_back(peer); }
+
+  std::vector<std::string> messages;
+  std::vector<std::uint64_t> not_sent;
+  std::vector<std::string> lost;
+};
+
+struct TestNode {
+  TestNode(asio::io_context& context, NngTransportOptions options) {
+    options.address = FreeAddress();
+    options.secret = "secret";
+    this->address = options.address;
+    this->transport = *NngTransport::Create(context, options, this->recorder);
+  }
+
+  std::string address;
+  Recorder recorder;
+  std::unique_ptr<NngTransport> transport;
+};
+
+}  // namespace
+
+TEST_GROUP(TransportTest) { asio::io_context context; };
+
+// Guards against lost or reordered messages on a link that is just being made.
+TEST(TransportTest, DeliversInOrder) {
+  TestNode first(context, {});
+  TestNode second(context, {});
+  for (int i = 0; i < 200; ++i) {
+    first.transport->Send(second.address, std::to_string(i), false);
+  }
+  CHECK_TRUE(RunUntil(context, [&] { return second.recorder.messages.size() == 200; }));
+  for (int i = 0; i < 200; ++i) {
+    STRCMP_EQUAL(std::to_string(i).c_str(), second.recorder.messages[i].c_str());
+  }
+  LONGS_EQUAL(0, first.recorder.not_sent.size());
+}
+
+// Guards against a call that waits for a dead node until its deadline.
+TEST(TransportTest, ReportsNotSentToADeadPeer) {
+  TestNode first(context, {});
+  const std::string dead = FreeAddress();
+  const std::uint64_t ticket = first.transport->Send(dead, "call", true);
+  CHECK_TRUE(RunUntil(context, [&] { return !first.recorder.lost.empty(); }));
+  CHECK_TRUE(RunUntil(context, [&] { return !first.recorder.not_sent.empty(); }));
+  CHECK_TRUE(first.recorder.not_sent == std::vector<std::uint64_t>{ticket});
+  STRCMP_EQUAL(dead.c_str(), first.recorder.lost.front().c_str());
+}
+
+// Guards against a node that is believed reachable after its death.
+TEST(TransportTest, ReportsALostPeerAndDialsAnew) {
+  TestNode first(context, {});
+  auto second = std::make_unique<TestNode>(context, NngTransportOptions{});
+  const std::string address = second->address;
+  first.transport->Send(address, "one", false);
+  CHECK_TRUE(RunUntil(context, [&] { return second->recorder.messages.size() == 1; }));
+  second.reset();
+  CHECK_TRUE(RunUntil(context, [&] { return first.recorder.lost.size() == 1; }));
+  LONGS_EQUAL(0, first.transport->LinkCount());
+  LONGS_EQUAL(0, first.recorder.not_sent.size());
+}
+
+// Guards against memory that a single message or a slow peer can take without bound.
+TEST(TransportTest, BoundsMessagesAndQueues) {
+  NngTransportOptions options;
+  options.max_message_bytes = 1000;
+  options.max_waiting_messages = 3;
+  TestNode first(context, options);
+  TestNode second(context, {});
+  const std::uint64_t large = first.transport->Send(second.address, std::string(1000, 'x'), false);
+  for (int i = 0; i < 5; ++i) {
+    first.transport->Send(second.address, "m", false);
+  }
+  CHECK_TRUE(RunUntil(context, [&] { return second.recorder.messages.size() == 3; }));
+  CHECK_TRUE(RunUntil(context, [&] { return first.recorder.not_sent.size() == 3; }));
+  LONGS_EQUAL(large, first.recorder.not_sent.front());
+  LONGS_EQUAL(1, first.transport->Counters().messages_too_large);
+}
+
+// Guards against links without bound when a node talks to the whole mesh.
+TEST(TransportTest, BoundsLinks) {
+  NngTransportOptions options;
+  options.max_links = 2;
+  TestNode first(context, options);
+  std::vector<std::unique_ptr<TestNode>> others;
+  for (int i = 0; i < 4; ++i) {
+    others.push_back(std::make_unique<TestNode>(context, NngTransportOptions{}));
+    first.transport->Send(others.back()->address, "m", false);
+    CHECK_TRUE(RunUntil(context, [&] { return others.back()->recorder.messages.size() == 1; }));
+    CHECK_TRUE(first.transport->LinkCount() <= 2);
+  }
+  LONGS_EQUAL(2, first.transport->Counters().links_evicted);
+}
+
+// Guards against a flood of received messages that grows the process without bound.
+TEST(TransportTest, HoldsSendersBackWhileTheLoopIsBusy) {
+  NngTransportOptions options;
+  options.max_received_messages = 4;
+  TestNode first(context, {});
+  TestNode second(context, options);
+  for (int i = 0; i < 100; ++i) {
+    first.transport->Send(second.address, std::string(1000, 'x'), false);
+  }
+  CHECK_TRUE(RunUntil(context, [&] { return second.recorder.messages.size() == 100; }));
+}
+
+// Guards against a link that went silent and is kept, and against one that is replaced although
+// its peer lives.
+TEST(TransportTest, ReplacesSilentLinksOnly) {
+  NngTransportOptions options;
+  options.keep_alive_interval = utils::Milliseconds(30);
+  TestNode first(context, options);
+  TestNode second(context, {});
+  first.transport->Send(second.address, "call", true);
+  RunFor(context, std::chrono::milliseconds(300));
+  LONGS_EQUAL(0, first.recorder.lost.size());
+  // A server that takes bytes and never answers stands for a link that went silent after the
+  // handshake, in which each side sends the 8 bytes of its protocol header.
+  ScriptedServer silent(context, [](ScriptedServer::Connection&, int) {});
+  first.transport->Send(silent.Address(), "call", true);
+  const std::string pull_header("\0SP\0\0\x51\0\0", 8);
+  std::size_t greeted = 0;
+  CHECK_TRUE(RunUntil(context, [&] {
+    for (; greeted < silent.open.size(); ++greeted) {
+      silent.open[greeted]->Write(pull_header);
+    }
+    return !first.recorder.lost.empty();
+  }));
+  LONGS_EQUAL(1, first.transport->Counters().links_silent);
+}
+
+// Guards against keep-alive messages of strangers.
+TEST(TransportTest, KeepAliveNeedsTheSecret) {
+  const details::KeepAliveCodec codec("secret");
+  const details::KeepAlive message{details::FrameKind::kKeepAlive, "127.0.0.1:7000", 77};
+  std::string frame = codec.Encode(message);
+  CHECK_TRUE(codec.Decode(frame) == message);
+  CHECK_FALSE(details::KeepAliveCodec("other").Decode(frame).has_value());
+  frame[3] = static_cast<char>(frame[3] ^ 1);
+  CHECK_FALSE(codec.Decode(frame).has_value());
+  CHECK_FALSE(codec.Decode("").has_value());
+}
+
+}  // namespace amaranthlatch::runtime
