--- a/libs/runtime/src/curl_multi.h
+++ b/libs/runtime/src/curl_multi.h
@@ -42,8 +42,8 @@
   static curl_socket_t OpenSocket(void* self, curlsocktype purpose, curl_sockaddr* address);
   static int CloseSocket(void* self, curl_socket_t socket);
   static int SocketCallback(CURL* easy, curl_socket_t socket, int what, void* self, void* data);
-  static int TimerCallback(CURLM* multi, long timeout_ms,
-                           void* self);  // NOLINT(google-runtime-int)
+  // NOLINTNEXTLINE(google-runtime-int): libcurl's type.
+  static int TimerCallback(CURLM* multi, long timeout_ms, void* self);
 
   void Watch(const WatchedPointer& watched);
   void WaitFor(const WatchedPointer& watched, bool read);
--- a/libs/runtime/src/curl_transfer.cc
+++ b/libs/runtime/src/curl_transfer.cc
@@ -96,7 +96,8 @@
   for (const auto& [name, value] : request.headers) {
     const bool computed = name == "host" || name == "content-length" || name == "expect";
     if (!computed && IsValidField(name, value)) {
-      this->AddHeader(value.empty() ? name + ";" : name + ": " + value);
+      std::string line = name;
+      this->AddHeader(value.empty() ? line.append(";") : line.append(": ").append(value));
     }
   }
 }
--- a/libs/runtime/src/http_headers.cc
+++ b/libs/runtime/src/http_headers.cc
@@ -47,7 +47,13 @@
   return names;
 }
 
-bool IsControl(char c) { return static_cast<unsigned char>(c) < 0x20 || c == 0x7f; }
+constexpr unsigned char kFirstPrintable = 0x20;
+constexpr unsigned char kDelete = 0x7f;
+
+bool IsForbiddenInValue(char c) {
+  const auto byte = static_cast<unsigned char>(c);
+  return (byte < kFirstPrintable && c != '\t') || byte == kDelete;
+}
 
 bool IsTokenCharacter(char c) {
   return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
@@ -79,7 +85,7 @@
 
 bool IsValidField(std::string_view name, std::string_view value) {
   return !name.empty() && std::all_of(name.begin(), name.end(), IsTokenCharacter) &&
-         std::none_of(value.begin(), value.end(), [](char c) { return IsControl(c) && c != '\t'; });
+         std::none_of(value.begin(), value.end(), IsForbiddenInValue);
 }
 
 }  // namespace amaranthlatch::runtime
--- a/libs/runtime/src/nng_transport.cc
+++ b/libs/runtime/src/nng_transport.cc
@@ -208,11 +208,11 @@
     }
   }
 
-  void Lose(const membership::NodeId& id) {
+  // By value: the argument may be part of the link that is closed.
+  void Lose(membership::NodeId id) {
     ++this->counters.links_lost;
-    const membership::NodeId peer = id;
-    this->Close(peer);
-    asio::post(this->context, [weak = this->weak_from_this(), peer] {
+    this->Close(id);
+    asio::post(this->context, [weak = this->weak_from_this(), peer = std::move(id)] {
       if (const auto self = weak.lock()) {
         self->listener.OnPeerLost(peer);
       }
--- a/libs/runtime/src/restinio_server.cc
+++ b/libs/runtime/src/restinio_server.cc
@@ -341,13 +341,12 @@
         .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& acceptor) {
           this->port = acceptor.local_endpoint().port();
         })
-        .request_handler([this](restinio::request_handle_t handle) {
-          return this->OnRequest(std::move(handle));
-        });
+        .request_handler(
+            [this](const restinio::request_handle_t& handle) { return this->OnRequest(handle); });
     return settings;
   }
 
-  restinio::request_handling_status_t OnRequest(restinio::request_handle_t handle) {
+  restinio::request_handling_status_t OnRequest(const restinio::request_handle_t& handle) {
     const auto found = this->connections.find(handle->connection_id());
     if (this->closed || found == this->connections.end()) {
       return restinio::request_rejected();
