--- /dev/null
+++ b/libs/membership/include/amaranthlatch/membership/message_codec.h
@@ -0,0 +1,20 @@
+// Encoding of membership messages as JSON arrays `[type, fields...]`.
+
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include "amaranthlatch/membership/message.h"
+#include "amaranthlatch/utils/result.h"
+
+namespace amaranthlatch::membership {
+
+nlohmann::json ToJson(const Message& message);
+
+// Fails with kMemberMalformed for a bad member record, else with kMessageMalformed.
+utils::Result<Message> MessageFromJson(const nlohmann::json& json);
+
+nlohmann::json ToJson(const Member& member);
+utils::Result<Member> MemberFromJson(const nlohmann::json& json);
+
+}  // namespace amaranthlatch::membership
--- /dev/null
+++ b/libs/membership/src/context.h
@@ -0,0 +1,47 @@
+// What the parts of the membership reducer share while they handle one event.
+
+#pragma once
+
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "amaranthlatch/membership/effect.h"
+#include "amaranthlatch/membership/membership.h"
+#include "amaranthlatch/membership/options.h"
+#include "amaranthlatch/utils/random.h"
+#include "member_table.h"
+
+namespace amaranthlatch::membership::details {
+
+struct Context {
+  explicit Context(Options settings, Member self)
+      : options(std::move(settings)), table(std::move(self)), random(options.seed) {}
+
+  void Send(const NodeId& to, Message message) {
+    ++this->counters.messages_sent;
+    this->effects.push_back(SendMessage{to, std::move(message)});
+  }
+
+  bool IsSelf(const NodeId& id) const { return id == this->options.id; }
+
+  const Options options;
+  MemberTable table;
+  utils::Random random;
+  Counters counters;
+  // Members of other zones that did not answer lately; they are passed over as gateways.
+  std::map<NodeId, utils::Timestamp> unreachable;
+  // Set for the duration of one event.
+  utils::Timestamp now{};
+  std::vector<Effect> effects;
+};
+
+// The earlier of a time that may be absent and another one.
+inline void KeepEarlier(std::optional<utils::Timestamp>& earliest, utils::Timestamp time) {
+  if (!earliest || time < *earliest) {
+    earliest = time;
+  }
+}
+
+}  // namespace amaranthlatch::membership::details
--- /dev/null
+++ b/libs/membership/src/failure_detector.h
@@ -0,0 +1,96 @@
+// Finds zone members that do not answer: probes, indirect probes, suspicion and hold.
+
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "context.h"
+
+namespace amaranthlatch::membership::details {
+
+class FailureDetector {
+ public:
+  // `Digests` of outgoing probes come from the caller, so that this class only knows probing.
+  void Start(Context& context);
+
+  // Sends what is due. Returns the members that are now to be marked dead.
+  std::vector<Member> Advance(Context& context, const ZoneDigests& digests);
+  std::optional<utils::Timestamp> NextWake(const Options& options) const;
+
+  // Any message of a peer shows that it lives.
+  void Heard(Context& context, const NodeId& from);
+  // Returns false for an answer to no open probe.
+  bool OnAck(Context& context, const NodeId& from, const ProbeAck& ack);
+  void OnIndirectProbe(Context& context, const NodeId& from, const IndirectProbe& request,
+                       const ZoneDigests& digests);
+  void OnUnreachable(Context& context, const NodeId& id, const ZoneDigests& digests);
+  void OnChanged(Context& context, const Member& member, bool added);
+
+  // Forgets open probes and restarts suspicion: after a pause, silence proves nothing.
+  void Reset(Context& context);
+
+  // True while a probe is due in this step; the digest exchange between zones follows its rhythm.
+  bool TookProbeTurn() const { return this->probe_turn; }
+  std::uint64_t NextSequence() { return ++this->sequence; }
+  bool IsSuspect(const NodeId& id) const { return this->suspects.contains(id); }
+  bool Holding() const { return this->holding; }
+  bool Isolated(const Context& context) const;
+  const std::optional<utils::Timestamp>& LastAnswered() const { return this->last_answered; }
+
+ private:
+  struct Probing {
+    NodeId target;
+    utils::Timestamp sent{};
+    bool indirect = false;
+  };
+  struct Suspicion {
+    utils::Timestamp since{};
+    utils::Timestamp deadline{};
+  };
+  struct Relay {
+    NodeId requester;
+    std::uint64_t sequence = 0;
+    utils::Timestamp sent{};
+  };
+
+  void ProbeNext(Context& context, const ZoneDigests& digests);
+  void ProbeSuspects(Context& context, const ZoneDigests& digests);
+  void ProbeSamples(Context& context, const ZoneDigests& digests, std::size_t count);
+  void StartProbe(Context& context, const NodeId& target, const ZoneDigests& digests);
+  void AskOthers(Context& context, std::uint64_t sequence, const NodeId& target);
+  void CheckPending(Context& context, const ZoneDigests& digests);
+  void Fail(Context& context, const NodeId& target, const ZoneDigests& digests);
+  void PruneWindows(Context& context);
+  void UpdateHold(Context& context);
+  bool MassFailure(const Context& context) const;
+  std::vector<Member> TakeExpired(Context& context);
+  bool IsTarget(const Context& context, const NodeId& id) const;
+
+  std::uint64_t sequence = 0;
+  std::map<std::uint64_t, Probing> pending;
+  std::map<std::uint64_t, Relay> relays;
+  // Zone members in random order; positions before `position` were probed in this round.
+  std::vector<NodeId> order;
+  std::size_t position = 0;
+  std::map<NodeId, Suspicion> suspects;
+  // The suspect after which the next repeated probe continues.
+  NodeId suspect_cursor;
+  // Members probed within the hold window, with the time of the last probe.
+  std::map<NodeId, utils::Timestamp> samples;
+  // Times at which zone members were marked dead, by whomever, within the hold window.
+  std::deque<utils::Timestamp> deaths;
+  utils::Timestamp next_probe{};
+  utils::Timestamp last_heard{};
+  std::optional<utils::Timestamp> last_answered;
+  utils::Timestamp hold_since{};
+  bool holding = false;
+  // A hold reached its limit; no other begins until the share of failed members has fallen.
+  bool released = false;
+  bool probe_turn = false;
+};
+
+}  // namespace amaranthlatch::membership::details
--- /dev/null
+++ b/libs/membership/src/member_table.cc
@@ -0,0 +1,161 @@
+// The table of member records.
+
+#include "member_table.h"
+
+#include "amaranthlatch/utils/hash.h"
+
+namespace amaranthlatch::membership::details {
+
+namespace {
+
+// Content changes raise the incarnation, so these fields identify the whole record.
+std::uint64_t RecordHash(const Member& member) {
+  const std::uint64_t version = utils::CombineHash(member.incarnation, member.boot_id);
+  return utils::Hash64(member.id, version + static_cast<std::uint64_t>(member.state));
+}
+
+}  // namespace
+
+MemberTable::MemberTable(Member self) {
+  const NodeId id = self.id;
+  this->Offer(self, utils::Timestamp{});
+  this->self = &this->members.find(id)->second;
+}
+
+MemberTable::Outcome MemberTable::Offer(const Member& member, utils::Timestamp now) {
+  auto [entry, added] = this->members.try_emplace(member.id, member);
+  Member& known = entry->second;
+  if (!added) {
+    const auto order = ComparePrecedence(member, known);
+    if (order <= 0) {
+      return order == 0 ? Outcome::kSame : Outcome::kStale;
+    }
+    if (IsListed(known)) {
+      this->Unlink(known);
+    }
+    known = member;
+  }
+  if (IsListed(known)) {
+    this->Link(known);
+  } else {
+    this->unlisted.emplace_back(now, known.id);
+  }
+  ++this->generation;
+  return Outcome::kStored;
+}
+
+std::size_t MemberTable::Expire(utils::Timestamp now, utils::Duration age, std::size_t limit) {
+  std::size_t dropped = 0;
+  while (!this->unlisted.empty() && this->unlisted.front().first + age <= now && dropped < limit) {
+    const auto found = this->members.find(this->unlisted.front().second);
+    this->unlisted.pop_front();
+    // A record that was listed again and lost again is dropped with its later entry at the latest.
+    if (found != this->members.end() && !IsListed(found->second) && &found->second != this->self) {
+      this->members.erase(found);
+      ++dropped;
+    }
+  }
+  return dropped;
+}
+
+const utils::Timestamp* MemberTable::OldestUnlisted() const {
+  return this->unlisted.empty() ? nullptr : &this->unlisted.front().first;
+}
+
+std::size_t MemberTable::ZoneSize(std::string_view zone) const {
+  const auto found = this->zones.find(zone);
+  return found == this->zones.end() ? 0 : found->second.members.size();
+}
+
+const Member* MemberTable::Find(std::string_view id) const {
+  const auto found = this->members.find(id);
+  return found == this->members.end() ? nullptr : &found->second;
+}
+
+MemberList MemberTable::OfService(std::string_view service) const {
+  return ListOf(this->services, service);
+}
+
+MemberList MemberTable::OfZone(std::string_view zone) const { return ListOf(this->zones, zone); }
+
+MemberList MemberTable::OfRegion(std::string_view region) const {
+  return ListOf(this->regions, region);
+}
+
+std::vector<std::string> MemberTable::Zones() const { return KeysOf(this->zones); }
+
+std::vector<std::string> MemberTable::Regions() const { return KeysOf(this->regions); }
+
+MemberList MemberTable::ListOf(const Index& index, std::string_view key) {
+  static const MemberList kEmpty = std::make_shared<const std::vector<Member>>();
+  const auto found = index.find(key);
+  if (found == index.end()) {
+    return kEmpty;
+  }
+  const Group& group = found->second;
+  if (group.list == nullptr) {
+    std::vector<Member> list;
+    list.reserve(group.members.size());
+    for (const Member* member : group.members) {
+      list.push_back(*member);
+    }
+    group.list = std::make_shared<const std::vector<Member>>(std::move(list));
+  }
+  return group.list;
+}
+
+std::vector<std::string> MemberTable::KeysOf(const Index& index) {
+  std::vector<std::string> keys;
+  keys.reserve(index.size());
+  for (const auto& [key, group] : index) {
+    keys.push_back(key);
+  }
+  return keys;
+}
+
+void MemberTable::AddTo(Index& index, const std::string& key, const Member* member) {
+  Group& group = index[key];
+  group.members.insert(member);
+  group.list = nullptr;
+}
+
+void MemberTable::RemoveFrom(Index& index, const std::string& key, const Member* member) {
+  const auto found = index.find(key);
+  found->second.members.erase(member);
+  found->second.list = nullptr;
+  if (found->second.members.empty()) {
+    index.erase(found);
+  }
+}
+
+void MemberTable::Link(const Member& member) {
+  if (!member.service.empty()) {
+    AddTo(this->services, member.service, &member);
+  }
+  AddTo(this->zones, member.zone, &member);
+  AddTo(this->regions, member.region, &member);
+  this->AddDigest(member, true);
+  ++this->listed;
+}
+
+void MemberTable::Unlink(const Member& member) {
+  if (!member.service.empty()) {
+    RemoveFrom(this->services, member.service, &member);
+  }
+  RemoveFrom(this->zones, member.zone, &member);
+  RemoveFrom(this->regions, member.region, &member);
+  this->AddDigest(member, false);
+  --this->listed;
+}
+
+void MemberTable::AddDigest(const Member& member, bool add) {
+  const std::uint64_t hash = add ? RecordHash(member) : 0 - RecordHash(member);
+  std::uint64_t& sum = this->digests[member.zone];
+  sum += hash;
+  this->total_digest += hash;
+  if (this->ZoneSize(member.zone) == 0) {
+    this->digests.erase(member.zone);
+  }
+}
+
+}  // namespace amaranthlatch::membership::details
--- /dev/null
+++ b/libs/membership/src/member_table.h
@@ -0,0 +1,86 @@
+// All known member records, indexed by service, zone and region.
+
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "amaranthlatch/membership/member_view.h"
+#include "amaranthlatch/membership/message.h"
+#include "amaranthlatch/utils/time.h"
+
+namespace amaranthlatch::membership::details {
+
+inline bool IsListed(const Member& member) { return member.state < MemberState::kLeft; }
+
+class MemberTable final : public MemberView {
+ public:
+  explicit MemberTable(Member self);
+
+  enum class Outcome : std::uint8_t { kStored, kSame, kStale };
+
+  // Stores the record if it takes precedence over the known one.
+  Outcome Offer(const Member& member, utils::Timestamp now);
+
+  // Drops unlisted records older than `age`, at most `limit` of them; returns their number.
+  std::size_t Expire(utils::Timestamp now, utils::Duration age, std::size_t limit);
+
+  // When the next unlisted record was stored; none without one.
+  const utils::Timestamp* OldestUnlisted() const;
+  // Ids of records that became unlisted, oldest first; some may be listed again.
+  const std::deque<std::pair<utils::Timestamp, NodeId>>& Unlisted() const { return this->unlisted; }
+
+  const ZoneDigests& Digests() const { return this->digests; }
+  // Sum over all zones.
+  std::uint64_t TotalDigest() const { return this->total_digest; }
+  std::size_t ZoneSize(std::string_view zone) const;
+
+  const Member& Self() const override { return *this->self; }
+  const Member* Find(std::string_view id) const override;
+  MemberList OfService(std::string_view service) const override;
+  MemberList OfZone(std::string_view zone) const override;
+  MemberList OfRegion(std::string_view region) const override;
+  std::vector<std::string> Zones() const override;
+  std::vector<std::string> Regions() const override;
+  std::uint64_t Generation() const override { return this->generation; }
+  std::size_t Size() const override { return this->listed; }
+
+ private:
+  struct ById {
+    bool operator()(const Member* left, const Member* right) const { return left->id < right->id; }
+  };
+  struct Group {
+    std::set<const Member*, ById> members;
+    // Null until asked for after a change.
+    mutable MemberList list;
+  };
+  using Index = std::map<std::string, Group, std::less<>>;
+
+  static MemberList ListOf(const Index& index, std::string_view key);
+  static std::vector<std::string> KeysOf(const Index& index);
+  static void AddTo(Index& index, const std::string& key, const Member* member);
+  static void RemoveFrom(Index& index, const std::string& key, const Member* member);
+  void Link(const Member& member);
+  void Unlink(const Member& member);
+  void AddDigest(const Member& member, bool add);
+
+  std::map<NodeId, Member, std::less<>> members;
+  const Member* self = nullptr;
+  Index services;
+  Index zones;
+  Index regions;
+  ZoneDigests digests;
+  std::uint64_t total_digest = 0;
+  std::uint64_t generation = 0;
+  std::size_t listed = 0;
+  std::deque<std::pair<utils::Timestamp, NodeId>> unlisted;
+};
+
+}  // namespace amaranthlatch::membership::details
--- /dev/null
+++ b/libs/membership/src/membership.cc
@@ -0,0 +1,358 @@
+// Composition of the parts of the membership reducer.
+
+#include "amaranthlatch/membership/membership.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "context.h"
+#include "dissemination.h"
+#include "failure_detector.h"
+#include "join.h"
+#include "own_record.h"
+#include "repair.h"
+
+namespace amaranthlatch::membership {
+
+namespace {
+
+using details::Context;
+using details::IsListed;
+using details::MemberTable;
+
+// Unlisted records dropped in one step.
+constexpr std::size_t kExpiredPerStep = 64;
+// Expected number of zone members that tell the owner of a stale record what they know.
+constexpr double kStaleAnswers = 4.0;
+
+// Where a record came from.
+struct Source {
+  NodeId from;
+  std::uint32_t hops = 0;
+  // The sender is answered if it holds an older record.
+  bool correct_sender = false;
+};
+
+utils::Result<void> Check(const Options& options) {
+  const auto refuse = [](const char* name) {
+    return utils::Fail(utils::ErrorCode::kSettingsOutOfRange, "out of range",
+                       std::string("/") + name);
+  };
+  if (options.id.empty() || options.region.empty() || options.zone.empty()) {
+    return refuse("identity");
+  }
+  const auto positive = {options.probe_interval,  options.probe_timeout,  options.indirect_timeout,
+                         options.suspect_timeout, options.join_retry,     options.rejoin_interval,
+                         options.record_expiry,   options.pause_threshold};
+  if (std::any_of(positive.begin(), positive.end(),
+                  [](utils::Duration value) { return value <= utils::Duration::zero(); })) {
+    return refuse("intervals");
+  }
+  if (options.update_fanout == 0 || options.page_records == 0 || options.page_records > 256 ||
+      options.max_requests == 0 || options.max_transfers == 0) {
+    return refuse("limits");
+  }
+  return {};
+}
+
+}  // namespace
+
+struct Membership::Impl {
+  explicit Impl(Options options)
+      : context(options, details::InitialRecord(options)), starting(true) {}
+
+  void Start();
+  void CheckPause();
+  void Advance();
+  std::optional<utils::Timestamp> EarliestWake() const;
+
+  void Handle(const WakeUp& /*event*/) {}
+  void Handle(const PeerMessage& event);
+  void Handle(const PeerUnreachable& event);
+  void Handle(const BackendServerAnnounced& event) {
+    this->Publish(this->own.Announce(this->Self(), event));
+  }
+  void Handle(const BackendServerLost& /*event*/) {
+    this->Publish(this->own.LoseBackendServer(this->Self()));
+  }
+  void Handle(const ReadinessChanged& event) {
+    this->Publish(this->own.SetReady(this->Self(), event.ready));
+  }
+  void Handle(const DrainStarted& /*event*/) { this->Publish(this->own.StartDrain(this->Self())); }
+  void Handle(const DrainFinished& /*event*/) {
+    this->Publish(this->own.FinishDrain(this->Self()));
+  }
+
+  void OnMessage(const NodeId& from, const Probe& message);
+  void OnMessage(const NodeId& from, const ProbeAck& message);
+  void OnMessage(const NodeId& from, const IndirectProbe& message);
+  void OnMessage(const NodeId& from, const MemberUpdates& message);
+  void OnMessage(const NodeId& from, const JoinRequest& message);
+  void OnMessage(const NodeId& from, const JoinReply& message);
+  void OnMessage(const NodeId& from, const ZoneRecordsRequest& message);
+  void OnMessage(const NodeId& from, const ZoneRecords& message);
+
+  const Member& Self() const { return this->context.table.Self(); }
+  bool HasLeft() const { return this->Self().state == MemberState::kLeft; }
+  // Stores and spreads the next own record, if there is one.
+  void Publish(const std::optional<Member>& next);
+  // Takes a record from a peer.
+  void Receive(const Member& member, const Source& source);
+  void Stored(const Member& member, bool added, std::uint32_t hops);
+  void OnStale(const Member& member, const Source& source);
+
+  Context context;
+  details::OwnRecord own;
+  details::FailureDetector detector;
+  details::Dissemination dissemination;
+  details::Repair repair;
+  details::Join join;
+  bool starting;
+};
+
+void Membership::Impl::Start() {
+  this->starting = false;
+  this->detector.Start(this->context);
+  this->join.Start(this->context);
+}
+
+void Membership::Impl::CheckPause() {
+  const auto due = this->EarliestWake();
+  if (due && this->context.now - *due > this->context.options.pause_threshold) {
+    ++this->context.counters.pauses;
+    this->detector.Reset(this->context);
+  }
+}
+
+void Membership::Impl::Advance() {
+  if (this->HasLeft()) {
+    this->dissemination.Advance(this->context);
+    return;
+  }
+  const ZoneDigests digests = details::Repair::ShortDigests(this->context);
+  for (const Member& dead : this->detector.Advance(this->context, digests)) {
+    if (this->context.table.Offer(dead, this->context.now) == MemberTable::Outcome::kStored) {
+      this->Stored(dead, false, details::Dissemination::FullHops(this->context));
+    }
+  }
+  if (this->detector.TookProbeTurn()) {
+    this->repair.ProbeOtherZone(this->context, this->dissemination, this->detector);
+  }
+  this->join.Advance(this->context, this->detector);
+  this->dissemination.Advance(this->context);
+  this->repair.Advance(this->context);
+  this->context.counters.records_expired += this->context.table.Expire(
+      this->context.now, this->context.options.record_expiry, kExpiredPerStep);
+}
+
+std::optional<utils::Timestamp> Membership::Impl::EarliestWake() const {
+  auto earliest = this->dissemination.NextWake();
+  if (this->HasLeft()) {
+    return earliest;
+  }
+  const auto keep = [&earliest](const std::optional<utils::Timestamp>& wake) {
+    if (wake) {
+      details::KeepEarlier(earliest, *wake);
+    }
+  };
+  keep(this->detector.NextWake(this->context.options));
+  keep(this->repair.NextWake());
+  keep(this->join.NextWake());
+  return earliest;
+}
+
+void Membership::Impl::Handle(const PeerMessage& event) {
+  ++this->context.counters.messages_received;
+  if (this->context.IsSelf(event.from) || this->HasLeft()) {
+    return;
+  }
+  this->detector.Heard(this->context, event.from);
+  this->context.unreachable.erase(event.from);
+  std::visit([&](const auto& message) { this->OnMessage(event.from, message); }, event.message);
+}
+
+void Membership::Impl::Handle(const PeerUnreachable& event) {
+  const Member* member = this->context.table.Find(event.id);
+  if (member == nullptr || this->HasLeft()) {
+    return;
+  }
+  const ZoneDigests digests = details::Repair::ShortDigests(this->context);
+  this->detector.OnUnreachable(this->context, event.id, digests);
+}
+
+void Membership::Impl::OnMessage(const NodeId& from, const Probe& message) {
+  this->repair.OnProbe(this->context, this->dissemination, from, message);
+  const Member* sender = this->context.table.Find(from);
+  if (sender == nullptr || !IsListed(*sender)) {
+    this->join.OnStranger(this->context, from);
+  }
+}
+
+void Membership::Impl::OnMessage(const NodeId& from, const ProbeAck& message) {
+  this->detector.OnAck(this->context, from, message);
+  this->repair.OnAck(this->context, this->dissemination, from, message);
+  const Member* sender = this->context.table.Find(from);
+  if (sender == nullptr || !IsListed(*sender)) {
+    this->join.OnStranger(this->context, from);
+  }
+}
+
+void Membership::Impl::OnMessage(const NodeId& from, const IndirectProbe& message) {
+  const ZoneDigests digests = details::Repair::ShortDigests(this->context);
+  this->detector.OnIndirectProbe(this->context, from, message, digests);
+}
+
+void Membership::Impl::OnMessage(const NodeId& from, const MemberUpdates& message) {
+  const Member* sender = this->context.table.Find(from);
+  Source source{from, message.hops_left, message.hops_left == 0};
+  if (sender == nullptr || sender->zone != this->context.options.zone) {
+    source.hops = details::Dissemination::FullHops(this->context);
+  }
+  for (const Member& member : message.members) {
+    this->Receive(member, source);
+  }
+}
+
+void Membership::Impl::OnMessage(const NodeId& from, const JoinRequest& message) {
+  if (message.member.id != from) {
+    return;
+  }
+  const Member* known = this->context.table.Find(from);
+  std::uint64_t known_incarnation = 0;
+  if (known != nullptr && known->boot_id != message.member.boot_id) {
+    known_incarnation = known->incarnation;
+  }
+  const std::uint32_t hops = details::Dissemination::FullHops(this->context);
+  this->Receive(message.member, Source{from, hops, false});
+  this->context.Send(from, details::Join::Answer(this->context, this->dissemination, message.member,
+                                                 known_incarnation));
+}
+
+void Membership::Impl::OnMessage(const NodeId& from, const JoinReply& message) {
+  this->join.OnReply();
+  if (message.known_incarnation > 0) {
+    this->Publish(details::OwnRecord::RaiseAbove(this->Self(), message.known_incarnation));
+  }
+  for (const Member& member : message.members) {
+    this->Receive(member, Source{from, 0, false});
+  }
+  // The digests in the answer tell which zones are still to be fetched.
+  this->context.Send(
+      from, Probe{this->detector.NextSequence(), details::Repair::ShortDigests(this->context)});
+  const MemberList peers = this->context.table.OfZone(this->context.options.zone);
+  const NodeId& peer = (*peers)[this->context.random.Below(peers->size())].id;
+  this->repair.Want(this->context, this->context.options.zone,
+                    this->context.IsSelf(peer) ? from : peer);
+}
+
+void Membership::Impl::OnMessage(const NodeId& from, const ZoneRecordsRequest& message) {
+  this->repair.OnRequest(this->context, from, message);
+}
+
+void Membership::Impl::OnMessage(const NodeId& from, const ZoneRecords& message) {
+  const Member* sender = this->context.table.Find(from);
+  const bool same_zone = sender != nullptr && sender->zone == this->context.options.zone;
+  const std::uint32_t hops = same_zone ? 0 : details::Dissemination::FullHops(this->context);
+  for (const Member& member : message.members) {
+    this->Receive(member, Source{from, hops, true});
+  }
+  this->repair.OnPage(this->context, message);
+}
+
+void Membership::Impl::Publish(const std::optional<Member>& next) {
+  if (next &&
+      this->context.table.Offer(*next, this->context.now) == MemberTable::Outcome::kStored) {
+    this->Stored(*next, false, details::Dissemination::FullHops(this->context));
+  }
+}
+
+void Membership::Impl::Receive(const Member& member, const Source& source) {
+  if (this->context.IsSelf(member.id)) {
+    const auto refutation = details::OwnRecord::Refute(this->Self(), member);
+    if (refutation) {
+      ++this->context.counters.refutations;
+      this->Publish(refutation);
+      this->context.Send(source.from, MemberUpdates{{this->Self()}, 0});
+    }
+    return;
+  }
+  const Member* known = this->context.table.Find(member.id);
+  const bool was_listed = known != nullptr && IsListed(*known);
+  switch (this->context.table.Offer(member, this->context.now)) {
+    case MemberTable::Outcome::kStored:
+      this->Stored(member, !was_listed, source.hops > 0 ? source.hops : 0);
+      break;
+    case MemberTable::Outcome::kStale:
+      this->OnStale(member, source);
+      break;
+    case MemberTable::Outcome::kSame:
+      break;
+  }
+}
+
+void Membership::Impl::Stored(const Member& member, bool added, std::uint32_t hops) {
+  ++this->context.counters.records_changed;
+  this->detector.OnChanged(this->context, member, added);
+  this->dissemination.Enqueue(this->context, member, hops);
+  this->context.effects.emplace_back(MemberChanged{member});
+}
+
+void Membership::Impl::OnStale(const Member& member, const Source& source) {
+  ++this->context.counters.records_stale;
+  const Member& known = *this->context.table.Find(member.id);
+  if (source.correct_sender) {
+    this->context.Send(source.from, MemberUpdates{{known}, 0});
+    return;
+  }
+  // A restarted node whose clock is behind has to learn of its predecessor's incarnation.
+  const auto zone = static_cast<double>(this->context.table.ZoneSize(this->context.options.zone));
+  if (known.boot_id != member.boot_id && this->context.random.Chance(kStaleAnswers / zone)) {
+    this->context.Send(member.id, MemberUpdates{{known}, 0});
+  }
+}
+
+utils::Result<Membership> Membership::Create(Options options) {
+  if (auto checked = Check(options); !checked) {
+    return tl::unexpected<utils::Error>(checked.error());
+  }
+  return Membership(std::make_unique<Impl>(std::move(options)));
+}
+
+Membership::Membership(std::unique_ptr<Impl> impl) : impl(std::move(impl)) {}
+Membership::Membership(Membership&&) noexcept = default;
+Membership& Membership::operator=(Membership&&) noexcept = default;
+Membership::~Membership() = default;
+
+std::vector<Effect> Membership::Reduce(const Event& event, utils::Timestamp now) {
+  Context& context = this->impl->context;
+  context.now = now;
+  if (this->impl->starting) {
+    this->impl->Start();
+  }
+  this->impl->CheckPause();
+  std::visit([this](const auto& value) { this->impl->Handle(value); }, event);
+  this->impl->Advance();
+  return std::exchange(context.effects, {});
+}
+
+std::optional<utils::Timestamp> Membership::NextWake() const {
+  if (this->impl->starting) {
+    return std::nullopt;
+  }
+  return this->impl->EarliestWake();
+}
+
+const MemberView& Membership::View() const { return this->impl->context.table; }
+
+const Counters& Membership::Counts() const { return this->impl->context.counters; }
+
+bool Membership::Holding() const { return this->impl->detector.Holding(); }
+
+bool Membership::Isolated() const { return this->impl->detector.Isolated(this->impl->context); }
+
+std::optional<utils::Timestamp> Membership::LastProbeAnswered() const {
+  return this->impl->detector.LastAnswered();
+}
+
+}  // namespace amaranthlatch::membership
--- /dev/null
+++ b/libs/membership/src/message_codec.cc
@@ -0,0 +1,294 @@
+// Strict, bounded decoding of membership messages.
+
+#include "amaranthlatch/membership/message_codec.h"
+
+#include <array>
+#include <limits>
+#include <string>
+#include <type_traits>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace amaranthlatch::membership {
+
+namespace {
+
+using nlohmann::json;
+using utils::ErrorCode;
+using utils::Fail;
+using utils::Result;
+
+constexpr std::size_t kMaxNameBytes = 128;
+constexpr std::size_t kMaxLabels = 32;
+constexpr std::size_t kMaxLabelBytes = 256;
+constexpr std::size_t kMaxMembers = 256;
+constexpr std::size_t kMaxZones = 1024;
+constexpr std::size_t kMemberFields = 10;
+// Leaves room for raising an incarnation forever: a wall time in ms stays far below it.
+constexpr std::uint64_t kMaxIncarnation = std::uint64_t{1} << 62;
+
+// Number of a message in its encoding: its index in the variant.
+template <typename T, std::size_t I = 0>
+constexpr std::size_t TypeIndex() {
+  if constexpr (std::is_same_v<std::variant_alternative_t<I, Message>, T>) {
+    return I;
+  } else {
+    return TypeIndex<T, I + 1>();
+  }
+}
+
+json EncodeMembers(const std::vector<Member>& members) {
+  json list = json::array();
+  for (const Member& member : members) {
+    list.push_back(ToJson(member));
+  }
+  return list;
+}
+
+template <typename T, typename... Fields>
+json Encode(Fields&&... fields) {
+  json list = json::array();
+  list.push_back(TypeIndex<T>());
+  (list.push_back(std::forward<Fields>(fields)), ...);
+  return list;
+}
+
+json EncodeMessage(const Probe& message) {
+  return Encode<Probe>(message.sequence, message.digests);
+}
+json EncodeMessage(const ProbeAck& message) {
+  return Encode<ProbeAck>(message.sequence, message.digests);
+}
+json EncodeMessage(const IndirectProbe& message) {
+  return Encode<IndirectProbe>(message.sequence, message.target);
+}
+json EncodeMessage(const MemberUpdates& message) {
+  return Encode<MemberUpdates>(EncodeMembers(message.members), message.hops_left);
+}
+json EncodeMessage(const JoinRequest& message) {
+  return Encode<JoinRequest>(ToJson(message.member));
+}
+json EncodeMessage(const JoinReply& message) {
+  return Encode<JoinReply>(message.known_incarnation, EncodeMembers(message.members), message.page,
+                           message.page_count);
+}
+json EncodeMessage(const ZoneRecordsRequest& message) {
+  return Encode<ZoneRecordsRequest>(message.zone);
+}
+json EncodeMessage(const ZoneRecords& message) {
+  return Encode<ZoneRecords>(message.zone, EncodeMembers(message.members), message.page,
+                             message.page_count);
+}
+
+// Reads the fields of one array in order and remembers the first failure.
+class Reader {
+ public:
+  Reader(const json& list, ErrorCode code) : list(list), code(code) {}
+
+  bool HasFields(std::size_t count) const {
+    return this->list.is_array() && this->list.size() == count;
+  }
+
+  std::uint64_t Number(std::size_t field, std::uint64_t max) {
+    const json& value = this->list[field];
+    if (!value.is_number_integer() ||
+        (!value.is_number_unsigned() && value.get<std::int64_t>() < 0)) {
+      return this->Refuse<std::uint64_t>(field, "not an unsigned number");
+    }
+    const auto number = value.get<std::uint64_t>();
+    return number <= max ? number : this->Refuse<std::uint64_t>(field, "number out of range");
+  }
+
+  std::uint32_t Small(std::size_t field) {
+    return static_cast<std::uint32_t>(
+        this->Number(field, std::numeric_limits<std::uint32_t>::max()));
+  }
+
+  std::string Text(std::size_t field, bool may_be_empty) {
+    const json& value = this->list[field];
+    if (!value.is_string()) {
+      return this->Refuse<std::string>(field, "not a string");
+    }
+    const auto& text = value.get_ref<const std::string&>();
+    if (text.size() > kMaxNameBytes || (text.empty() && !may_be_empty)) {
+      return this->Refuse<std::string>(field, "string has a wrong length");
+    }
+    return text;
+  }
+
+  std::map<std::string, std::string> Labels(std::size_t field) {
+    using LabelMap = std::map<std::string, std::string>;
+    const json& value = this->list[field];
+    if (!value.is_object() || value.size() > kMaxLabels) {
+      return this->Refuse<LabelMap>(field, "not a map of labels");
+    }
+    LabelMap labels;
+    for (const auto& [key, text] : value.items()) {
+      if (!text.is_string() || key.size() > kMaxLabelBytes ||
+          text.get_ref<const std::string&>().size() > kMaxLabelBytes) {
+        return this->Refuse<LabelMap>(field, "label is malformed");
+      }
+      labels.emplace(key, text.get<std::string>());
+    }
+    return labels;
+  }
+
+  ZoneDigests Digests(std::size_t field) {
+    const json& value = this->list[field];
+    if (!value.is_object() || value.size() > kMaxZones) {
+      return this->Refuse<ZoneDigests>(field, "not a map of digests");
+    }
+    ZoneDigests digests;
+    for (const auto& [zone, digest] : value.items()) {
+      if (zone.size() > kMaxNameBytes || !digest.is_number_integer()) {
+        return this->Refuse<ZoneDigests>(field, "digest is malformed");
+      }
+      digests.emplace(zone, digest.get<std::uint64_t>());
+    }
+    return digests;
+  }
+
+  Member OneMember(std::size_t field) {
+    auto member = MemberFromJson(this->list[field]);
+    if (!member) {
+      this->Keep(member.error());
+      return {};
+    }
+    return *std::move(member);
+  }
+
+  std::vector<Member> Members(std::size_t field) {
+    const json& value = this->list[field];
+    if (!value.is_array() || value.size() > kMaxMembers) {
+      return this->Refuse<std::vector<Member>>(field, "not a list of members");
+    }
+    std::vector<Member> members;
+    members.reserve(value.size());
+    for (const json& item : value) {
+      auto member = MemberFromJson(item);
+      if (!member) {
+        this->Keep(member.error());
+        return {};
+      }
+      members.push_back(*std::move(member));
+    }
+    return members;
+  }
+
+  template <typename T>
+  Result<T> Finish(T value) {
+    if (this->error.code != ErrorCode::kOk) {
+      return tl::unexpected<utils::Error>(this->error);
+    }
+    return value;
+  }
+
+ private:
+  template <typename T>
+  T Refuse(std::size_t field, const char* text) {
+    this->Keep(utils::Error{this->code, text, "/" + std::to_string(field)});
+    return T{};
+  }
+
+  void Keep(const utils::Error& failure) {
+    if (this->error.code == ErrorCode::kOk) {
+      this->error = failure;
+    }
+  }
+
+  const json& list;
+  ErrorCode code;
+  utils::Error error;
+};
+
+constexpr std::uint64_t kAnyNumber = std::numeric_limits<std::uint64_t>::max();
+
+Message DecodeFields(Reader& reader, std::type_identity<Probe> /*type*/) {
+  return Probe{reader.Number(1, kAnyNumber), reader.Digests(2)};
+}
+Message DecodeFields(Reader& reader, std::type_identity<ProbeAck> /*type*/) {
+  return ProbeAck{reader.Number(1, kAnyNumber), reader.Digests(2)};
+}
+Message DecodeFields(Reader& reader, std::type_identity<IndirectProbe> /*type*/) {
+  return IndirectProbe{reader.Number(1, kAnyNumber), reader.Text(2, false)};
+}
+Message DecodeFields(Reader& reader, std::type_identity<MemberUpdates> /*type*/) {
+  return MemberUpdates{reader.Members(1), reader.Small(2)};
+}
+Message DecodeFields(Reader& reader, std::type_identity<JoinRequest> /*type*/) {
+  return JoinRequest{reader.OneMember(1)};
+}
+Message DecodeFields(Reader& reader, std::type_identity<JoinReply> /*type*/) {
+  return JoinReply{reader.Number(1, kMaxIncarnation), reader.Members(2), reader.Small(3),
+                   reader.Small(4)};
+}
+Message DecodeFields(Reader& reader, std::type_identity<ZoneRecordsRequest> /*type*/) {
+  return ZoneRecordsRequest{reader.Text(1, false)};
+}
+Message DecodeFields(Reader& reader, std::type_identity<ZoneRecords> /*type*/) {
+  return ZoneRecords{reader.Text(1, false), reader.Members(2), reader.Small(3), reader.Small(4)};
+}
+
+// Number of elements of each message's array, in the order of the variant.
+constexpr std::array<std::size_t, std::variant_size_v<Message>> kFieldCounts = {3, 3, 3, 3,
+                                                                                2, 5, 2, 5};
+
+template <std::size_t I = 0>
+Result<Message> DecodeType(std::size_t type, const json& list) {
+  if constexpr (I == std::variant_size_v<Message>) {
+    return Fail(ErrorCode::kMessageMalformed, "unknown membership message type");
+  } else {
+    if (type != I) {
+      return DecodeType<I + 1>(type, list);
+    }
+    Reader reader(list, ErrorCode::kMessageMalformed);
+    if (!reader.HasFields(kFieldCounts[I])) {
+      return Fail(ErrorCode::kMessageMalformed, "wrong number of fields");
+    }
+    Message message =
+        DecodeFields(reader, std::type_identity<std::variant_alternative_t<I, Message>>{});
+    return reader.Finish(std::move(message));
+  }
+}
+
+}  // namespace
+
+json ToJson(const Member& member) {
+  return json::array({member.id, member.region, member.zone, member.service, json(member.labels),
+                      member.data_address, member.incarnation, member.boot_id,
+                      static_cast<std::uint32_t>(member.state), member.slots});
+}
+
+Result<Member> MemberFromJson(const json& json) {
+  Reader reader(json, ErrorCode::kMemberMalformed);
+  if (!reader.HasFields(kMemberFields)) {
+    return Fail(ErrorCode::kMemberMalformed, "not a member record");
+  }
+  Member member;
+  member.id = reader.Text(0, false);
+  member.region = reader.Text(1, false);
+  member.zone = reader.Text(2, false);
+  member.service = reader.Text(3, true);
+  member.labels = reader.Labels(4);
+  member.data_address = reader.Text(5, true);
+  member.incarnation = reader.Number(6, kMaxIncarnation);
+  member.boot_id = reader.Number(7, kAnyNumber);
+  member.state =
+      static_cast<MemberState>(reader.Number(8, static_cast<std::uint64_t>(MemberState::kDead)));
+  member.slots = reader.Small(9);
+  return reader.Finish(std::move(member));
+}
+
+json ToJson(const Message& message) {
+  return std::visit([](const auto& value) { return EncodeMessage(value); }, message);
+}
+
+Result<Message> MessageFromJson(const json& json) {
+  if (!json.is_array() || json.empty() || !json[0].is_number_unsigned()) {
+    return Fail(ErrorCode::kMessageMalformed, "not a membership message");
+  }
+  return DecodeType(json[0].get<std::size_t>(), json);
+}
+
+}  // namespace amaranthlatch::membership
--- /dev/null
+++ b/libs/membership/tests/mesh.h
@@ -0,0 +1,192 @@
+// Several membership reducers joined by an in-memory queue with faults.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "amaranthlatch/membership/membership.h"
+#include "amaranthlatch/membership/message_codec.h"
+#include "amaranthlatch/utils/random.h"
+
+namespace amaranthlatch::membership {
+
+struct Faults {
+  double loss = 0.0;
+  double repeat = 0.0;
+  utils::Duration delay = utils::Milliseconds(5);
+};
+
+class Mesh {
+ public:
+  explicit Mesh(std::uint64_t seed) : random(seed) {}
+
+  // Starts a process at the address of the id, with nothing kept of an earlier one.
+  void Start(const NodeId& id, const std::string& zone, std::uint64_t wall_time_ms) {
+    Options options;
+    options.id = id;
+    options.region = "region-" + zone.substr(0, 1);
+    options.zone = zone;
+    options.data_address = id + "0";
+    options.boot_id = this->random.Next();
+    options.wall_time_ms = wall_time_ms;
+    options.seed = this->random.Next();
+    options.seeds = this->seeds;
+    this->nodes.erase(id);
+    this->nodes.emplace(id, Process{*Membership::Create(options), this->now, zone});
+    this->Feed(id, WakeUp{});
+    this->Feed(id, ReadinessChanged{true});
+    this->Feed(id, BackendServerAnnounced{"service-" + zone, {{"release", "1"}}, 6});
+  }
+
+  void Kill(const NodeId& id) { this->nodes.erase(id); }
+  void Pause(const NodeId& id, utils::Duration time) {
+    this->nodes.at(id).paused_until = this->now + time;
+  }
+
+  void Feed(const NodeId& id, const Event& event) {
+    Process& process = this->nodes.at(id);
+    for (const Effect& effect : process.membership.Reduce(event, this->now)) {
+      if (const auto* send = std::get_if<SendMessage>(&effect)) {
+        this->Send(id, *send);
+      } else if (const auto* changed = std::get_if<MemberChanged>(&effect)) {
+        if (this->on_change) {
+          this->on_change(id, changed->after);
+        }
+      }
+    }
+    if (this->after_event) {
+      this->after_event(id);
+    }
+  }
+
+  void Run(utils::Duration time) {
+    const utils::Timestamp end = this->now + time;
+    while (this->Step(end)) {
+    }
+    this->now = end;
+  }
+
+  const MemberView& View(const NodeId& id) const { return this->nodes.at(id).membership.View(); }
+
+  // Whether all running nodes list exactly the running nodes, with equal records.
+  bool Agree() const {
+    for (const auto& [id, process] : this->nodes) {
+      const MemberView& view = process.membership.View();
+      if (view.Size() != this->nodes.size()) {
+        return false;
+      }
+      for (const auto& [other, running] : this->nodes) {
+        const Member* seen = view.Find(other);
+        if (seen == nullptr || *seen != running.membership.View().Self()) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  struct Process {
+    Membership membership;
+    utils::Timestamp paused_until{};
+    std::string zone;
+  };
+
+  utils::Random random;
+  utils::Timestamp now{utils::Seconds(1)};
+  std::vector<NodeId> seeds;
+  std::map<NodeId, Process> nodes;
+  Faults faults;
+  std::set<std::string> cut_zones;
+  std::uint64_t messages = 0;
+  std::uint64_t bytes = 0;
+  bool count_bytes = false;
+  std::function<void(const NodeId&, const Member&)> on_change;
+  std::function<void(const NodeId&)> after_event;
+
+ private:
+  struct Delivery {
+    NodeId from;
+    NodeId to;
+    Message message;
+  };
+
+  void Send(const NodeId& from, const SendMessage& send) {
+    ++this->messages;
+    if (this->count_bytes) {
+      this->bytes += nlohmann::json::to_cbor(ToJson(send.message)).size();
+    }
+    const int copies = this->random.Chance(this->faults.repeat) ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+      if (!this->random.Chance(this->faults.loss)) {
+        const utils::Timestamp at =
+            this->now + utils::Duration(100) + this->random.Jitter(this->faults.delay);
+        this->queue.emplace(at, Delivery{from, send.to, send.message});
+      }
+    }
+  }
+
+  bool Crosses(const NodeId& from, const NodeId& to) const {
+    const std::string& left = this->nodes.at(from).zone;
+    const std::string& right = this->nodes.at(to).zone;
+    return left != right && (this->cut_zones.contains(left) || this->cut_zones.contains(right));
+  }
+
+  // Performs the earliest event before `end`; false without one.
+  bool Step(utils::Timestamp end) {
+    std::optional<utils::Timestamp> earliest;
+    const NodeId* waker = nullptr;
+    for (const auto& [id, process] : this->nodes) {
+      const auto wake = process.membership.NextWake();
+      if (!wake) {
+        continue;
+      }
+      const utils::Timestamp at = std::max(*wake, process.paused_until);
+      if (!earliest || at < *earliest) {
+        earliest = at;
+        waker = &id;
+      }
+    }
+    if (!this->queue.empty() && (!earliest || this->queue.begin()->first <= *earliest)) {
+      return this->Deliver(end);
+    }
+    if (!earliest || *earliest >= end) {
+      return false;
+    }
+    this->now = std::max(this->now, *earliest);
+    this->Feed(NodeId(*waker), WakeUp{});
+    return true;
+  }
+
+  bool Deliver(utils::Timestamp end) {
+    const auto first = this->queue.begin();
+    if (first->first >= end) {
+      return false;
+    }
+    this->now = std::max(this->now, first->first);
+    Delivery delivery = std::move(first->second);
+    this->queue.erase(first);
+    const auto receiver = this->nodes.find(delivery.to);
+    if (receiver == this->nodes.end() || !this->nodes.contains(delivery.from) ||
+        this->Crosses(delivery.from, delivery.to)) {
+      return true;
+    }
+    if (receiver->second.paused_until > this->now) {
+      this->queue.emplace(receiver->second.paused_until, std::move(delivery));
+      return true;
+    }
+    this->Feed(delivery.to, PeerMessage{delivery.from, std::move(delivery.message)});
+    return true;
+  }
+
+  std::multimap<utils::Timestamp, Delivery> queue;
+};
+
+}  // namespace amaranthlatch::membership
