Bound and check the fields of membership messages; push departures twice

Names are printable ASCII and labels valid UTF-8, because the JSON library throws when it writes anything else.

--- a/libs/membership/include/amaranthlatch/membership/options.h
+++ b/libs/membership/include/amaranthlatch/membership/options.h
@@ -47,7 +47,9 @@
   std::uint32_t update_fanout = 3;
   // Records that arrive within this time are pushed in one message.
   utils::Duration update_delay = utils::Milliseconds(20);
-  // The same for pushes between zones, which cross slow links.
+  // News of members that leave or died are pushed a second time after this long.
+  utils::Duration update_repeat = utils::Milliseconds(400);
+  // The same as update_delay for pushes between zones, which cross slow links.
   utils::Duration zone_update_delay = utils::Milliseconds(100);
 
   // A starting node waits up to this long before its first join request.
--- a/libs/membership/src/dissemination.cc
+++ b/libs/membership/src/dissemination.cc
@@ -14,6 +14,7 @@
 constexpr std::size_t kMaxRecordsPerPush = 64;
 // Hops beyond the depth of a complete tree of the fan-out, because random choices overlap.
 constexpr std::uint32_t kSpareHops = 3;
+constexpr std::size_t kMaxRepeats = 4096;
 constexpr std::size_t kLeaders = 8;
 // Changes that are offered to a peer with another digest.
 constexpr std::size_t kRecentChanges = 32;
@@ -94,10 +95,11 @@
     this->recent.pop_front();
   }
   if (hops > 0) {
-    std::uint32_t& planned = this->zone_queue[member.id];
-    planned = std::max(planned, hops);
-    if (!this->zone_due) {
-      this->zone_due = context.now + context.options.update_delay;
+    this->PlanZonePush(context, member.id, hops);
+    // Random choices miss one node in sixteen at a fan-out of 3. News of a member that goes away
+    // must not wait for the next comparison of digests, so it is pushed once more.
+    if (member.state >= MemberState::kDraining && this->repeats.size() < kMaxRepeats) {
+      this->repeats.push_back({context.now + context.options.update_repeat, member.id, hops});
     }
   }
   if (member.zone == context.options.zone && this->gateways.OwnRank(context) == 0) {
@@ -108,7 +110,19 @@
   }
 }
 
+void Dissemination::PlanZonePush(Context& context, const NodeId& id, std::uint32_t hops) {
+  std::uint32_t& planned = this->zone_queue[id];
+  planned = std::max(planned, hops);
+  if (!this->zone_due) {
+    this->zone_due = context.now + context.options.update_delay;
+  }
+}
+
 void Dissemination::Advance(Context& context) {
+  while (!this->repeats.empty() && this->repeats.front().due <= context.now) {
+    this->PlanZonePush(context, this->repeats.front().id, this->repeats.front().hops);
+    this->repeats.pop_front();
+  }
   if (this->zone_due && *this->zone_due <= context.now) {
     this->PushInZone(context);
   }
@@ -122,6 +136,9 @@
   if (this->cross_due) {
     KeepEarlier(wake, *this->cross_due);
   }
+  if (!this->repeats.empty()) {
+    KeepEarlier(wake, this->repeats.front().due);
+  }
   return wake;
 }
 
--- a/libs/membership/src/dissemination.h
+++ b/libs/membership/src/dissemination.h
@@ -55,6 +55,13 @@
   Gateways& Ranks() { return this->gateways; }
 
  private:
+  struct Repeat {
+    utils::Timestamp due{};
+    NodeId id;
+    std::uint32_t hops = 0;
+  };
+
+  void PlanZonePush(Context& context, const NodeId& id, std::uint32_t hops);
   void PushInZone(Context& context);
   void PushToZones(Context& context);
   std::vector<NodeId> PickZonePeers(Context& context, std::size_t count);
@@ -64,6 +71,7 @@
   std::set<NodeId> cross_queue;
   std::optional<utils::Timestamp> zone_due;
   std::optional<utils::Timestamp> cross_due;
+  std::deque<Repeat> repeats;
   std::deque<std::pair<utils::Timestamp, NodeId>> recent;
 };
 
--- a/libs/membership/src/membership.cc
+++ b/libs/membership/src/membership.cc
@@ -59,8 +59,7 @@
 }  // namespace
 
 struct Membership::Impl {
-  explicit Impl(const Options& options)
-      : context(options, details::InitialRecord(options)) {}
+  explicit Impl(const Options& options) : context(options, details::InitialRecord(options)) {}
 
   void Start();
   void CheckPause();
--- a/libs/membership/src/message_codec.cc
+++ b/libs/membership/src/message_codec.cc
@@ -2,6 +2,7 @@
 
 #include "amaranthlatch/membership/message_codec.h"
 
+#include <algorithm>
 #include <array>
 #include <limits>
 #include <string>
@@ -20,6 +21,7 @@
 using utils::Result;
 
 constexpr std::size_t kMaxNameBytes = 128;
+constexpr char kDelete = '\x7f';
 constexpr std::size_t kMaxLabels = 32;
 constexpr std::size_t kMaxLabelBytes = 256;
 constexpr std::size_t kMaxMembers = 256;
@@ -38,6 +40,16 @@
   }
 }
 
+// Whether the bytes are UTF-8 that the JSON library can write.
+bool IsUtf8(const std::string& text) {
+  if (std::all_of(text.begin(), text.end(), [](char c) { return c >= ' ' && c < kDelete; })) {
+    return true;
+  }
+  // The library checks its strings only when it writes them.
+  const std::string written = json(text).dump(-1, ' ', false, json::error_handler_t::ignore);
+  return json::parse(written).get_ref<const std::string&>() == text;
+}
+
 json EncodeMembers(const std::vector<Member>& members) {
   json list = json::array();
   for (const Member& member : members) {
@@ -81,6 +93,15 @@
                              message.page_count);
 }
 
+// Names reach JSON answers and log lines, which take no invalid UTF-8 and no control characters.
+bool IsName(const std::string& text) {
+  return text.size() <= kMaxNameBytes &&
+         std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < kDelete; });
+}
+
+// Labels may hold any valid UTF-8.
+bool IsLabelText(const std::string& text) { return text.size() <= kMaxLabelBytes && IsUtf8(text); }
+
 // Reads the fields of one array in order and remembers the first failure.
 class Reader {
  public:
@@ -92,8 +113,7 @@
 
   std::uint64_t Number(std::size_t field, std::uint64_t max) {
     const json& value = this->list[field];
-    if (!value.is_number_integer() ||
-        (!value.is_number_unsigned() && value.get<std::int64_t>() < 0)) {
+    if (!value.is_number_unsigned()) {
       return this->Refuse<std::uint64_t>(field, "not an unsigned number");
     }
     const auto number = value.get<std::uint64_t>();
@@ -111,8 +131,8 @@
       return this->Refuse<std::string>(field, "not a string");
     }
     const auto& text = value.get_ref<const std::string&>();
-    if (text.size() > kMaxNameBytes || (text.empty() && !may_be_empty)) {
-      return this->Refuse<std::string>(field, "string has a wrong length");
+    if (!IsName(text) || (text.empty() && !may_be_empty)) {
+      return this->Refuse<std::string>(field, "not a name");
     }
     return text;
   }
@@ -125,8 +145,8 @@
     }
     LabelMap labels;
     for (const auto& [key, text] : value.items()) {
-      if (!text.is_string() || key.size() > kMaxLabelBytes ||
-          text.get_ref<const std::string&>().size() > kMaxLabelBytes) {
+      if (!text.is_string() || !IsLabelText(key) ||
+          !IsLabelText(text.get_ref<const std::string&>())) {
         return this->Refuse<LabelMap>(field, "label is malformed");
       }
       labels.emplace(key, text.get<std::string>());
@@ -141,7 +161,7 @@
     }
     ZoneDigests digests;
     for (const auto& [zone, digest] : value.items()) {
-      if (zone.size() > kMaxNameBytes || !digest.is_number_integer()) {
+      if (!IsName(zone) || !digest.is_number_unsigned()) {
         return this->Refuse<ZoneDigests>(field, "digest is malformed");
       }
       digests.emplace(zone, digest.get<std::uint64_t>());
