--- /dev/null
+++ b/libs/document/src/text_rules.h
@@ -0,0 +1,25 @@
+// What the text fields of a document may contain.
+
+#pragma once
+
+#include <string_view>
+
+namespace amaranthlatch::document::details {
+
+inline constexpr std::string_view kNameHint =
+    "1 to 63 characters of a-z, 0-9 and '-', with a letter or digit at both ends";
+inline constexpr std::string_view kOwnerHint = "1 to 128 bytes of text without control characters";
+inline constexpr std::string_view kHostHint =
+    "a host name in lower case without port, at most 253 characters";
+inline constexpr std::string_view kPathPrefixHint =
+    "a normalised absolute path without query, at most 512 characters; only \"/\" ends with '/'";
+inline constexpr std::string_view kMethodHint = "1 to 20 letters A-Z";
+inline constexpr std::string_view kLabelHint = "1 to 128 printable ASCII characters";
+
+bool IsOwner(std::string_view text);
+bool IsHost(std::string_view text);
+bool IsPathPrefix(std::string_view text);
+bool IsMethod(std::string_view text);
+bool IsLabel(std::string_view text);
+
+}  // namespace amaranthlatch::document::details
