--- a/libs/acceptance/include/amaranthlatch/acceptance/record.h
+++ b/libs/acceptance/include/amaranthlatch/acceptance/record.h
@@ -28,9 +28,12 @@
   Outcome outcome = Outcome::kRefused;
   utils::ErrorCode code = utils::ErrorCode::kOk;
   std::string message;
-  // JSON pointer into the document; empty where none applies.
+  // JSON pointer into the document, or into the record for kRecordMalformed; empty where none
+  // applies.
   std::string pointer;
+  // Of the record; for kDuplicate that of the first record with the publish id.
   Offset offset = 0;
+  // Empty for a malformed record, as are the next three.
   std::string service;
   std::string publish_id;
   std::string author;
--- /dev/null
+++ b/libs/acceptance/src/state_data.cc
@@ -0,0 +1,148 @@
+// Changes of the shared content of a State; each keeps the indexes and the hash in step.
+
+#include "state_data.h"
+
+#include <map>
+#include <set>
+#include <utility>
+
+namespace amaranthlatch::acceptance {
+
+namespace details {
+
+namespace {
+
+// Different kinds of elements have different seeds, so that none can stand for another.
+constexpr std::uint64_t kDocumentSeed = 1;
+constexpr std::uint64_t kPublishIdSeed = 2;
+constexpr std::uint64_t kHistorySeed = 3;
+
+std::uint64_t HashOfCbor(const nlohmann::json& value, std::uint64_t seed) {
+  const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(value);
+  return utils::Hash64({reinterpret_cast<const char*>(bytes.data()), bytes.size()}, seed);
+}
+
+// Versions that the routes of a document name, by service, without those of its own.
+std::map<std::string, std::vector<std::string>> ForeignTargets(
+    const document::ServiceDocument& document) {
+  std::map<std::string, std::set<std::string>> targets;
+  for (const document::Route& route : document.routes) {
+    for (const document::SplitTarget& target : route.split) {
+      if (target.service != document.service) {
+        targets[target.service].insert(target.version);
+      }
+    }
+  }
+  std::map<std::string, std::vector<std::string>> lists;
+  for (const auto& [service, versions] : targets) {
+    lists[service].assign(versions.begin(), versions.end());
+  }
+  return lists;
+}
+
+}  // namespace
+
+StoredVerdictPtr StoreVerdict(Verdict verdict) {
+  const std::uint64_t hash = HashOfCbor(VerdictToJson(verdict), 0);
+  return std::make_shared<const StoredVerdict>(StoredVerdict{std::move(verdict), hash});
+}
+
+std::uint64_t HashOfDocument(const std::string& service, document::Version version,
+                             const nlohmann::json& source) {
+  return HashOfCbor(nlohmann::json::array({service, version, source}), kDocumentSeed);
+}
+
+std::uint64_t HashOfPublishId(const StoredVerdict& stored) {
+  return utils::CombineHash(kPublishIdSeed, stored.hash);
+}
+
+std::uint64_t HashOfHistoryItem(const StoredVerdict& stored) {
+  return utils::CombineHash(kHistorySeed, stored.hash);
+}
+
+}  // namespace details
+
+void State::Data::PutDocument(details::DocumentEntryPtr entry) {
+  const document::ServiceDocument& document = *entry->accepted.document;
+  this->RemoveDocument(document.service);
+  for (const std::string& host : document.hosts) {
+    this->hosts.Put(host, entry);
+  }
+  for (auto& [target, versions] : details::ForeignTargets(document)) {
+    this->references.Put(details::Reference{target, document.service},
+                         std::make_shared<const std::vector<std::string>>(std::move(versions)));
+  }
+  this->sum += entry->hash;
+  this->documents.Put(document.service, std::move(entry));
+}
+
+void State::Data::RemoveDocument(const std::string& service) {
+  const details::DocumentEntryPtr* found = this->documents.Find(service);
+  if (found == nullptr) {
+    return;
+  }
+  const details::DocumentEntryPtr entry = *found;
+  for (const std::string& host : entry->accepted.document->hosts) {
+    this->hosts.Erase(host);
+  }
+  for (const auto& [target, versions] : details::ForeignTargets(*entry->accepted.document)) {
+    this->references.Erase(details::Reference{target, service});
+  }
+  this->documents.Erase(service);
+  this->sum -= entry->hash;
+}
+
+void State::Data::RememberPublishId(const details::StoredVerdictPtr& stored) {
+  this->publish_ids.Put(stored->verdict.publish_id, stored);
+  this->publish_order.Put(stored->verdict.offset, stored);
+  this->sum += details::HashOfPublishId(*stored);
+  if (this->publish_order.Size() > kMaxPublishIds) {
+    this->ForgetOldestPublishId();
+  }
+}
+
+void State::Data::ForgetOldestPublishId() {
+  const details::StoredVerdictPtr oldest = this->publish_order.First()->value;
+  this->publish_order.Erase(oldest->verdict.offset);
+  this->publish_ids.Erase(oldest->verdict.publish_id);
+  this->sum -= details::HashOfPublishId(*oldest);
+}
+
+void State::Data::AppendHistory(const details::StoredVerdictPtr& stored) {
+  const std::string& service = stored->verdict.service;
+  const details::VerdictListPtr* found = this->histories.Find(service);
+  details::VerdictList list = found == nullptr ? details::VerdictList() : **found;
+  list.push_back(stored);
+  this->sum += details::HashOfHistoryItem(*stored);
+  if (list.size() > kMaxHistory) {
+    this->sum -= details::HashOfHistoryItem(*list.front());
+    list.erase(list.begin());
+  }
+  this->histories.Put(service, std::make_shared<const details::VerdictList>(std::move(list)));
+  if (this->histories.Size() > kMaxHistoryServices) {
+    this->DropUnusedHistory();
+  }
+}
+
+void State::Data::DropUnusedHistory() {
+  const details::VerdictListPtr* oldest = nullptr;
+  const auto last_offset = [](const details::VerdictListPtr& list) {
+    return list->back()->verdict.offset;
+  };
+  this->histories.ForEach([&](const auto& entry) {
+    const bool is_older = oldest == nullptr || last_offset(entry.value) < last_offset(*oldest);
+    if (is_older && this->documents.Find(entry.key) == nullptr) {
+      oldest = &entry.value;
+    }
+  });
+  if (oldest == nullptr) {
+    return;
+  }
+  const details::VerdictListPtr list = *oldest;
+  for (const details::StoredVerdictPtr& stored : *list) {
+    this->sum -= details::HashOfHistoryItem(*stored);
+  }
+  this->histories.Erase(list->front()->verdict.service);
+}
+
+}  // namespace amaranthlatch::acceptance
