--- a/libs/acceptance/include/amaranthlatch/acceptance/state.h
+++ b/libs/acceptance/include/amaranthlatch/acceptance/state.h
@@ -29,7 +29,7 @@
 // Changes with the content or the texts of verdicts that snapshots hold.
 inline constexpr std::uint64_t kSnapshotFormat = 1;
 // Decompressed size above which a snapshot is not read.
-inline constexpr std::size_t kMaxSnapshotBytes = 64 * 1024 * 1024;
+inline constexpr std::size_t kMaxSnapshotBytes = 64ULL * 1024 * 1024;
 
 // A document in force with the version that put it there.
 struct AcceptedDocument {
--- a/libs/acceptance/src/snapshot.cc
+++ b/libs/acceptance/src/snapshot.cc
@@ -79,7 +79,7 @@
 }
 
 utils::Result<std::string> Decompress(std::string_view bytes) {
-  const unsigned long long size = ZSTD_getFrameContentSize(bytes.data(), bytes.size());
+  const std::uint64_t size = ZSTD_getFrameContentSize(bytes.data(), bytes.size());
   if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN ||
       size > kMaxSnapshotBytes) {
     return Malformed("no compressed frame of a permitted size");
--- /dev/null
+++ b/libs/acceptance/tests/state_size_test.cc
@@ -0,0 +1,96 @@
+// Bounds of time and size at the target size of docs/design.md section 1.5.
+
+#include <CppUTest/TestHarness.h>
+
+#include <chrono>
+#include <string>
+
+#include "amaranthlatch/acceptance/state.h"
+#include "record_fixture.h"
+
+namespace amaranthlatch::acceptance {
+
+namespace {
+
+constexpr int kServices = 1200;
+
+std::string ServiceName(int index) { return "service-" + std::to_string(index); }
+
+// About 2 KB, with a route to the next lower service.
+nlohmann::json LargeDocument(int index) {
+  nlohmann::json document = MakeDocument(ServiceName(index));
+  const nlohmann::json route = document["routes"][0];
+  for (int i = 1; i < 14; ++i) {
+    nlohmann::json other = route;
+    other["name"] = "route-" + std::to_string(i);
+    other["path_prefix"] = "/route-" + std::to_string(i);
+    document["routes"].push_back(other);
+  }
+  if (index > 0) {
+    document["routes"][0]["split"][0]["service"] = ServiceName(index - 1);
+  }
+  return document;
+}
+
+State FullState() {
+  State state;
+  for (int i = 0; i < kServices; ++i) {
+    state.Apply(state.HeadOffset() + 1,
+                PutRecord("first-" + std::to_string(i), LargeDocument(i), 0));
+  }
+  return state;
+}
+
+}  // namespace
+
+TEST_GROUP(StateSize){};
+
+// Guards against a fold that copies all documents or indexes for each record, and a lookup that
+// scans them. 1 ms is the limit; a copy of all documents takes above 10 ms.
+TEST(StateSize, ApplyAndMatchAreFastAtTheTargetSize) {
+  State state = FullState();
+  CHECK_EQUAL(kServices, state.Services().size());
+  constexpr int kChanges = 1000;
+  const auto start = std::chrono::steady_clock::now();
+  for (int i = 0; i < kChanges; ++i) {
+    const State copy = state;
+    const document::Version base = state.FindAccepted(ServiceName(i))->version;
+    const auto verdict = state.Apply(
+        state.HeadOffset() + 1, PutRecord("second-" + std::to_string(i), LargeDocument(i), base));
+    CHECK_TRUE(verdict->outcome == Outcome::kAccepted);
+    CHECK_TRUE(state.Match(ServiceName(i) + ".example", "/work", "GET").has_value());
+  }
+  CHECK_TRUE(std::chrono::steady_clock::now() - start < std::chrono::milliseconds(kChanges));
+}
+
+// Guards against histories and publish ids that grow without bound, and a repeat that is forgotten
+// too early.
+TEST(StateSize, HistoryAndPublishIdsAreBounded) {
+  State state;
+  for (std::size_t i = 1; i <= kMaxPublishIds + 1; ++i) {
+    state.Apply(i, RemoveRecord("p" + std::to_string(i), "none", 0));
+  }
+  CHECK_EQUAL(kMaxHistory, state.History("none").size());
+  CHECK_TRUE(state.History("none").back().offset == kMaxPublishIds + 1);
+  CHECK_FALSE(state.FindPublishId("p1").has_value());
+  CHECK_TRUE(state.FindPublishId("p2").has_value());
+  const auto decoded = State::DecodeSnapshot(state.EncodeSnapshot());
+  CHECK_TRUE(decoded->Hash() == state.Hash());
+}
+
+// Guards against records for invented services that fill the memory with histories.
+TEST(StateSize, HistoriesOfServicesWithoutDocumentAreBounded) {
+  State state;
+  state.Apply(1, PutRecord("kept", MakeDocument("kept"), 0));
+  for (std::size_t i = 2; i <= kMaxHistoryServices + 2; ++i) {
+    const std::string name = "s" + std::to_string(i);
+    state.Apply(i, RemoveRecord(name, name, 0));
+  }
+  CHECK_EQUAL(1, state.History("kept").size());
+  CHECK_EQUAL(0, state.History("s2").size());
+  CHECK_EQUAL(0, state.History("s3").size());
+  CHECK_EQUAL(1, state.History("s4").size());
+  CHECK_TRUE(State::DecodeSnapshot(state.EncodeSnapshot())->Hash() == state.Hash());
+}
+
+}  // namespace amaranthlatch::acceptance
--- a/libs/document/include/amaranthlatch/document/document_limits.h
+++ b/libs/document/include/amaranthlatch/document/document_limits.h
@@ -11,7 +11,7 @@
 // The newest document format this release knows.
 inline constexpr std::uint64_t kDocumentFormat = 1;
 
-inline constexpr std::size_t kMaxDocumentBytes = 256 * 1024;
+inline constexpr std::size_t kMaxDocumentBytes = 256ULL * 1024;
 // Nesting of a valid record is below 10; the limit keeps recursive walks off the stack's end.
 inline constexpr std::size_t kMaxJsonDepth = 32;
 
@@ -38,8 +38,8 @@
 
 inline constexpr NumberRule kWeight = {0, 10'000, 0};
 inline constexpr NumberRule kDeadlineMs = {1, 600'000, 5'000};
-inline constexpr NumberRule kMaxRequestBytes = {0, 64 * 1024 * 1024, 1024 * 1024};
-inline constexpr NumberRule kMaxResponseBytes = {0, 64 * 1024 * 1024, 1024 * 1024};
+inline constexpr NumberRule kMaxRequestBytes = {0, 64ULL * 1024 * 1024, 1024ULL * 1024};
+inline constexpr NumberRule kMaxResponseBytes = {0, 64ULL * 1024 * 1024, 1024ULL * 1024};
 inline constexpr NumberRule kSlots = {1, 10'000, 20};
 inline constexpr NumberRule kConnections = {1, 100'000, 110};
 inline constexpr NumberRule kQueueLength = {0, 100'000, 100};
--- a/libs/document/include/amaranthlatch/document/route_matcher.h
+++ b/libs/document/include/amaranthlatch/document/route_matcher.h
@@ -18,8 +18,8 @@
 std::string NormalizeHost(std::string_view host);
 
 // RFC 3986 section 6.2.2: without query and fragment, percent-encoded unreserved characters
-// decoded, dot segments and empty segments removed. Without this a caller could reach a protected
-// path of the backend server through the route of a shorter prefix.
+// decoded, other encodings in upper case, dot segments and empty segments removed. Without this a
+// caller could reach a protected path of the backend server through the route of a shorter prefix.
 std::string NormalizePath(std::string_view path);
 
 // Immutable index over the routes of one document. Cost of a lookup: one hash lookup for each
--- a/libs/document/src/route_matcher.cc
+++ b/libs/document/src/route_matcher.cc
@@ -10,6 +10,9 @@
 
 namespace {
 
+// '%' and two hexadecimal digits.
+constexpr std::size_t kEncodedLength = 3;
+
 char ToLower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
 
 int HexValue(char c) {
@@ -26,9 +29,10 @@
          c == '_' || c == '~';
 }
 
-// The unreserved character that the text encodes at `position`, if any.
+char ToUpper(char c) { return c >= 'a' && c <= 'z' ? static_cast<char>(c - 'a' + 'A') : c; }
+
+// The character that the text encodes at `position` as '%' and two hexadecimal digits, if any.
 std::optional<char> DecodeAt(std::string_view text, std::size_t position) {
-  constexpr std::size_t kEncodedLength = 3;
   if (text[position] != '%' || position + kEncodedLength > text.size()) {
     return std::nullopt;
   }
@@ -37,19 +41,28 @@
   if (high < 0 || low < 0) {
     return std::nullopt;
   }
-  const auto decoded = static_cast<char>(high * 16 + low);
-  return IsUnreserved(decoded) ? std::optional(decoded) : std::nullopt;
+  return static_cast<char>(high * 16 + low);
 }
 
-std::string DecodeUnreserved(std::string_view text) {
-  std::string decoded;
-  decoded.reserve(text.size());
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    const auto plain = DecodeAt(text, i);
-    decoded.push_back(plain.value_or(text[i]));
-    i += plain ? 2 : 0;
+// Decodes unreserved characters and writes the digits of other ones in upper case.
+std::string NormalizeEncoding(std::string_view text) {
+  std::string normal;
+  normal.reserve(text.size());
+  for (std::size_t i = 0; i < text.size();) {
+    const auto decoded = DecodeAt(text, i);
+    if (!decoded) {
+      normal.push_back(text[i]);
+      ++i;
+      continue;
+    }
+    if (IsUnreserved(*decoded)) {
+      normal.push_back(*decoded);
+    } else {
+      normal.append({'%', ToUpper(text[i + 1]), ToUpper(text[i + 2])});
+    }
+    i += kEncodedLength;
   }
-  return decoded;
+  return normal;
 }
 
 std::string RemoveSegments(std::string_view path) {
@@ -89,12 +102,12 @@
 
 std::string NormalizePath(std::string_view path) {
   path = path.substr(0, path.find_first_of("?#"));
-  const bool needs_decoding = path.find('%') != std::string_view::npos;
-  std::string decoded = needs_decoding ? DecodeUnreserved(path) : std::string(path);
-  const bool is_plain = !decoded.empty() && decoded.front() == '/' &&
-                        decoded.find("//") == std::string::npos &&
-                        decoded.find("/.") == std::string::npos;
-  return is_plain ? decoded : RemoveSegments(decoded);
+  const bool is_encoded = path.find('%') != std::string_view::npos;
+  std::string normal = is_encoded ? NormalizeEncoding(path) : std::string(path);
+  const bool is_plain = !normal.empty() && normal.front() == '/' &&
+                        normal.find("//") == std::string::npos &&
+                        normal.find("/.") == std::string::npos;
+  return is_plain ? normal : RemoveSegments(normal);
 }
 
 RouteMatcher::RouteMatcher(std::shared_ptr<const ServiceDocument> document)
