Add the distribution reducer: log follower, tree, anti-entropy, readiness

Cause: nodes need the accepted state without a disk (docs/design.md sections 4, 5 and 5.1). Change: reducer Distribution with log follower and takeover, spread strategies tree, gossip and poll, entries as differences, anti-entropy in the zone and between regions, witnesses, readiness rules (a) and (b), recheck after a pause,

Conclusion: a first working version that node and runtime can build on.

--- /dev/null
+++ b/libs/distribution/include/amaranthlatch/distribution/counters.h
@@ -0,0 +1,48 @@
+// Counters of the distribution reducer, for metrics.
+
+#pragma once
+
+#include <cstdint>
+
+namespace amaranthlatch::distribution {
+
+struct Counters {
+  std::uint64_t entries_applied = 0;
+  std::uint64_t entries_in_force = 0;
+  std::uint64_t pushes_sent = 0;
+  std::uint64_t pushes_received = 0;
+  std::uint64_t push_timeouts = 0;
+  // Entries sent or received whole, or as a difference.
+  std::uint64_t wholes_sent = 0;
+  std::uint64_t differences_sent = 0;
+  std::uint64_t differences_received = 0;
+  // Differences that did not give the expected record.
+  std::uint64_t patch_mismatches = 0;
+  // Pushes that did not follow the held offset.
+  std::uint64_t gaps = 0;
+  std::uint64_t digests_sent = 0;
+  // Pushes that answered a digest or a request instead of following the tree.
+  std::uint64_t repairs = 0;
+  // Digests of another state at an offset that this node knows.
+  std::uint64_t hash_mismatches = 0;
+  std::uint64_t snapshot_chunks_sent = 0;
+  std::uint64_t snapshot_chunks_received = 0;
+  std::uint64_t snapshots_installed = 0;
+  std::uint64_t snapshots_rejected = 0;
+  std::uint64_t snapshots_deferred = 0;
+  // Complete snapshots written to, and taken from, the log's stream.
+  std::uint64_t snapshots_written = 0;
+  std::uint64_t snapshots_read = 0;
+  std::uint64_t snapshot_records_skipped = 0;
+  std::uint64_t log_reads = 0;
+  std::uint64_t log_failures = 0;
+  std::uint64_t log_truncations = 0;
+  std::uint64_t takeovers = 0;
+  std::uint64_t pauses = 0;
+  // Messages of nodes that are not members.
+  std::uint64_t strangers = 0;
+
+  bool operator==(const Counters&) const = default;
+};
+
+}  // namespace amaranthlatch::distribution
--- /dev/null
+++ b/libs/distribution/src/anti_entropy.cc
@@ -0,0 +1,101 @@
+// Anti-entropy.
+
+#include "anti_entropy.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace amaranthlatch::distribution::details {
+
+namespace {
+
+constexpr std::size_t kMaxChoices = 8;
+// Readers of another region that are asked: the first one, or a random one of the first three so
+// that a dead first one does not cut the regions off from each other.
+constexpr std::size_t kRemoteReaders = 3;
+
+}  // namespace
+
+AntiEntropy::AntiEntropy(const Options& options, Topology& topology, PeerLinks& links,
+                         EntryExchange& exchange, utils::Random& random)
+    : options(options), topology(topology), links(links), exchange(exchange), random(random) {}
+
+utils::Duration AntiEntropy::Jittered(utils::Duration interval) {
+  return interval * 3 / 4 + this->random.Jitter(interval / 2);
+}
+
+std::optional<membership::NodeId> AntiEntropy::Choose(const Context& context, const NodeIds& ids) {
+  if (ids.empty()) {
+    return std::nullopt;
+  }
+  for (std::size_t i = 0; i < kMaxChoices; ++i) {
+    const membership::NodeId& id = ids[this->random.Below(ids.size())];
+    if (id != this->topology.Self() && this->links.IsReachable(id, context.now)) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<membership::NodeId> AntiEntropy::RandomZonePeer(const Context& context) {
+  return this->Choose(context, this->topology.ZonePeers());
+}
+
+std::optional<membership::NodeId> AntiEntropy::RandomRemoteReader(const Context& context,
+                                                                  bool log_region) {
+  std::vector<std::string> regions = this->topology.Regions();
+  std::erase(regions, this->topology.Region());
+  if (regions.empty()) {
+    return std::nullopt;
+  }
+  const bool known =
+      std::find(regions.begin(), regions.end(), this->options.log_region) != regions.end();
+  const std::string& region =
+      log_region && known ? this->options.log_region : regions[this->random.Below(regions.size())];
+  NodeIds readers = this->topology.ReaderCandidates(region);
+  readers.resize(std::min(readers.size(), kRemoteReaders));
+  if (!readers.empty() && this->random.Chance(0.5) &&
+      this->links.IsReachable(readers.front(), context.now)) {
+    return readers.front();
+  }
+  return this->Choose(context, readers);
+}
+
+std::optional<membership::NodeId> AntiEntropy::RandomOutsidePeer(const Context& context) {
+  if (this->random.Chance(0.5)) {
+    const auto remote = this->RandomRemoteReader(context, this->random.Chance(0.5));
+    if (remote) {
+      return remote;
+    }
+  }
+  return this->Choose(context, this->topology.ReaderCandidates(this->topology.Region()));
+}
+
+void AntiEntropy::Run(const Context& context, bool reader, bool following) {
+  if (!this->next_digest) {
+    this->next_digest = context.now + this->random.Jitter(this->options.anti_entropy);
+    this->next_region_sync = context.now + this->random.Jitter(this->options.region_sync);
+  }
+  if (*this->next_digest <= context.now) {
+    this->next_digest = context.now + this->Jittered(this->options.anti_entropy);
+    if (const auto peer = this->RandomZonePeer(context)) {
+      this->exchange.SendDigest(context, *peer);
+    }
+  }
+  if (*this->next_region_sync <= context.now) {
+    this->next_region_sync = context.now + this->Jittered(this->options.region_sync);
+    // Without the log, every second question goes to the region that has it.
+    const bool ask_log_region = !following && this->random.Chance(0.5);
+    const auto peer = reader ? this->RandomRemoteReader(context, ask_log_region) : std::nullopt;
+    if (peer) {
+      this->exchange.SendDigest(context, *peer);
+    }
+  }
+}
+
+std::optional<utils::Timestamp> AntiEntropy::NextWake() const {
+  return this->next_digest ? std::optional(std::min(*this->next_digest, *this->next_region_sync))
+                           : std::nullopt;
+}
+
+}  // namespace amaranthlatch::distribution::details
--- /dev/null
+++ b/libs/distribution/src/catch_up.h
@@ -0,0 +1,60 @@
+// Gets what a node lacks beyond the usual dissemination: state after a start, entries below the
+// kept part of the log, proof of witnesses. Peers of the zone come first, then other nodes, then
+// the log, then its stream of snapshots.
+
+#pragma once
+
+#include <optional>
+
+#include "amaranthlatch/distribution/options.h"
+#include "anti_entropy.h"
+#include "context.h"
+#include "entry_exchange.h"
+#include "log_follower.h"
+#include "readiness.h"
+#include "snapshot_transfer.h"
+
+namespace amaranthlatch::distribution::details {
+
+class CatchUp {
+ public:
+  CatchUp(const Options& options, Topology& topology, const Replica& replica,
+          const Readiness& readiness, const LogFollower& log, const SnapshotReceiver& receiver,
+          AntiEntropy& anti_entropy, EntryExchange& exchange, utils::Random& random);
+
+  void Run(const Context& context);
+  std::optional<utils::Timestamp> NextWake() const;
+
+  // How this node is to read the log.
+  LogFollower::Mode LogMode(const Context& context, bool reader) const;
+
+  // Whether peers have not helped and a snapshot from the log's stream is needed.
+  bool WantsSnapshotStream(const Context& context) const;
+
+  bool Joined(utils::Timestamp now) const { return this->join_at && *this->join_at <= now; }
+
+ private:
+  enum class Need : std::uint8_t { kNone, kState, kEntries, kWitnesses };
+
+  Need FindNeed(const Context& context) const;
+  std::optional<membership::NodeId> ChoosePeer(const Context& context);
+  bool NoProgress(utils::Timestamp now) const;
+  bool PeersMayHelp(const Context& context) const;
+
+  const Options& options;
+  Topology& topology;
+  const Replica& replica;
+  const Readiness& readiness;
+  const LogFollower& log;
+  const SnapshotReceiver& receiver;
+  AntiEntropy& anti_entropy;
+  EntryExchange& exchange;
+  utils::Random& random;
+  std::optional<utils::Timestamp> join_at;
+  utils::Timestamp next_ask{};
+  Need need = Need::kNone;
+  Offset last_held = 0;
+  utils::Timestamp last_progress{};
+};
+
+}  // namespace amaranthlatch::distribution::details
--- /dev/null
+++ b/libs/distribution/src/difference.cc
@@ -0,0 +1,107 @@
+// Differences by JSON patch (RFC 6902).
+
+#include "difference.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "amaranthlatch/utils/hash.h"
+
+namespace amaranthlatch::distribution::details {
+
+namespace {
+
+const char* const kDocument = "document";
+const char* const kService = "service";
+
+std::uint64_t HashBytes(const std::vector<std::uint8_t>& bytes) {
+  return utils::Hash64({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
+}
+
+const acceptance::AcceptedDocument* FindBase(const nlohmann::json& record,
+                                             const acceptance::State& before) {
+  if (!record.is_object()) {
+    return nullptr;
+  }
+  const auto service = record.find(kService);
+  const bool has_document = record.contains(kDocument);
+  if (!has_document || service == record.end() || !service->is_string()) {
+    return nullptr;
+  }
+  return before.FindAccepted(service->get_ref<const std::string&>());
+}
+
+// Operations that copy within the document are refused: a short patch of them can grow a document
+// without bound. The library's own differences never contain them.
+bool IsPlainPatch(const nlohmann::json& patch) {
+  return patch.is_array() && std::all_of(patch.begin(), patch.end(), [](const auto& operation) {
+           if (!operation.is_object() || !operation.contains("op")) {
+             return false;
+           }
+           const nlohmann::json& name = operation["op"];
+           return name == "add" || name == "remove" || name == "replace";
+         });
+}
+
+utils::Result<nlohmann::json> ApplyPatch(const nlohmann::json& base, const nlohmann::json& patch) {
+  if (!IsPlainPatch(patch)) {
+    return utils::Fail(utils::ErrorCode::kPatchMismatch, "the difference is not a plain patch");
+  }
+  try {
+    return base.patch(patch);
+  } catch (const nlohmann::json::exception& error) {
+    return utils::Fail(utils::ErrorCode::kPatchMismatch, error.what());
+  }
+}
+
+}  // namespace
+
+std::uint64_t HashRecord(const nlohmann::json& record) {
+  return HashBytes(nlohmann::json::to_cbor(record));
+}
+
+std::size_t EncodedSize(const nlohmann::json& record) {
+  return nlohmann::json::to_cbor(record).size();
+}
+
+Entry MakeWholeEntry(Offset offset, const nlohmann::json& record) {
+  return Entry{.offset = offset, .record = record, .record_hash = HashRecord(record)};
+}
+
+Entry MakeEntry(Offset offset, const nlohmann::json& record, const acceptance::State& before) {
+  Entry whole = MakeWholeEntry(offset, record);
+  const acceptance::AcceptedDocument* base = FindBase(record, before);
+  if (base == nullptr || base->source == nullptr) {
+    return whole;
+  }
+  Entry difference = whole;
+  difference.patch_base = base->version;
+  difference.record[kDocument] = nlohmann::json::diff(*base->source, record.at(kDocument));
+  if (EncodedSize(difference.record) >= EncodedSize(record)) {
+    return whole;
+  }
+  // The comparison of the library takes 1 and 1.0 for equal; the hash does not.
+  return RestoreRecord(difference, before).has_value() ? difference : whole;
+}
+
+utils::Result<nlohmann::json> RestoreRecord(const Entry& entry, const acceptance::State& before) {
+  nlohmann::json record = entry.record;
+  if (entry.patch_base != 0) {
+    const acceptance::AcceptedDocument* base = FindBase(record, before);
+    if (base == nullptr || base->source == nullptr || base->version != entry.patch_base) {
+      return utils::Fail(utils::ErrorCode::kPatchMismatch, "the base version is not in the state");
+    }
+    utils::Result<nlohmann::json> document = ApplyPatch(*base->source, record[kDocument]);
+    if (!document) {
+      return tl::unexpected(document.error());
+    }
+    record[kDocument] = std::move(*document);
+  }
+  if (HashRecord(record) != entry.record_hash) {
+    return utils::Fail(utils::ErrorCode::kPatchMismatch, "the record has another hash");
+  }
+  return record;
+}
+
+}  // namespace amaranthlatch::distribution::details
--- /dev/null
+++ b/libs/distribution/src/distribution.cc
@@ -0,0 +1,314 @@
+// Composition of the parts of the distribution reducer.
+
+#include "amaranthlatch/distribution/distribution.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "amaranthlatch/distribution/spread_strategy.h"
+#include "anti_entropy.h"
+#include "catch_up.h"
+#include "entry_exchange.h"
+#include "log_follower.h"
+#include "peer_links.h"
+#include "reader_role.h"
+#include "readiness.h"
+#include "replica.h"
+#include "snapshot_transfer.h"
+#include "topology.h"
+
+namespace amaranthlatch::distribution {
+
+using details::Context;
+
+// Members refer to each other, so the parts never move.
+struct Distribution::Parts {
+  explicit Parts(Options settings)
+      : options(std::move(settings)), strategy(MakeSpreadStrategy(this->options)) {}
+  Parts(const Parts&) = delete;
+  Parts& operator=(const Parts&) = delete;
+  ~Parts() = default;
+
+  void Handle(const Context& context, const Event& event);
+  void HandleMessage(const Context& context, const PeerMessage& event);
+  void HandleMemberMessage(const Context& context, const PeerMessage& event);
+  void HandlePush(const Context& context, const membership::NodeId& from, const EntriesPush& push);
+  void HandleHeartbeat(const Context& context, const membership::NodeId& from,
+                       const ReaderHeartbeat& heartbeat);
+  void AnswerHeldQuery(const Context& context, const membership::NodeId& from);
+  void CheckPause(const Context& context);
+  void Spread(const Context& context, EntrySource source, Offset before);
+  EntrySource SourceOf(const Context& context, const membership::NodeId& from);
+  void PutInForce(const Context& context);
+  void RunTimers(const Context& context);
+  void ReportReadiness(const Context& context);
+  std::optional<utils::Timestamp> FindNextWake() const;
+
+  const Options options;
+  Counters counters;
+  utils::Random random{this->options.seed};
+  std::unique_ptr<SpreadStrategy> strategy;
+  details::RequestNumbers numbers;
+  details::Topology topology;
+  details::PeerLinks links;
+  details::Replica replica{this->options, this->counters};
+  details::SnapshotSender snapshot_sender{this->options, this->replica, this->counters};
+  details::SnapshotReceiver snapshot_receiver{this->options, this->replica, this->counters,
+                                              this->random};
+  details::EntryExchange exchange{this->options,  this->replica,         this->links,
+                                  this->topology, this->snapshot_sender, this->counters};
+  details::AntiEntropy anti_entropy{this->options, this->topology, this->links, this->exchange,
+                                    this->random};
+  details::ReaderRole role{this->options, this->topology, this->counters};
+  details::LogFollower log{this->options, this->replica, this->numbers, this->counters,
+                           this->random};
+  details::Readiness readiness{this->options, this->topology, this->replica,
+                               this->log,     this->exchange, this->random};
+  details::CatchUp catch_up{this->options,      this->topology, this->replica,
+                            this->readiness,    this->log,      this->snapshot_receiver,
+                            this->anti_entropy, this->exchange, this->random};
+  bool reported_ready = false;
+  std::optional<std::uint64_t> pruned_generation;
+  // Nothing before the first event.
+  std::optional<utils::Timestamp> next_wake;
+  bool begun = false;
+};
+
+void Distribution::Parts::CheckPause(const Context& context) {
+  const bool late =
+      this->next_wake && context.now - *this->next_wake > this->options.pause_threshold;
+  if (!late) {
+    return;
+  }
+  ++this->counters.pauses;
+  // Peers may have lost what they held, and other readers may have been there all the time.
+  this->links.ForgetAllHeld();
+  this->exchange.ForgetReported();
+  this->role.OnPause(context.now);
+  this->log.Restart();
+  this->readiness.OnPause(context);
+}
+
+EntrySource Distribution::Parts::SourceOf(const Context& context, const membership::NodeId& from) {
+  const membership::Member* member = context.members.Find(from);
+  if (member != nullptr && member->zone != this->topology.Zone()) {
+    return EntrySource::kOtherZone;
+  }
+  // The root has no parent: what it gets comes from the reader or from a repair.
+  const std::optional<membership::NodeId> parent = this->topology.Parent(this->options.fanout);
+  return !parent || *parent == from ? EntrySource::kParent : EntrySource::kZonePeer;
+}
+
+void Distribution::Parts::Spread(const Context& context, EntrySource source, Offset before) {
+  if (this->replica.HeldOffset() <= before) {
+    return;
+  }
+  const auto reachable = [this, &context](const membership::NodeId& id) {
+    return this->links.IsReachable(id, context.now);
+  };
+  for (const membership::NodeId& id :
+       this->strategy->Targets(source, this->topology, reachable, this->random)) {
+    const Offset known = this->links.Get(context, id).held;
+    this->exchange.Push(context, id, std::max(known, before));
+  }
+}
+
+void Distribution::Parts::HandlePush(const Context& context, const membership::NodeId& from,
+                                     const EntriesPush& push) {
+  const Offset before = this->replica.HeldOffset();
+  this->exchange.OnPush(context, from, push);
+  this->readiness.OnExchange(from);
+  const EntrySource source = this->SourceOf(context, from);
+  // A reader in a zone without the log gets entries from other regions and serves its own.
+  const bool for_region = source == EntrySource::kOtherZone && this->role.Active();
+  this->Spread(context, for_region ? EntrySource::kLog : source, before);
+}
+
+void Distribution::Parts::HandleHeartbeat(const Context& context, const membership::NodeId& from,
+                                          const ReaderHeartbeat& heartbeat) {
+  this->role.OnHeartbeat(context, from, heartbeat, this->replica.HeldOffset());
+  if (heartbeat.held > this->replica.HeldOffset()) {
+    this->exchange.AskOnce(context, from);
+  }
+}
+
+void Distribution::Parts::AnswerHeldQuery(const Context& context, const membership::NodeId& from) {
+  HeldReply reply;
+  reply.held = this->replica.HeldOffset();
+  reply.ready = this->readiness.Ready();
+  const membership::MemberList zone = context.members.OfZone(this->topology.Zone());
+  for (const membership::Member& member : *zone) {
+    reply.zone_members.push_back(member.id);
+  }
+  context.Send(from, std::move(reply));
+}
+
+void Distribution::Parts::HandleMessage(const Context& context, const PeerMessage& event) {
+  if (std::holds_alternative<HeldQuery>(event.message)) {
+    this->links.ForgetHeld(event.from);
+    this->AnswerHeldQuery(context, event.from);
+    return;
+  }
+  if (const auto* request = std::get_if<SnapshotRequest>(&event.message)) {
+    this->snapshot_sender.OnRequest(context, event.from, *request);
+    return;
+  }
+  const membership::Member* member = context.members.Find(event.from);
+  const bool known = member != nullptr && member->state != membership::MemberState::kLeft &&
+                     member->state != membership::MemberState::kDead;
+  if (!known) {
+    ++this->counters.strangers;
+    return;
+  }
+  this->links.MarkReachable(context, event.from);
+  this->HandleMemberMessage(context, event);
+}
+
+void Distribution::Parts::HandleMemberMessage(const Context& context, const PeerMessage& event) {
+  const membership::NodeId& from = event.from;
+  if (const auto* push = std::get_if<EntriesPush>(&event.message)) {
+    this->HandlePush(context, from, *push);
+  } else if (const auto* ack = std::get_if<EntriesAck>(&event.message)) {
+    this->exchange.OnAck(context, from, *ack);
+  } else if (const auto* digest = std::get_if<Digest>(&event.message)) {
+    this->exchange.OnDigest(context, from, *digest);
+  } else if (const auto* request = std::get_if<EntriesRequest>(&event.message)) {
+    this->exchange.OnRequest(context, from, *request);
+  } else if (const auto* chunk = std::get_if<SnapshotChunk>(&event.message)) {
+    if (!this->links.Get(context, from).distrusted) {
+      this->snapshot_receiver.OnChunk(context, from, *chunk);
+    }
+  } else if (const auto* later = std::get_if<SnapshotRetryLater>(&event.message)) {
+    this->snapshot_receiver.OnRetryLater(context, from, *later);
+  } else if (const auto* heartbeat = std::get_if<ReaderHeartbeat>(&event.message)) {
+    this->HandleHeartbeat(context, from, *heartbeat);
+  } else if (const auto* reply = std::get_if<HeldReply>(&event.message)) {
+    this->readiness.OnHeldReply(from, *reply);
+  }
+}
+
+void Distribution::Parts::Handle(const Context& context, const Event& event) {
+  const Offset before = this->replica.HeldOffset();
+  bool applied = false;
+  if (const auto* message = std::get_if<PeerMessage>(&event)) {
+    this->HandleMessage(context, *message);
+  } else if (const auto* unreachable = std::get_if<PeerUnreachable>(&event)) {
+    this->links.MarkUnreachable(context, unreachable->id);
+    this->snapshot_receiver.OnUnreachable(unreachable->id);
+    this->readiness.OnUnreachable(unreachable->id);
+  } else if (const auto* read = std::get_if<LogRead>(&event)) {
+    this->log.OnRead(context, *read, applied);
+  } else if (const auto* failure = std::get_if<LogReadFailed>(&event)) {
+    this->log.OnFailed(context, *failure);
+  }
+  if (applied) {
+    // A starting node that is no reader reads for itself only.
+    this->Spread(context, this->role.Active() ? EntrySource::kLog : EntrySource::kZonePeer, before);
+  }
+}
+
+void Distribution::Parts::PutInForce(const Context& context) {
+  const std::optional<std::size_t> needed = this->readiness.WitnessesNeeded(context);
+  if (!needed) {
+    return;
+  }
+  this->exchange.SetWitnessesNeeded(*needed);
+  const Offset held = this->replica.HeldOffset();
+  if (this->replica.InForceOffset() >= held) {
+    return;
+  }
+  const Offset known =
+      *needed == 0 ? held : this->links.HeldByAtLeast(context, this->topology, *needed);
+  const Offset witnessed = std::max(known, this->exchange.ReportedWitnessed());
+  for (acceptance::Verdict& verdict : this->replica.PutInForce(witnessed)) {
+    context.effects.emplace_back(VerdictInForce{std::move(verdict)});
+  }
+}
+
+void Distribution::Parts::RunTimers(const Context& context) {
+  this->counters.push_timeouts += this->links.ExpirePushes(context.now);
+  const bool exchanges = !this->strategy->EveryNodeReads();
+  const bool reader = this->role.Update(context) || !exchanges;
+  this->log.Run(context, this->catch_up.LogMode(context, reader));
+  if (exchanges) {
+    const bool following = this->log.Following() && !this->replica.StoppedAt();
+    this->role.Run(context, this->replica.HeldOffset(), following);
+    this->anti_entropy.Run(context, reader, following);
+  }
+  this->snapshot_receiver.Run(context);
+  this->PutInForce(context);
+  this->catch_up.Run(context);
+  this->readiness.Run(context);
+}
+
+void Distribution::Parts::ReportReadiness(const Context& context) {
+  if (this->readiness.Ready() != this->reported_ready) {
+    this->reported_ready = this->readiness.Ready();
+    context.effects.emplace_back(ReadinessChanged{this->reported_ready, this->readiness.Reason()});
+  }
+}
+
+std::optional<utils::Timestamp> Distribution::Parts::FindNextWake() const {
+  std::optional<utils::Timestamp> next;
+  const bool exchanges = !this->strategy->EveryNodeReads();
+  for (const std::optional<utils::Timestamp>& due : {
+           this->links.NextDeadline(),
+           this->log.NextWake(),
+           exchanges ? this->role.NextWake() : std::nullopt,
+           exchanges ? this->anti_entropy.NextWake() : std::nullopt,
+           this->snapshot_receiver.NextWake(),
+           this->catch_up.NextWake(),
+           this->readiness.NextWake(),
+       }) {
+    if (due && (!next || *due < *next)) {
+      next = due;
+    }
+  }
+  return next;
+}
+
+Distribution::Distribution(std::unique_ptr<Parts> parts) : parts(std::move(parts)) {}
+Distribution::Distribution(Distribution&&) noexcept = default;
+Distribution& Distribution::operator=(Distribution&&) noexcept = default;
+Distribution::~Distribution() = default;
+
+utils::Result<Distribution> Distribution::Create(Options options) {
+  const utils::Result<void> valid = Validate(options);
+  if (!valid) {
+    return tl::unexpected(valid.error());
+  }
+  return Distribution(std::make_unique<Parts>(std::move(options)));
+}
+
+std::vector<Effect> Distribution::Reduce(const Event& event, utils::Timestamp now,
+                                         const membership::MemberView& members) {
+  std::vector<Effect> effects;
+  Parts& all = *this->parts;
+  const Context context{.now = now, .members = members, .effects = effects};
+  all.topology.Refresh(members);
+  if (all.pruned_generation != members.Generation()) {
+    all.pruned_generation = members.Generation();
+    all.links.Prune(context);
+  }
+  all.CheckPause(context);
+  all.Handle(context, event);
+  all.RunTimers(context);
+  all.ReportReadiness(context);
+  all.next_wake = all.FindNextWake();
+  all.begun = true;
+  return effects;
+}
+
+std::optional<utils::Timestamp> Distribution::NextWake() const {
+  return this->parts->begun ? this->parts->next_wake : std::optional(utils::Timestamp{});
+}
+
+const acceptance::State& Distribution::InForce() const { return this->parts->replica.InForce(); }
+Offset Distribution::Held() const { return this->parts->replica.HeldOffset(); }
+bool Distribution::Ready() const { return this->parts->readiness.Ready(); }
+std::string Distribution::Reason() const { return this->parts->readiness.Reason(); }
+Offset Distribution::LogHead() const { return this->parts->log.Head(); }
+std::optional<Offset> Distribution::StoppedAt() const { return this->parts->replica.StoppedAt(); }
+const Counters& Distribution::GetCounters() const { return this->parts->counters; }
+
+}  // namespace amaranthlatch::distribution
--- /dev/null
+++ b/libs/distribution/src/peer_links.h
@@ -0,0 +1,65 @@
+// What this node knows about each peer: what it holds, what is on its way to it, whether it
+// answers.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+#include "amaranthlatch/membership/member.h"
+#include "amaranthlatch/utils/time.h"
+#include "context.h"
+#include "topology.h"
+
+namespace amaranthlatch::distribution::details {
+
+struct PeerLink {
+  std::uint64_t boot_id = 0;
+  // The peer's present process is known to hold entries up to here.
+  Offset held = 0;
+  // The peer had another state at an offset that both know: no state is taken from it.
+  bool distrusted = false;
+  // At most one push is unacknowledged at any time.
+  bool in_flight = false;
+  Offset pushed_from = 0;
+  utils::Timestamp push_deadline{};
+  utils::Timestamp unreachable_until{};
+  // No pushes before this time: the last ones made no progress.
+  utils::Timestamp stalled_until{};
+  utils::Duration stall{};
+};
+
+class PeerLinks {
+ public:
+  // The link to a member. Starts afresh where the member has another process than before, because
+  // that one holds nothing.
+  PeerLink& Get(const Context& context, const membership::NodeId& id);
+
+  // Forgets what the peer holds: its process has just started.
+  void ForgetHeld(const membership::NodeId& id);
+  void ForgetAllHeld();
+
+  void MarkReachable(const Context& context, const membership::NodeId& id);
+  void MarkUnreachable(const Context& context, const membership::NodeId& id);
+  bool IsReachable(const membership::NodeId& id, utils::Timestamp now) const;
+
+  // Zone peers other than `except` that are known to hold `offset`.
+  std::uint32_t CountHolders(const Context& context, Topology& topology, Offset offset,
+                             const membership::NodeId& except);
+
+  // Highest offset that at least `count` zone peers hold.
+  Offset HeldByAtLeast(const Context& context, Topology& topology, std::size_t count);
+
+  // Gives up pushes past their deadline; returns how many.
+  std::size_t ExpirePushes(utils::Timestamp now);
+  std::optional<utils::Timestamp> NextDeadline() const;
+
+  // Drops links to nodes that are no members any more.
+  void Prune(const Context& context);
+
+ private:
+  std::map<membership::NodeId, PeerLink> links;
+};
+
+}  // namespace amaranthlatch::distribution::details
--- /dev/null
+++ b/libs/distribution/src/reader_role.h
@@ -0,0 +1,46 @@
+// Which nodes follow the log for their region, and the takeover between them.
+
+#pragma once
+
+#include <optional>
+
+#include "amaranthlatch/distribution/counters.h"
+#include "amaranthlatch/distribution/options.h"
+#include "context.h"
+#include "topology.h"
+
+namespace amaranthlatch::distribution::details {
+
+class ReaderRole {
+ public:
+  ReaderRole(const Options& options, Topology& topology, Counters& counters)
+      : options(options), topology(topology), counters(counters) {}
+
+  // Whether this node follows the log now. The first candidate always does; the others do when
+  // the ones before them have been silent. A second reader costs only bytes.
+  bool Update(const Context& context);
+  bool Active() const { return this->active; }
+
+  void OnHeartbeat(const Context& context, const membership::NodeId& from,
+                   const ReaderHeartbeat& heartbeat, Offset held);
+
+  // Sends heartbeats to the other candidates while active.
+  void Run(const Context& context, Offset held, bool following);
+  std::optional<utils::Timestamp> NextWake() const;
+
+  // Silence during a pause of this node says nothing about the others.
+  void OnPause(utils::Timestamp now) { this->last_sign = now; }
+
+ private:
+  utils::Duration TakeoverDelay() const;
+
+  const Options& options;
+  Topology& topology;
+  Counters& counters;
+  std::optional<std::size_t> rank;
+  bool active = false;
+  utils::Timestamp last_sign{};
+  utils::Timestamp next_heartbeat{};
+};
+
+}  // namespace amaranthlatch::distribution::details
--- /dev/null
+++ b/libs/distribution/src/readiness.cc
@@ -0,0 +1,215 @@
+// Readiness of starting and of paused nodes.
+
+#include "readiness.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace amaranthlatch::distribution::details {
+
+namespace {
+
+// Time without an answer after which a starting node no longer waits for the log.
+constexpr utils::Duration kLogSilence = utils::Seconds(1);
+constexpr utils::Duration kQueryInterval = utils::Milliseconds(500);
+// Queries sent at once; the rest follow in the next interval.
+constexpr std::size_t kQueriesPerInterval = 256;
+constexpr std::size_t kMaxListedMembers = 4'096;
+constexpr std::size_t kRecheckPeers = 3;
+constexpr utils::Duration kRecheckTimeout = utils::Seconds(2);
+
+}  // namespace
+
+Readiness::Readiness(const Options& options, Topology& topology, const Replica& replica,
+                     const LogFollower& log, EntryExchange& exchange, utils::Random& random)
+    : options(options),
+      topology(topology),
+      replica(replica),
+      log(log),
+      exchange(exchange),
+      random(random) {}
+
+std::optional<std::size_t> Readiness::WitnessesNeeded(const Context& context) {
+  if (this->options.spread == SpreadKind::kPoll) {
+    return 0;
+  }
+  const std::size_t others = this->topology.ZonePeers().size();
+  const utils::Timestamp start = this->started_at.value_or(context.now);
+  if (others == 0 && this->options.witnesses > 0 &&
+      context.now - start < this->options.alone_after) {
+    return std::nullopt;
+  }
+  return std::min<std::size_t>(this->options.witnesses, others);
+}
+
+bool Readiness::ReachedTarget() const {
+  if (!this->target) {
+    return false;
+  }
+  Offset reachable = *this->target;
+  if (const std::optional<Offset> stopped = this->replica.StoppedAt()) {
+    // An earlier process of this release could not have served more.
+    reachable = std::min(reachable, *stopped - 1);
+  }
+  return this->replica.InForceOffset() >= reachable;
+}
+
+void Readiness::Run(const Context& context) {
+  if (!this->started_at) {
+    this->started_at = context.now;
+  }
+  if (this->phase == Phase::kStarting) {
+    this->RunStarting(context);
+  } else if (this->phase == Phase::kRecheck) {
+    this->RunRecheck(context);
+  }
+}
+
+void Readiness::RunStarting(const Context& context) {
+  if (this->log.FirstHead()) {
+    this->target = this->log.FirstHead();
+    this->querying = false;
+  } else if (this->options.spread != SpreadKind::kPoll &&
+             this->log.Silent(context.now, kLogSilence)) {
+    this->querying = true;
+    this->AskZone(context);
+    this->target = this->ProvenByZone();
+  }
+  // With no witnesses known yet, a state of offset 0 is no proof of an empty log.
+  if (this->WitnessesNeeded(context) && this->ReachedTarget()) {
+    this->phase = Phase::kReady;
+    this->querying = false;
+    this->answers.clear();
+    this->listed.clear();
+  }
+}
+
+std::set<membership::NodeId> Readiness::KnownZoneMembers() {
+  std::set<membership::NodeId> members = this->listed;
+  members.insert(this->topology.ZonePeers().begin(), this->topology.ZonePeers().end());
+  members.erase(this->topology.Self());
+  return members;
+}
+
+void Readiness::AskZone(const Context& context) {
+  if (this->next_query > context.now) {
+    return;
+  }
+  this->next_query = context.now + kQueryInterval / 2 + this->random.Jitter(kQueryInterval);
+  std::vector<membership::NodeId> open;
+  for (const membership::NodeId& id : this->KnownZoneMembers()) {
+    const auto answer = this->answers.find(id);
+    if (answer == this->answers.end() || !answer->second.ready) {
+      open.push_back(id);
+    }
+  }
+  this->random.Shuffle(open);
+  open.resize(std::min(open.size(), kQueriesPerInterval));
+  for (const membership::NodeId& id : open) {
+    context.Send(id, HeldQuery{});
+  }
+}
+
+std::optional<Offset> Readiness::ProvenByZone() {
+  const std::set<membership::NodeId> others = this->KnownZoneMembers();
+  const std::size_t needed = std::min<std::size_t>(this->options.witnesses, others.size());
+  if (needed == 0) {
+    return std::nullopt;
+  }
+  Offset highest = 0;
+  std::size_t missing = 0;
+  for (const membership::NodeId& id : others) {
+    const auto answer = this->answers.find(id);
+    if (answer != this->answers.end()) {
+      highest = std::max(highest, answer->second.held);
+    }
+    if (answer == this->answers.end() || !answer->second.ready) {
+      ++missing;
+    }
+  }
+  return missing < needed ? std::optional(highest) : std::nullopt;
+}
+
+void Readiness::OnHeldReply(const membership::NodeId& from, const HeldReply& reply) {
+  if (this->phase != Phase::kStarting) {
+    return;
+  }
+  this->answers[from] = Answer{.held = reply.held, .ready = reply.ready};
+  for (const std::string& id : reply.zone_members) {
+    if (this->listed.size() < kMaxListedMembers) {
+      this->listed.insert(id);
+    }
+  }
+}
+
+void Readiness::OnPause(const Context& context) {
+  if (this->phase == Phase::kStarting) {
+    return;
+  }
+  this->phase = Phase::kRecheck;
+  this->recheck_deadline = context.now + kRecheckTimeout;
+  this->recheck_reads = this->log.FinishedReads();
+  this->recheck_peers.clear();
+  if (this->options.spread == SpreadKind::kPoll) {
+    return;
+  }
+  std::vector<membership::NodeId> peers = this->topology.ZonePeers();
+  this->random.Shuffle(peers);
+  peers.resize(std::min(peers.size(), kRecheckPeers));
+  for (const membership::NodeId& id : peers) {
+    this->recheck_peers.insert(id);
+    this->exchange.Ask(context, id);
+  }
+}
+
+void Readiness::RunRecheck(const Context& context) {
+  const bool log_answered =
+      this->options.spread == SpreadKind::kPoll && this->log.FinishedReads() > this->recheck_reads;
+  const bool nobody_left = this->options.spread != SpreadKind::kPoll && this->recheck_peers.empty();
+  // Peers that do not answer are partitioned from this node: it continues with what it has.
+  if (log_answered || nobody_left || this->recheck_deadline <= context.now) {
+    this->phase = Phase::kReady;
+  }
+}
+
+void Readiness::OnExchange(const membership::NodeId& from) {
+  if (this->recheck_peers.contains(from)) {
+    this->recheck_peers.clear();
+  }
+}
+
+void Readiness::OnUnreachable(const membership::NodeId& id) { this->recheck_peers.erase(id); }
+
+std::optional<utils::Timestamp> Readiness::NextWake() const {
+  if (this->phase == Phase::kRecheck) {
+    return this->recheck_deadline;
+  }
+  if (this->phase == Phase::kReady || !this->started_at) {
+    return std::nullopt;
+  }
+  return this->querying ? this->next_query : *this->started_at + this->options.alone_after;
+}
+
+std::string Readiness::Reason() const {
+  if (this->phase == Phase::kReady) {
+    return "";
+  }
+  if (this->phase == Phase::kRecheck) {
+    return "recheck after a pause";
+  }
+  if (this->target) {
+    return "starting: offset " + std::to_string(this->replica.InForceOffset()) + " of " +
+           std::to_string(*this->target) + " is in force";
+  }
+  if (!this->querying) {
+    return "starting: the head of the log is not known";
+  }
+  std::size_t ready = 0;
+  for (const auto& [id, answer] : this->answers) {
+    ready += answer.ready ? 1 : 0;
+  }
+  return "starting: the log does not answer, and only " + std::to_string(ready) +
+         " members of the zone have a proven state";
+}
+
+}  // namespace amaranthlatch::distribution::details
--- /dev/null
+++ b/libs/distribution/src/readiness.h
@@ -0,0 +1,79 @@
+// Decides whether the node may serve: docs/design.md section 5.1.
+
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "amaranthlatch/distribution/options.h"
+#include "context.h"
+#include "entry_exchange.h"
+#include "log_follower.h"
+#include "topology.h"
+
+namespace amaranthlatch::distribution::details {
+
+class Readiness {
+ public:
+  enum class Phase : std::uint8_t { kStarting, kReady, kRecheck };
+
+  Readiness(const Options& options, Topology& topology, const Replica& replica,
+            const LogFollower& log, EntryExchange& exchange, utils::Random& random);
+
+  bool Ready() const { return this->phase == Phase::kReady; }
+  bool Starting() const { return this->phase == Phase::kStarting; }
+  std::string Reason() const;
+
+  // The offset that must be in force before a starting node is ready, once it is known.
+  std::optional<Offset> Target() const { return this->target; }
+
+  // Number of other nodes of the zone that must hold an entry before it is in force. Nothing while
+  // the node may just not know its zone yet.
+  std::optional<std::size_t> WitnessesNeeded(const Context& context);
+
+  void Run(const Context& context);
+  std::optional<utils::Timestamp> NextWake() const;
+
+  void OnPause(const Context& context);
+  void OnHeldReply(const membership::NodeId& from, const HeldReply& reply);
+  // A zone peer has answered a request of this node, which has applied the answer.
+  void OnExchange(const membership::NodeId& from);
+  void OnUnreachable(const membership::NodeId& id);
+
+ private:
+  struct Answer {
+    Offset held = 0;
+    bool ready = false;
+  };
+
+  void RunStarting(const Context& context);
+  void RunRecheck(const Context& context);
+  void AskZone(const Context& context);
+  std::set<membership::NodeId> KnownZoneMembers();
+  // Rule (b): the answers of the zone prove an offset.
+  std::optional<Offset> ProvenByZone();
+  bool ReachedTarget() const;
+
+  const Options& options;
+  Topology& topology;
+  const Replica& replica;
+  const LogFollower& log;
+  EntryExchange& exchange;
+  utils::Random& random;
+
+  Phase phase = Phase::kStarting;
+  std::optional<utils::Timestamp> started_at;
+  std::optional<Offset> target;
+  utils::Timestamp next_query{};
+  bool querying = false;
+  std::map<membership::NodeId, Answer> answers;
+  std::set<membership::NodeId> listed;
+
+  std::set<membership::NodeId> recheck_peers;
+  utils::Timestamp recheck_deadline{};
+  std::uint64_t recheck_reads = 0;
+};
+
+}  // namespace amaranthlatch::distribution::details
--- /dev/null
+++ b/libs/distribution/src/snapshot_transfer.h
@@ -0,0 +1,83 @@
+// Snapshots between peers: the receiver asks for one chunk after the other, the sender bounds the
+// number of transfers.
+
+#pragma once
+
+#include <map>
+#include <optional>
+
+#include "amaranthlatch/distribution/counters.h"
+#include "amaranthlatch/distribution/options.h"
+#include "amaranthlatch/utils/random.h"
+#include "context.h"
+#include "peer_links.h"
+#include "replica.h"
+#include "snapshot_codec.h"
+
+namespace amaranthlatch::distribution::details {
+
+class SnapshotSender {
+ public:
+  SnapshotSender(const Options& options, const Replica& replica, Counters& counters)
+      : options(options), replica(replica), counters(counters) {}
+
+  // Answers with a chunk, or with a time to try again where all transfers are taken.
+  void OnRequest(const Context& context, const membership::NodeId& to,
+                 const SnapshotRequest& request);
+
+ private:
+  bool Admit(const Context& context, const membership::NodeId& to);
+  void RefreshSnapshot();
+
+  const Options& options;
+  const Replica& replica;
+  Counters& counters;
+  // Time of the last request of each transfer; at most Options::snapshot_transfers.
+  std::map<membership::NodeId, utils::Timestamp> transfers;
+  std::optional<Snapshot> snapshot;
+};
+
+class SnapshotReceiver {
+ public:
+  SnapshotReceiver(const Options& options, Replica& replica, Counters& counters,
+                   utils::Random& random)
+      : options(options), replica(replica), counters(counters), random(random) {}
+
+  bool Receiving() const { return this->transfer.has_value(); }
+
+  // No peer is to be asked for a new transfer before this time.
+  utils::Timestamp NotBefore() const { return this->not_before; }
+
+  // Returns whether a complete snapshot was installed.
+  bool OnChunk(const Context& context, const membership::NodeId& from, const SnapshotChunk& chunk);
+  void OnRetryLater(const Context& context, const membership::NodeId& from,
+                    const SnapshotRetryLater& message);
+  void OnUnreachable(const membership::NodeId& from);
+
+  // Asks for the next chunk when it is due; gives a silent transfer up.
+  void Run(const Context& context);
+  std::optional<utils::Timestamp> NextWake() const;
+
+ private:
+  struct Transfer {
+    membership::NodeId from;
+    Snapshot snapshot;
+    std::uint32_t count = 0;
+    // Set while the next chunk has yet to be asked for.
+    std::optional<utils::Timestamp> ask_at;
+    utils::Timestamp deadline{};
+    std::uint32_t attempts = 0;
+  };
+
+  bool Start(const Context& context, const membership::NodeId& from, const SnapshotChunk& chunk);
+  bool Finish();
+
+  const Options& options;
+  Replica& replica;
+  Counters& counters;
+  utils::Random& random;
+  std::optional<Transfer> transfer;
+  utils::Timestamp not_before{};
+};
+
+}  // namespace amaranthlatch::distribution::details
--- /dev/null
+++ b/libs/distribution/tests/distribution_test.cc
@@ -0,0 +1,23 @@
+// Tests of the distribution reducer as a whole.
+
+#include <CppUTest/TestHarness.h>
+
+#include "cluster.h"
+
+namespace amaranthlatch::distribution::testing {
+
+TEST_GROUP(Distribution){};
+
+// Guards against a fresh mesh that does not take up what operators have published.
+TEST(Distribution, FreshMeshTakesUpTheLog) {
+  Cluster cluster(1, 2, 2, 4);
+  for (int i = 0; i < 20; ++i) {
+    cluster.Publish("service-" + std::to_string(i), 0);
+  }
+  CHECK_TEXT(cluster.Converge(utils::Seconds(9)), cluster.Describe().c_str());
+  cluster.Publish("service-0", 1);
+  CHECK_TEXT(cluster.Converge(utils::Seconds(1)), cluster.Describe().c_str());
+  STRCMP_EQUAL("", cluster.Violation().c_str());
+}
+
+}  // namespace amaranthlatch::distribution::testing
