--- /dev/null
+++ b/libs/calls/include/amaranthlatch/calls/calls.h
@@ -0,0 +1,52 @@
+// The calls reducer: the entry side and the gate side of every call on this node.
+
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "amaranthlatch/calls/balance_policy.h"
+#include "amaranthlatch/calls/counters.h"
+#include "amaranthlatch/calls/effect.h"
+#include "amaranthlatch/calls/event.h"
+#include "amaranthlatch/calls/options.h"
+#include "amaranthlatch/document/route_table.h"
+#include "amaranthlatch/membership/member_view.h"
+#include "amaranthlatch/utils/result.h"
+
+namespace amaranthlatch::calls {
+
+// Admission is closed and no backend server is known until events say otherwise.
+class Calls {
+ public:
+  // `policy` chooses between the backend servers of a level; null means power of two choices.
+  static utils::Result<Calls> Create(Options options,
+                                     std::unique_ptr<BalancePolicy> policy = nullptr);
+
+  Calls(Calls&&) noexcept;
+  Calls& operator=(Calls&&) noexcept;
+  ~Calls();
+
+  // `members.Self()` names this process: its id, incarnation and boot id.
+  std::vector<Effect> Reduce(const Event& event, utils::Timestamp now,
+                             const membership::MemberView& members,
+                             const document::RouteTable& routes);
+
+  std::optional<utils::Timestamp> NextWake() const;
+
+  const Counters& GetCounters() const;
+  Gauges GetGauges() const;
+
+  // The first promise of docs/design.md section 1.3 that did not hold; empty for none.
+  const std::string& FirstViolation() const;
+
+ private:
+  struct Parts;
+  explicit Calls(std::unique_ptr<Parts> parts);
+
+  std::unique_ptr<Parts> parts;
+};
+
+}  // namespace amaranthlatch::calls
--- /dev/null
+++ b/libs/calls/include/amaranthlatch/calls/counters.h
@@ -0,0 +1,56 @@
+// Counters of the calls reducer, for metrics.
+
+#pragma once
+
+#include <cstdint>
+
+namespace amaranthlatch::calls {
+
+struct Counters {
+  // Entry side.
+  std::uint64_t calls = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t not_run = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t attempts = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t retries_over_budget = 0;
+  std::uint64_t redirects = 0;
+  std::uint64_t fences = 0;
+  std::uint64_t fences_not_run = 0;
+  std::uint64_t fences_unanswered = 0;
+  std::uint64_t ignored_replies = 0;
+  std::uint64_t permits_asked = 0;
+
+  // Gate side.
+  std::uint64_t admitted = 0;
+  std::uint64_t queued = 0;
+  std::uint64_t runs = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t dropped_from_queue = 0;
+  std::uint64_t cancelled_runs = 0;
+  std::uint64_t duplicates = 0;
+  std::uint64_t fenced = 0;
+  std::uint64_t foreign_process = 0;
+  std::uint64_t permits_issued = 0;
+  std::uint64_t permit_answers_repeated = 0;
+  std::uint64_t limit_decreases = 0;
+  std::uint64_t backend_crashes = 0;
+  std::uint64_t quarantined = 0;
+  std::uint64_t suspects_cleared = 0;
+
+  bool operator==(const Counters&) const = default;
+};
+
+// Present state, for metrics and the load display.
+struct Gauges {
+  std::uint32_t open_calls = 0;
+  std::uint32_t in_flight = 0;
+  std::uint32_t queued = 0;
+  std::uint32_t concurrency_limit = 0;
+  std::uint32_t suspects = 0;
+
+  bool operator==(const Gauges&) const = default;
+};
+
+}  // namespace amaranthlatch::calls
--- a/libs/calls/include/amaranthlatch/calls/message.h
+++ b/libs/calls/include/amaranthlatch/calls/message.h
@@ -25,7 +25,8 @@
 
 struct CallRequest {
   AttemptId id;
-  // The gate refuses as not run where these do not name its own process.
+  // A gate of another boot id answers "unknown": the process named here may have run a copy.
+  // With the same boot id and another incarnation it refuses as not run.
   std::uint64_t gate_incarnation = 0;
   std::uint64_t gate_boot = 0;
   std::string service;
@@ -58,6 +59,8 @@
 // `abort` is set, that is when the caller is gone or the deadline has passed.
 struct CallCancel {
   AttemptId id;
+  // Only the process that may have received the attempt can answer for it.
+  std::uint64_t gate_boot = 0;
   bool abort = false;
   bool operator==(const CallCancel&) const = default;
 };
@@ -66,6 +69,8 @@
 struct CallCancelReply {
   AttemptId id;
   bool ran = false;
+  // The attempt waits or is in flight and its CallReply is still to come.
+  bool running = false;
   bool operator==(const CallCancelReply&) const = default;
 };
 
--- /dev/null
+++ b/libs/calls/include/amaranthlatch/calls/message_codec.h
@@ -0,0 +1,17 @@
+// JSON form of the calls messages: arrays [type, fields...] with binary bodies.
+
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include "amaranthlatch/calls/message.h"
+#include "amaranthlatch/utils/result.h"
+
+namespace amaranthlatch::calls {
+
+nlohmann::json ToJson(const Message& message);
+
+// Fails with kMessageMalformed on a wrong shape and kMessageTooLarge above a limit.
+utils::Result<Message> MessageFromJson(const nlohmann::json& json);
+
+}  // namespace amaranthlatch::calls
--- /dev/null
+++ b/libs/calls/src/balancer.cc
@@ -0,0 +1,217 @@
+// Splits, locality levels and observations.
+
+#include "balancer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace amaranthlatch::calls::details {
+
+namespace {
+using document::LocalityPreference;
+using membership::Member;
+using membership::MemberState;
+using membership::NodeId;
+
+constexpr double kLatencyWeight = 0.2;
+constexpr double kColdest = 0.1;
+constexpr double kPercent = 100.0;
+
+bool HasLabels(const Member& member, const document::Labels& labels) {
+  return std::all_of(labels.begin(), labels.end(), [&member](const auto& label) {
+    const auto found = member.labels.find(label.first);
+    return found != member.labels.end() && found->second == label.second;
+  });
+}
+
+std::size_t LevelOf(const Member& self, const Member& member, LocalityPreference prefer) {
+  if (prefer == LocalityPreference::kNone) {
+    return 0;
+  }
+  if (member.region != self.region) {
+    return 3;
+  }
+  if (prefer == LocalityPreference::kRegion) {
+    return 0;
+  }
+  if (member.id == self.id) {
+    return 0;
+  }
+  return member.zone == self.zone ? 1 : 2;
+}
+
+double LoadOf(const std::vector<Candidate>& level) {
+  double used = 0.0;
+  double slots = 0.0;
+  for (const Candidate& candidate : level) {
+    const double own = candidate.member->slots;
+    slots += own;
+    used += std::min<double>(own, std::max(candidate.in_flight, candidate.reported_load));
+  }
+  return slots == 0.0 ? 1.0 : used / slots;
+}
+}  // namespace
+
+Balancer::Balancer(Shared& shared, std::unique_ptr<BalancePolicy> policy)
+    : shared(shared), policy(std::move(policy)) {}
+
+const Member* Balancer::Choose(const Context& context, const document::Route& route,
+                               const std::vector<NodeId>& tried) {
+  std::uint64_t total = 0;
+  for (const document::SplitTarget& target : route.split) {
+    total += target.weight;
+  }
+  if (total == 0) {
+    return nullptr;
+  }
+  std::uint64_t draw = this->shared.random.Below(total);
+  std::size_t index = 0;
+  while (draw >= route.split[index].weight) {
+    draw -= route.split[index].weight;
+    ++index;
+  }
+  // A target without a ready server leaves its share to the next ones.
+  for (std::size_t i = 0; i < route.split.size(); ++i) {
+    const document::SplitTarget& target = route.split[(index + i) % route.split.size()];
+    if (target.weight == 0) {
+      continue;
+    }
+    if (const Member* member = this->ChooseTarget(context, target, tried)) {
+      return member;
+    }
+  }
+  return nullptr;
+}
+
+const Member* Balancer::ChooseTarget(const Context& context, const document::SplitTarget& target,
+                                     const std::vector<NodeId>& tried) {
+  const auto document = context.routes.Find(target.service);
+  if (!document) {
+    return nullptr;
+  }
+  const auto version = document->versions.find(target.version);
+  if (version == document->versions.end()) {
+    return nullptr;
+  }
+  if (!this->Collect(context, *document, version->second, tried) &&
+      (tried.empty() || !this->Collect(context, *document, version->second, {}))) {
+    return nullptr;
+  }
+  const std::vector<Candidate>& level = this->levels[this->ChooseLevel(document->locality)];
+  return level[this->policy->Choose(level, this->shared.random)].member;
+}
+
+bool Balancer::Collect(const Context& context, const document::ServiceDocument& document,
+                       const document::VersionSelector& selector,
+                       const std::vector<NodeId>& tried) {
+  for (auto& level : this->levels) {
+    level.clear();
+  }
+  const Member& self = context.members.Self();
+  this->listed = context.members.OfService(document.service);
+  bool found = false;
+  for (const Member& member : *this->listed) {
+    if (member.state != MemberState::kReady || member.slots == 0 ||
+        !HasLabels(member, selector.labels) ||
+        std::find(tried.begin(), tried.end(), member.id) != tried.end()) {
+      continue;
+    }
+    const Peer& peer = this->Get(member.id);
+    if (peer.gone_boot != 0 && peer.gone_boot == member.boot_id) {
+      continue;
+    }
+    const std::size_t level = LevelOf(self, member, document.locality.prefer);
+    this->levels[level].push_back(
+        this->Observe(member, document.protection.slow_start, context.now));
+    found = true;
+  }
+  return found;
+}
+
+Candidate Balancer::Observe(const Member& member, utils::Duration slow_start,
+                            utils::Timestamp now) {
+  Peer& peer = this->Get(member.id);
+  if (peer.ready_boot != member.boot_id || peer.ready_incarnation != member.incarnation) {
+    peer.ready_boot = member.boot_id;
+    peer.ready_incarnation = member.incarnation;
+    peer.ready_at = now;
+  }
+  Candidate candidate;
+  candidate.member = &member;
+  candidate.in_flight = peer.in_flight;
+  candidate.latency_us = peer.latency_us;
+  candidate.faults = this->DecayedFaults(peer, now);
+  if (now - peer.load_at < this->shared.options.balance.load_hint_time) {
+    candidate.reported_load = peer.load;
+  }
+  const utils::Duration age = now - peer.ready_at;
+  if (age < slow_start) {
+    const double share = static_cast<double>(age.count()) / static_cast<double>(slow_start.count());
+    candidate.warmth = std::max(kColdest, share);
+  }
+  return candidate;
+}
+
+std::size_t Balancer::ChooseLevel(const document::Locality& locality) const {
+  const double spill = locality.spill_load_percent / kPercent;
+  std::size_t best = kLevels;
+  double best_load = 0.0;
+  for (std::size_t i = 0; i < kLevels; ++i) {
+    if (this->levels[i].empty()) {
+      continue;
+    }
+    const double load = LoadOf(this->levels[i]);
+    if (load < spill) {
+      return i;
+    }
+    if (best == kLevels || load < best_load) {
+      best = i;
+      best_load = load;
+    }
+  }
+  return best;
+}
+
+double Balancer::DecayedFaults(const Peer& peer, utils::Timestamp now) const {
+  const auto half_life = static_cast<double>(this->shared.options.balance.half_life.count());
+  const auto age = static_cast<double>((now - peer.faults_at).count());
+  return peer.faults == 0.0 ? 0.0 : peer.faults * std::exp2(-age / half_life);
+}
+
+Balancer::Peer& Balancer::Get(const NodeId& id) {
+  if (this->peers.size() >= this->shared.options.balance.capacity) {
+    std::erase_if(this->peers, [](const auto& entry) { return entry.second.in_flight == 0; });
+  }
+  return this->peers[id];
+}
+
+void Balancer::OnSent(const NodeId& gate) { ++this->Get(gate).in_flight; }
+
+void Balancer::OnEnded(const NodeId& gate, AttemptOutcome outcome, utils::Duration latency,
+                       utils::Timestamp now) {
+  Peer& peer = this->Get(gate);
+  this->shared.Require(peer.in_flight > 0, "balancer: an attempt ended that was not sent");
+  --peer.in_flight;
+  if (outcome == AttemptOutcome::kAnswered) {
+    const auto sample = static_cast<double>(latency.count()) + 1.0;
+    peer.latency_us = peer.latency_us == 0.0
+                          ? sample
+                          : peer.latency_us + kLatencyWeight * (sample - peer.latency_us);
+  } else if (outcome == AttemptOutcome::kFault) {
+    peer.faults = this->DecayedFaults(peer, now) + 1.0;
+    peer.faults_at = now;
+  }
+}
+
+void Balancer::OnLoad(const NodeId& gate, std::uint32_t load, utils::Timestamp now) {
+  Peer& peer = this->Get(gate);
+  peer.load = load;
+  peer.load_at = now;
+}
+
+void Balancer::OnForeignProcess(const NodeId& gate, std::uint64_t boot) {
+  this->Get(gate).gone_boot = boot;
+}
+
+}  // namespace amaranthlatch::calls::details
--- /dev/null
+++ b/libs/calls/src/balancer.h
@@ -0,0 +1,80 @@
+// Chooses the gate of an attempt and keeps what this node observes of each.
+
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "amaranthlatch/calls/balance_policy.h"
+#include "context.h"
+
+namespace amaranthlatch::calls::details {
+
+// How an attempt ended, as the balancer sees it.
+enum class AttemptOutcome : std::uint8_t {
+  kAnswered,
+  // The gate or the backend server refused it, or failed.
+  kFault,
+  // Nothing is known of the gate: the call ended for another reason.
+  kAbandoned,
+};
+
+class Balancer {
+ public:
+  Balancer(Shared& shared, std::unique_ptr<BalancePolicy> policy);
+
+  // A ready member of the route's split; null without one. Members in `tried` come last.
+  const membership::Member* Choose(const Context& context, const document::Route& route,
+                                   const std::vector<membership::NodeId>& tried);
+
+  void OnSent(const membership::NodeId& gate);
+  void OnEnded(const membership::NodeId& gate, AttemptOutcome outcome, utils::Duration latency,
+               utils::Timestamp now);
+  void OnLoad(const membership::NodeId& gate, std::uint32_t load, utils::Timestamp now);
+  // The process that members still list is gone: none of its successors has this boot id.
+  void OnForeignProcess(const membership::NodeId& gate, std::uint64_t boot);
+
+ private:
+  struct Peer {
+    std::uint32_t in_flight = 0;
+    double latency_us = 0.0;
+    double faults = 0.0;
+    utils::Timestamp faults_at{};
+    std::uint32_t load = 0;
+    utils::Timestamp load_at{};
+    // Process that was first seen ready at `ready_at`.
+    std::uint64_t ready_boot = 0;
+    std::uint64_t ready_incarnation = 0;
+    utils::Timestamp ready_at{};
+    std::uint64_t gone_boot = 0;
+  };
+  // Candidates by distance: this instance, its zone, its region, others.
+  static constexpr std::size_t kLevels = 4;
+  using Levels = std::array<std::vector<Candidate>, kLevels>;
+
+  const membership::Member* ChooseTarget(const Context& context,
+                                         const document::SplitTarget& target,
+                                         const std::vector<membership::NodeId>& tried);
+  // Fills the levels; false without a candidate.
+  bool Collect(const Context& context, const document::ServiceDocument& document,
+               const document::VersionSelector& selector,
+               const std::vector<membership::NodeId>& tried);
+  Candidate Observe(const membership::Member& member, utils::Duration slow_start,
+                    utils::Timestamp now);
+  std::size_t ChooseLevel(const document::Locality& locality) const;
+  double DecayedFaults(const Peer& peer, utils::Timestamp now) const;
+  Peer& Get(const membership::NodeId& id);
+
+  Shared& shared;
+  std::unique_ptr<BalancePolicy> policy;
+  std::unordered_map<membership::NodeId, Peer> peers;
+  // Kept between calls for their memory; the candidates point into `listed`.
+  Levels levels;
+  membership::MemberList listed;
+};
+
+}  // namespace amaranthlatch::calls::details
--- /dev/null
+++ b/libs/calls/src/context.h
@@ -0,0 +1,65 @@
+// What the parts of the calls reducer share while they handle one event.
+
+#pragma once
+
+#include <deque>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "amaranthlatch/calls/counters.h"
+#include "amaranthlatch/calls/effect.h"
+#include "amaranthlatch/calls/options.h"
+#include "amaranthlatch/document/route_table.h"
+#include "amaranthlatch/membership/member_view.h"
+#include "amaranthlatch/utils/random.h"
+#include "amaranthlatch/utils/time.h"
+
+namespace amaranthlatch::calls::details {
+
+// State that outlives events.
+struct Shared {
+  explicit Shared(Options from) : options(std::move(from)), random(options.seed) {}
+
+  // Records that a promise does not hold; the first one is kept for the composition to report.
+  void Require(bool holds, const char* promise) {
+    if (!holds && this->first_violation.empty()) {
+      this->first_violation = promise;
+    }
+  }
+
+  const Options options;
+  utils::Random random;
+  Counters counters;
+  std::string first_violation;
+};
+
+struct Context {
+  utils::Timestamp now;
+  const membership::MemberView& members;
+  const document::RouteTable& routes;
+  std::vector<Effect>& effects;
+  // Messages from this node to itself, delivered before the event ends.
+  std::deque<Message>& local;
+
+  void Send(membership::NodeId to, Message message) const {
+    if (to == this->members.Self().id) {
+      this->local.push_back(std::move(message));
+      return;
+    }
+    this->effects.emplace_back(SendMessage{std::move(to), std::move(message)});
+  }
+};
+
+inline Answer Refusal(ResultKind kind, utils::ErrorCode code, std::string message = {}) {
+  Answer answer;
+  answer.kind = kind;
+  answer.code = code;
+  answer.message = message.empty() ? std::string(utils::ToString(code)) : std::move(message);
+  return answer;
+}
+
+inline Answer NotRun(utils::ErrorCode code) { return Refusal(ResultKind::kNotRun, code); }
+inline Answer Unknown(utils::ErrorCode code) { return Refusal(ResultKind::kUnknown, code); }
+
+}  // namespace amaranthlatch::calls::details
--- /dev/null
+++ b/libs/calls/src/entry.cc
@@ -0,0 +1,332 @@
+// Calls from their arrival to their answer.
+
+#include "entry.h"
+
+#include <algorithm>
+
+#include "quarantine.h"
+
+namespace amaranthlatch::calls::details {
+
+namespace {
+using utils::Duration;
+using utils::ErrorCode;
+using utils::Timestamp;
+
+bool HasOpenAttempt(const OpenCall& call) {
+  return std::any_of(call.attempts.begin(), call.attempts.end(),
+                     [](const Attempt& a) { return a.stage == AttemptStage::kOpen; });
+}
+
+bool MayHaveRun(const OpenCall& call) {
+  return std::any_of(call.attempts.begin(), call.attempts.end(),
+                     [](const Attempt& a) { return a.stage != AttemptStage::kNotRun; });
+}
+}  // namespace
+
+Entry::Entry(Shared& shared, Balancer& balancer)
+    : shared(shared),
+      balancer(balancer),
+      codec(shared.options.permit_key),
+      budget(shared.options.entry.retry_burst, shared.options.entry.retry_budget) {}
+
+OpenCall Entry::MakeCall(const Context& context, const CallReceived& received) const {
+  OpenCall call;
+  call.call = received.call;
+  call.request = received.request;
+  call.token = received.permit;
+  if (!received.permit.empty()) {
+    call.permit = this->codec.Decode(received.permit);
+  }
+  call.match =
+      context.routes.Match(received.request.host, received.request.target, received.request.method);
+  Duration remaining = this->shared.options.entry.longest_deadline;
+  if (call.match) {
+    const document::Protection& protection = call.match->document->protection;
+    remaining = std::min(remaining, call.match->route->deadline);
+    call.idempotent = call.match->route->idempotent;
+    call.max_attempts = std::max<std::uint32_t>(1, protection.max_attempts);
+    call.budget_service = call.match->document->service;
+  }
+  if (received.remaining) {
+    remaining = std::min(remaining, *received.remaining);
+  }
+  call.deadline = context.now + remaining;
+  return call;
+}
+
+ErrorCode Entry::Check(const CallReceived& received, const OpenCall& call) const {
+  if (this->draining) {
+    return ErrorCode::kDraining;
+  }
+  if (!this->open) {
+    return ErrorCode::kNodeNotReady;
+  }
+  if (this->calls.size() >= this->shared.options.entry.max_open_calls) {
+    return ErrorCode::kTooManyConnections;
+  }
+  if (received.remaining && received.remaining->count() <= 0) {
+    return ErrorCode::kDeadlineExceeded;
+  }
+  if (!received.permit.empty()) {
+    // Whatever the routes say now, only the permit's gate knows whether its request has run.
+    return call.permit ? ErrorCode::kOk : ErrorCode::kPermitInvalid;
+  }
+  if (!call.match) {
+    return ErrorCode::kNoRoute;
+  }
+  if (call.match->route->permit_required) {
+    return ErrorCode::kPermitRequired;
+  }
+  return received.request.body.size() > call.match->route->max_request_bytes
+             ? ErrorCode::kRequestTooLarge
+             : ErrorCode::kOk;
+}
+
+void Entry::OnCall(const Context& context, const CallReceived& received) {
+  ++this->shared.counters.calls;
+  const bool is_new = !this->calls.contains(received.call);
+  this->shared.Require(is_new, "entry: a call number is used twice");
+  if (!is_new) {
+    return;
+  }
+  auto owned = std::make_unique<OpenCall>(this->MakeCall(context, received));
+  OpenCall& call = *owned;
+  const ErrorCode code = this->Check(received, call);
+  this->calls.emplace(received.call, std::move(owned));
+  this->timers.emplace(call.wake, call.call);
+  if (code != ErrorCode::kOk) {
+    call.failure = NotRun(code);
+    this->Fail(context, call);
+    return;
+  }
+  if (call.match) {
+    this->budget.OnCall(call.budget_service, call.match->document->protection.retry_budget_percent);
+  }
+  this->SendAttempt(context, call);
+}
+
+const membership::Member* Entry::ChooseGate(const Context& context, OpenCall& call) {
+  if (call.permit) {
+    const membership::Member* gate = context.members.Find(call.permit->gate);
+    const bool same_process = gate != nullptr && gate->boot_id == call.permit->boot &&
+                              gate->state < membership::MemberState::kLeft;
+    if (!same_process) {
+      call.failure = Unknown(ErrorCode::kPermitHolderGone);
+      return nullptr;
+    }
+    return gate;
+  }
+  if (!call.redirect.empty()) {
+    const membership::Member* gate = context.members.Find(call.redirect);
+    call.redirect.clear();
+    if (gate != nullptr && gate->state == membership::MemberState::kReady) {
+      return gate;
+    }
+  }
+  std::vector<membership::NodeId> tried;
+  for (const Attempt& attempt : call.attempts) {
+    tried.push_back(attempt.gate);
+  }
+  return this->balancer.Choose(context, *call.match->route, tried);
+}
+
+Duration Entry::AttemptTime(const Context& context, const OpenCall& call) const {
+  const auto made = static_cast<std::uint32_t>(call.attempts.size());
+  const std::uint32_t left = call.max_attempts > made ? call.max_attempts - made : 0;
+  const Duration share = (call.deadline - context.now) / (left + 1);
+  return std::max(share, this->shared.options.entry.min_attempt_time);
+}
+
+void Entry::SendAttempt(const Context& context, OpenCall& call) {
+  call.retry_at.reset();
+  const membership::Member* gate = this->ChooseGate(context, call);
+  if (gate == nullptr) {
+    if (!call.permit && call.attempts.empty()) {
+      call.failure = NotRun(ErrorCode::kNoBackendServer);
+    }
+    if (HasOpenAttempt(call)) {
+      this->Schedule(call);
+    } else {
+      this->Fail(context, call);
+    }
+    return;
+  }
+  Attempt attempt;
+  attempt.number = static_cast<std::uint32_t>(call.attempts.size()) + 1;
+  attempt.gate = gate->id;
+  attempt.gate_boot = gate->boot_id;
+  attempt.sent = context.now;
+  attempt.overdue_at = context.now + this->AttemptTime(context, call);
+  ++this->shared.counters.attempts;
+  this->balancer.OnSent(gate->id);
+  context.Send(gate->id, this->MakeRequest(context, call, attempt, *gate));
+  call.attempts.push_back(std::move(attempt));
+  this->Schedule(call);
+}
+
+CallRequest Entry::MakeRequest(const Context& context, const OpenCall& call, const Attempt& attempt,
+                               const membership::Member& gate) const {
+  const membership::Member& self = context.members.Self();
+  CallRequest request;
+  request.id = AttemptId{self.id, self.boot_id, call.call, attempt.number};
+  request.gate_incarnation = gate.incarnation;
+  request.gate_boot = gate.boot_id;
+  request.service = gate.service;
+  request.request = call.request;
+  request.remaining = call.deadline - context.now;
+  request.permit = call.token;
+  request.fingerprint = FingerprintOf(gate.service, call.request);
+  if (call.match) {
+    const document::Route& route = *call.match->route;
+    request.route = QualifiedRoute(call.match->document->service, route.name);
+    request.version = call.match->version;
+    request.idempotent = route.idempotent;
+    request.priority = route.priority;
+    request.max_response_bytes = route.max_response_bytes;
+  }
+  return request;
+}
+
+void Entry::OnReply(const Context& context, const CallReply& reply) {
+  OpenCall* call = this->IsOwn(context, reply.id) ? this->Find(reply.id.call) : nullptr;
+  Attempt* attempt = call == nullptr ? nullptr : FindOpen(*call, reply.id.attempt);
+  if (attempt == nullptr) {
+    ++this->shared.counters.ignored_replies;
+    return;
+  }
+  const Answer& answer = reply.answer;
+  this->balancer.OnLoad(attempt->gate, reply.in_flight + reply.queued, context.now);
+  if (answer.code == ErrorCode::kGateUnreachable) {
+    this->balancer.OnForeignProcess(attempt->gate, attempt->gate_boot);
+  }
+  if (answer.kind == ResultKind::kAnswered) {
+    this->balancer.OnEnded(attempt->gate, AttemptOutcome::kAnswered, context.now - attempt->sent,
+                           context.now);
+    attempt->stage = AttemptStage::kUnknown;
+    this->Finish(context, *call, answer);
+    return;
+  }
+  if (call->permit && answer.kind == ResultKind::kNotRun) {
+    // The gate has voided the permit: no copy of the request has run or will.
+    this->balancer.OnEnded(attempt->gate, AttemptOutcome::kFault, {}, context.now);
+    attempt->stage = AttemptStage::kNotRun;
+    this->Finish(context, *call, answer);
+    return;
+  }
+  const bool redirected = answer.code == ErrorCode::kSuspectElsewhere && !reply.redirect.empty();
+  if (redirected && call->redirects < this->shared.options.entry.max_redirects) {
+    call->redirect = reply.redirect;
+  }
+  const AttemptStage stage =
+      answer.kind == ResultKind::kNotRun ? AttemptStage::kNotRun : AttemptStage::kUnknown;
+  this->Settle(context, *call, *attempt, stage, answer);
+}
+
+void Entry::OnCancelReply(const Context& context, const CallCancelReply& reply) {
+  OpenCall* call = this->IsOwn(context, reply.id) ? this->Find(reply.id.call) : nullptr;
+  Attempt* attempt = call == nullptr ? nullptr : FindOpen(*call, reply.id.attempt);
+  if (attempt == nullptr) {
+    return;
+  }
+  if (!reply.ran) {
+    ++this->shared.counters.fences_not_run;
+    const ErrorCode code =
+        call->closing_until ? ErrorCode::kDeadlineExceeded : ErrorCode::kGateUnreachable;
+    this->Settle(context, *call, *attempt, AttemptStage::kNotRun, NotRun(code));
+    return;
+  }
+  attempt->ran = true;
+  attempt->next_fence.reset();
+  if (reply.running) {
+    attempt->give_up_at.reset();
+  } else if (!attempt->give_up_at) {
+    // Its reply was sent before this one and is late or lost.
+    attempt->give_up_at = context.now + this->shared.options.entry.reply_grace;
+  }
+  this->Schedule(*call);
+}
+
+void Entry::OnNotSent(const Context& context, const AttemptId& id) {
+  OpenCall* call = this->IsOwn(context, id) ? this->Find(id.call) : nullptr;
+  Attempt* attempt = call == nullptr ? nullptr : FindOpen(*call, id.attempt);
+  if (attempt != nullptr) {
+    this->Settle(context, *call, *attempt, AttemptStage::kNotRun,
+                 NotRun(ErrorCode::kGateUnreachable));
+  }
+}
+
+void Entry::OnCallerGone(const Context& context, std::uint64_t number) {
+  OpenCall* call = this->Find(number);
+  if (call == nullptr) {
+    return;
+  }
+  for (Attempt& attempt : call->attempts) {
+    if (attempt.stage == AttemptStage::kOpen) {
+      this->Fence(context, *call, attempt, true);
+    }
+  }
+  call->failure = NotRun(ErrorCode::kCallerGone);
+  this->Fail(context, *call);
+}
+
+void Entry::Fail(const Context& context, OpenCall& call) {
+  Answer answer = call.failure;
+  // An entry node does not know of the copies of a permit's request that came through others.
+  if (call.permit || MayHaveRun(call)) {
+    answer.kind = ResultKind::kUnknown;
+  }
+  // Levels above do not retry what this node has already retried.
+  answer.no_retry = answer.no_retry || call.attempts.size() > 1;
+  this->Finish(context, call, std::move(answer));
+}
+
+void Entry::Finish(const Context& context, OpenCall& call, Answer answer) {
+  for (Attempt& attempt : call.attempts) {
+    if (attempt.stage != AttemptStage::kOpen) {
+      continue;
+    }
+    this->balancer.OnEnded(attempt.gate, AttemptOutcome::kAbandoned, {}, context.now);
+    if (answer.kind == ResultKind::kAnswered && !call.permit) {
+      this->Fence(context, call, attempt, true);
+    }
+  }
+  if (answer.kind == ResultKind::kNotRun && !call.permit) {
+    this->shared.Require(!MayHaveRun(call), "P5: \"not run\" for a call that may have run");
+  }
+  Counters& counters = this->shared.counters;
+  ++(answer.kind == ResultKind::kAnswered ? counters.answered
+     : answer.kind == ResultKind::kNotRun ? counters.not_run
+                                          : counters.unknown);
+  const std::uint64_t number = call.call;
+  context.effects.emplace_back(AnswerCaller{number, std::move(answer)});
+  this->timers.erase({call.wake, number});
+  this->calls.erase(number);
+}
+
+bool Entry::IsOwn(const Context& context, const AttemptId& id) const {
+  const membership::Member& self = context.members.Self();
+  return id.entry == self.id && id.entry_boot == self.boot_id;
+}
+
+OpenCall* Entry::Find(std::uint64_t call) {
+  const auto found = this->calls.find(call);
+  return found == this->calls.end() ? nullptr : found->second.get();
+}
+
+Attempt* Entry::FindOpen(OpenCall& call, std::uint32_t number) {
+  if (number == 0 || number > call.attempts.size()) {
+    return nullptr;
+  }
+  Attempt& attempt = call.attempts[number - 1];
+  return attempt.stage == AttemptStage::kOpen ? &attempt : nullptr;
+}
+
+std::optional<Timestamp> Entry::NextWake() const {
+  if (this->timers.empty()) {
+    return std::nullopt;
+  }
+  return this->timers.begin()->first;
+}
+
+}  // namespace amaranthlatch::calls::details
--- /dev/null
+++ b/libs/calls/src/entry_retry.cc
@@ -0,0 +1,247 @@
+// Timers, fences and retries of open calls.
+
+#include <algorithm>
+
+#include "entry.h"
+
+namespace amaranthlatch::calls::details {
+
+namespace {
+using utils::Duration;
+using utils::ErrorCode;
+using utils::Timestamp;
+
+constexpr std::uint32_t kMaxDoublings = 16;
+
+// Failures that another attempt would only repeat.
+bool IsFinal(ErrorCode code) {
+  switch (code) {
+    case ErrorCode::kPermitRequired:
+    case ErrorCode::kPermitInvalid:
+    case ErrorCode::kPermitExpired:
+    case ErrorCode::kPermitHolderGone:
+    case ErrorCode::kPermitRequestMismatch:
+    case ErrorCode::kAnswerDropped:
+    case ErrorCode::kAnswerTooLarge:
+    case ErrorCode::kPoisoned:
+      return true;
+    default:
+      return false;
+  }
+}
+}  // namespace
+
+void Entry::Fence(const Context& context, const OpenCall& call, Attempt& attempt, bool abort) {
+  const membership::Member& self = context.members.Self();
+  const AttemptId id{self.id, self.boot_id, call.call, attempt.number};
+  ++this->shared.counters.fences;
+  context.Send(attempt.gate, CallCancel{id, attempt.gate_boot, abort});
+  attempt.next_fence = context.now + this->shared.options.entry.fence_interval;
+}
+
+void Entry::OnPeerUnreachable(const Context& context, const membership::NodeId& id) {
+  std::vector<std::uint64_t> affected;
+  for (const auto& [number, call] : this->calls) {
+    affected.push_back(number);
+  }
+  // The order of an unordered map must not reach the effects.
+  std::sort(affected.begin(), affected.end());
+  for (const std::uint64_t number : affected) {
+    OpenCall& call = *this->calls.at(number);
+    bool changed = false;
+    for (Attempt& attempt : call.attempts) {
+      if (attempt.stage == AttemptStage::kOpen && attempt.gate == id && !attempt.give_up_at) {
+        attempt.give_up_at = context.now + this->shared.options.entry.fence_timeout;
+        attempt.overdue_at = context.now;
+        attempt.ran = false;
+        changed = true;
+      }
+    }
+    if (changed) {
+      this->Schedule(call);
+    }
+  }
+}
+
+void Entry::OnOverdue(const Context& context, OpenCall& call, Attempt& attempt) {
+  attempt.overdue_at = Timestamp::max();
+  if (call.permit) {
+    // A second copy waits for the same answer, or gets it again if the first reply was lost.
+    this->TryRetry(context, call);
+    return;
+  }
+  if (call.idempotent && !this->TryRetry(context, call)) {
+    // Without a second attempt the first is left where it is.
+    if (!attempt.give_up_at) {
+      return;
+    }
+  }
+  this->Fence(context, call, attempt, call.closing_until.has_value());
+}
+
+void Entry::Close(const Context& context, OpenCall& call) {
+  call.retry_at.reset();
+  call.failure = NotRun(ErrorCode::kDeadlineExceeded);
+  call.closing_until = context.now + this->shared.options.entry.fence_timeout;
+  bool waits = false;
+  for (Attempt& attempt : call.attempts) {
+    if (attempt.stage == AttemptStage::kOpen) {
+      this->Fence(context, call, attempt, true);
+      attempt.overdue_at = Timestamp::max();
+      waits = true;
+    }
+  }
+  if (waits) {
+    this->Schedule(call);
+  } else {
+    this->Fail(context, call);
+  }
+}
+
+void Entry::AdvanceAttempts(const Context& context, OpenCall& call) {
+  // Retries made here append attempts, which are not due.
+  const std::size_t count = call.attempts.size();
+  for (std::size_t i = 0; i < count; ++i) {
+    Attempt& attempt = call.attempts[i];
+    if (attempt.stage != AttemptStage::kOpen) {
+      continue;
+    }
+    if (attempt.give_up_at && *attempt.give_up_at <= context.now) {
+      ++this->shared.counters.fences_unanswered;
+      this->Settle(context, call, attempt, AttemptStage::kUnknown,
+                   Unknown(ErrorCode::kGateUnreachable));
+      return;
+    }
+    if (attempt.overdue_at <= context.now) {
+      this->OnOverdue(context, call, call.attempts[i]);
+    } else if (attempt.next_fence && *attempt.next_fence <= context.now) {
+      this->Fence(context, call, attempt, call.closing_until.has_value());
+    }
+  }
+  this->Schedule(call);
+}
+
+void Entry::AdvanceCall(const Context& context, OpenCall& call) {
+  if (call.closing_until) {
+    if (*call.closing_until <= context.now) {
+      ++this->shared.counters.fences_unanswered;
+      this->Fail(context, call);
+    } else {
+      this->AdvanceAttempts(context, call);
+    }
+    return;
+  }
+  if (call.deadline <= context.now) {
+    this->Close(context, call);
+    return;
+  }
+  if (call.retry_at && *call.retry_at <= context.now) {
+    this->SendAttempt(context, call);
+    return;
+  }
+  this->AdvanceAttempts(context, call);
+}
+
+void Entry::Advance(const Context& context) {
+  while (!this->timers.empty() && this->timers.begin()->first <= context.now) {
+    this->AdvanceCall(context, *this->calls.at(this->timers.begin()->second));
+  }
+}
+
+void Entry::Settle(const Context& context, OpenCall& call, Attempt& attempt, AttemptStage stage,
+                   const Answer& failure) {
+  attempt.stage = stage;
+  this->balancer.OnEnded(attempt.gate, AttemptOutcome::kFault, {}, context.now);
+  // At the end the caller learns of the deadline, not of what an attempt met on the way.
+  if (!call.closing_until) {
+    call.failure = failure;
+  }
+  this->Continue(context, call);
+}
+
+void Entry::Continue(const Context& context, OpenCall& call) {
+  bool any_open = false;
+  bool any_unknown = false;
+  for (const Attempt& attempt : call.attempts) {
+    any_open = any_open || attempt.stage == AttemptStage::kOpen;
+    any_unknown = any_unknown || attempt.stage == AttemptStage::kUnknown;
+  }
+  const bool repeatable = call.idempotent || call.permit.has_value() || !any_unknown;
+  if (any_open || call.retry_at) {
+    this->Schedule(call);
+    return;
+  }
+  if (call.closing_until || !repeatable || !this->TryRetry(context, call)) {
+    this->Fail(context, call);
+  }
+}
+
+bool Entry::TryRetry(const Context& context, OpenCall& call) {
+  if (call.retry_at) {
+    return true;
+  }
+  if (call.closing_until) {
+    return false;
+  }
+  const auto made = static_cast<std::uint32_t>(call.attempts.size());
+  if (!call.redirect.empty()) {
+    ++call.redirects;
+    ++this->shared.counters.redirects;
+    call.retry_at = context.now;
+    this->Schedule(call);
+    return true;
+  }
+  if (call.failure.no_retry || IsFinal(call.failure.code) ||
+      made >= call.max_attempts + call.redirects) {
+    return false;
+  }
+  const EntryOptions& options = this->shared.options.entry;
+  const std::uint32_t doublings =
+      std::clamp<std::uint32_t>(made - call.redirects, 1, kMaxDoublings) - 1;
+  const Duration longest =
+      std::min(options.longest_backoff, options.first_backoff * (1U << doublings));
+  const Duration delay = longest / 2 + this->shared.random.Jitter(longest / 2);
+  if (context.now + delay >= call.deadline) {
+    return false;
+  }
+  if (!this->budget.TrySpend(call.budget_service)) {
+    ++this->shared.counters.retries_over_budget;
+    return false;
+  }
+  ++this->shared.counters.retries;
+  call.retry_at = context.now + delay;
+  this->Schedule(call);
+  return true;
+}
+
+Timestamp Entry::WakeOf(const OpenCall& call) {
+  Timestamp wake = call.closing_until ? *call.closing_until : call.deadline;
+  if (call.retry_at) {
+    wake = std::min(wake, *call.retry_at);
+  }
+  for (const Attempt& attempt : call.attempts) {
+    if (attempt.stage != AttemptStage::kOpen) {
+      continue;
+    }
+    wake = std::min(wake, attempt.overdue_at);
+    if (attempt.next_fence) {
+      wake = std::min(wake, *attempt.next_fence);
+    }
+    if (attempt.give_up_at) {
+      wake = std::min(wake, *attempt.give_up_at);
+    }
+  }
+  return wake;
+}
+
+void Entry::Schedule(OpenCall& call) {
+  const Timestamp wake = WakeOf(call);
+  if (wake == call.wake) {
+    return;
+  }
+  this->timers.erase({call.wake, call.call});
+  call.wake = wake;
+  this->timers.emplace(wake, call.call);
+}
+
+}  // namespace amaranthlatch::calls::details
--- /dev/null
+++ b/libs/calls/src/gate.cc
@@ -0,0 +1,465 @@
+// Admission, queue and runs.
+
+#include "gate.h"
+
+#include <algorithm>
+#include <string_view>
+#include <vector>
+
+namespace amaranthlatch::calls::details {
+
+namespace {
+using utils::ErrorCode;
+using utils::Timestamp;
+
+constexpr int kStatusUnavailable = 503;
+constexpr std::string_view kNotRunHeader = "amaranthlatch-not-run";
+constexpr std::string_view kNoRetryHeader = "amaranthlatch-no-retry";
+constexpr std::string_view kTrue = "true";
+
+const std::string* FindHeader(const HttpResponse& response, std::string_view name) {
+  for (const auto& [field, value] : response.headers) {
+    if (field == name) {
+      return &value;
+    }
+  }
+  return nullptr;
+}
+
+bool IsTruthfulRefusal(const HttpResponse& response) {
+  const std::string* value = FindHeader(response, kNotRunHeader);
+  return response.status == kStatusUnavailable && value != nullptr && *value == kTrue;
+}
+
+void KeepEarlier(std::optional<Timestamp>& earliest, std::optional<Timestamp> other) {
+  if (other && (!earliest || *other < *earliest)) {
+    earliest = other;
+  }
+}
+}  // namespace
+
+Gate::Gate(Shared& shared)
+    : shared(shared),
+      memory(shared.options.gate.memory_capacity, shared.options.gate.refusal_filter_bits,
+             shared.options.entry.longest_deadline + shared.options.gate.memory_margin),
+      codec(shared.options.permit_key),
+      ledger(shared.options.permit),
+      queue(shared.options.gate.fairness_interval),
+      limit(shared.options.gate.adaptive_limit),
+      quarantine(shared) {}
+
+void Gate::OnRequest(const Context& context, CallRequest request) {
+  const membership::Member& self = context.members.Self();
+  if (request.gate_boot != self.boot_id) {
+    // The process that the entry node meant may have run a copy before it ended.
+    ++this->shared.counters.foreign_process;
+    const ErrorCode code =
+        request.permit.empty() ? ErrorCode::kGateUnreachable : ErrorCode::kPermitHolderGone;
+    this->Reply(context, request.id, Unknown(code));
+    return;
+  }
+  AdmittedCall call;
+  call.key = KeyOf(request.id);
+  const std::optional<AttemptState> known = this->memory.Find(call.key);
+  if (known || this->memory.IsRefused(call.key)) {
+    ++this->shared.counters.duplicates;
+    const bool never_runs = !known || *known == AttemptState::kNotRun;
+    // Only the ledger speaks for a permit's request, of which other attempts may have run.
+    if (never_runs && request.permit.empty()) {
+      this->Reply(context, request.id, NotRun(ErrorCode::kFenced));
+    }
+    return;
+  }
+  call.deadline = context.now + request.remaining;
+  call.request = std::move(request);
+  if (!call.request.permit.empty() && !this->CheckPermit(context, call)) {
+    return;
+  }
+  if (call.request.gate_incarnation != self.incarnation) {
+    this->Refuse(context, call, ErrorCode::kNoBackendServer);
+    return;
+  }
+  this->Admit(context, std::move(call));
+}
+
+ErrorCode Gate::CheckOpen(const std::string& wanted) const {
+  if (this->draining) {
+    return ErrorCode::kDraining;
+  }
+  if (!this->open) {
+    return ErrorCode::kNodeNotReady;
+  }
+  if (!this->available || this->service != wanted) {
+    return ErrorCode::kNoBackendServer;
+  }
+  return this->memory.IsFull() ? ErrorCode::kQueueFull : ErrorCode::kOk;
+}
+
+ErrorCode Gate::CheckSuspicion(const Context& context, std::uint64_t fingerprint,
+                               membership::NodeId& redirect) const {
+  const Suspicion suspicion = this->quarantine.Of(this->service, fingerprint);
+  if (suspicion == Suspicion::kNone) {
+    return ErrorCode::kOk;
+  }
+  if (suspicion == Suspicion::kQuarantined) {
+    return ErrorCode::kPoisoned;
+  }
+  const membership::NodeId home = Quarantine::HomeOf(context, this->service, fingerprint);
+  if (home != context.members.Self().id) {
+    redirect = home;
+    return ErrorCode::kSuspectElsewhere;
+  }
+  // A home gate runs one copy of a suspect at a time.
+  const bool running = std::any_of(this->runs.begin(), this->runs.end(), [&](const auto& entry) {
+    return entry.second.fingerprint == fingerprint;
+  });
+  return running ? ErrorCode::kQueueFull : ErrorCode::kOk;
+}
+
+ErrorCode Gate::CheckQueue(const Context& context, const AdmittedCall& call) const {
+  const auto document = context.routes.Find(this->service);
+  const document::Priority priority = call.request.priority;
+  if (document && this->queue.Size(priority) >= document->protection.queue_length) {
+    return ErrorCode::kQueueFull;
+  }
+  if (!this->shared.options.gate.bound_queue_by_deadline) {
+    return ErrorCode::kOk;
+  }
+  const utils::Duration mean = this->limit.MeanLatency();
+  const auto rounds = static_cast<utils::Duration::rep>(this->queue.Ahead(priority) + 1);
+  const utils::Duration wait = mean * rounds / std::max<std::uint32_t>(1, this->limit.Get());
+  return context.now + wait + mean > call.deadline ? ErrorCode::kQueueFull : ErrorCode::kOk;
+}
+
+void Gate::Admit(const Context& context, AdmittedCall call) {
+  ErrorCode code = this->CheckOpen(call.request.service);
+  membership::NodeId redirect;
+  if (code == ErrorCode::kOk) {
+    code = this->CheckSuspicion(context, call.request.fingerprint, redirect);
+  }
+  if (code == ErrorCode::kOk && call.deadline <= context.now) {
+    code = ErrorCode::kDeadlineExceeded;
+  }
+  this->UpdateSlots(context);
+  const bool has_slot = this->queue.Size() == 0 && this->runs.size() < this->limit.Get();
+  if (code == ErrorCode::kOk && !has_slot) {
+    code = this->CheckQueue(context, call);
+  }
+  if (code != ErrorCode::kOk) {
+    this->Refuse(context, call, code, redirect);
+    return;
+  }
+  ++this->shared.counters.admitted;
+  this->memory.Admit(call.key);
+  if (call.permit != 0) {
+    PermitRecord* record = this->ledger.Find(call.permit);
+    record->state = PermitState::kPending;
+    record->attempt_key = call.key;
+  }
+  if (has_slot) {
+    this->Start(context, std::move(call));
+    return;
+  }
+  ++this->shared.counters.queued;
+  call.expiry = call.deadline;
+  const auto document = context.routes.Find(this->service);
+  if (!this->shared.options.gate.bound_queue_by_deadline) {
+    call.expiry = Timestamp::max();
+  } else if (document) {
+    call.expiry = std::min(call.deadline, context.now + document->protection.queue_time);
+  }
+  this->queue.Push(std::move(call));
+}
+
+void Gate::Refuse(const Context& context, const AdmittedCall& call, ErrorCode code,
+                  membership::NodeId redirect) {
+  ++this->shared.counters.refused;
+  this->memory.Refuse(call.key);
+  if (call.permit != 0) {
+    this->VoidPermit(context, call.permit, NotRun(code));
+  }
+  this->Reply(context, call.request.id, NotRun(code), std::move(redirect));
+}
+
+void Gate::Drop(const Context& context, const AdmittedCall& call, ErrorCode code,
+                membership::NodeId redirect) {
+  ++this->shared.counters.dropped_from_queue;
+  const std::optional<AttemptState> state = this->memory.Find(call.key);
+  this->shared.Require(state == AttemptState::kQueued, "P5: a dropped call was not in the queue");
+  this->memory.Finish(call.key, false, context.now);
+  if (call.permit != 0) {
+    this->VoidPermit(context, call.permit, NotRun(code));
+  }
+  this->Reply(context, call.request.id, NotRun(code), std::move(redirect));
+}
+
+void Gate::Start(const Context& context, AdmittedCall call) {
+  const std::uint32_t slots = this->limit.Get();
+  this->shared.Require(this->runs.size() < slots, "gate: more runs than slots");
+  const std::optional<AttemptState> state = this->memory.Find(call.key);
+  this->shared.Require(state == AttemptState::kQueued, "P6: an attempt runs twice");
+  if (call.permit != 0) {
+    PermitRecord* record = this->ledger.Find(call.permit);
+    const bool first = record != nullptr && record->state == PermitState::kPending && !record->ran;
+    this->shared.Require(first, "P6: a permit runs twice");
+    if (first) {
+      record->ran = true;
+    }
+  }
+  ++this->shared.counters.runs;
+  this->memory.SetRunning(call.key);
+  const std::uint64_t run_id = ++this->last_run;
+  Run run;
+  run.id = call.request.id;
+  run.key = call.key;
+  run.fingerprint = call.request.fingerprint;
+  run.permit = call.permit;
+  run.max_response_bytes = call.request.max_response_bytes;
+  run.started = context.now;
+  run.deadline = call.deadline;
+  this->runs.emplace(run_id, std::move(run));
+  this->run_of_key.emplace(call.key, run_id);
+  this->run_deadlines.emplace(call.deadline, run_id);
+  context.effects.emplace_back(
+      RunOnBackendServer{run_id, std::move(call.request.request), call.deadline - context.now,
+                         call.request.idempotent, call.request.max_response_bytes});
+}
+
+void Gate::UpdateSlots(const Context& context) {
+  const auto document = context.routes.Find(this->service);
+  const std::uint32_t allowed = document ? document->protection.slots : this->announced_slots;
+  this->limit.SetSlots(std::min(allowed, this->announced_slots));
+}
+
+void Gate::FillSlots(const Context& context) {
+  if (!this->available || !this->open || this->queue.Size() == 0) {
+    return;
+  }
+  this->UpdateSlots(context);
+  while (this->runs.size() < this->limit.Get()) {
+    std::optional<AdmittedCall> call = this->queue.Pop();
+    if (!call) {
+      return;
+    }
+    membership::NodeId redirect;
+    const ErrorCode code = this->CheckSuspicion(context, call->request.fingerprint, redirect);
+    if (code == ErrorCode::kOk) {
+      this->Start(context, std::move(*call));
+    } else {
+      this->Drop(context, *call, code, std::move(redirect));
+    }
+  }
+}
+
+void Gate::Advance(const Context& context) {
+  this->memory.Expire(context.now);
+  this->ledger.Expire(context.now);
+  this->quarantine.Expire(context);
+  while (std::optional<AdmittedCall> call = this->queue.PopExpired(context.now)) {
+    const bool late = call->deadline <= context.now;
+    this->Drop(context, *call, late ? ErrorCode::kDeadlineExceeded : ErrorCode::kQueueFull);
+  }
+  while (!this->run_deadlines.empty() && this->run_deadlines.begin()->first <= context.now) {
+    const std::uint64_t run_id = this->run_deadlines.begin()->second;
+    this->run_deadlines.erase(this->run_deadlines.begin());
+    this->Cancel(context, run_id, ErrorCode::kDeadlineExceeded);
+  }
+  this->FillSlots(context);
+}
+
+void Gate::Cancel(const Context& context, std::uint64_t run_id, ErrorCode reason) {
+  Run& run = this->runs.at(run_id);
+  if (run.cancelled != ErrorCode::kOk) {
+    return;
+  }
+  run.cancelled = reason;
+  ++this->shared.counters.cancelled_runs;
+  context.effects.emplace_back(CancelOnBackendServer{run_id});
+}
+
+void Gate::OnCancel(const Context& context, const CallCancel& cancel) {
+  if (cancel.gate_boot != context.members.Self().boot_id) {
+    // This process cannot say that its predecessor did not run the attempt.
+    ++this->shared.counters.foreign_process;
+    context.Send(cancel.id.entry, CallCancelReply{cancel.id, true, false});
+    return;
+  }
+  const std::uint64_t key = KeyOf(cancel.id);
+  const std::optional<AttemptState> state = this->memory.Find(key);
+  CallCancelReply reply{cancel.id, false, false};
+  if (!state) {
+    this->memory.Refuse(key);
+    ++this->shared.counters.fenced;
+  } else if (*state == AttemptState::kQueued) {
+    if (std::optional<AdmittedCall> call = this->queue.Remove(key)) {
+      const ErrorCode code = cancel.abort ? ErrorCode::kDeadlineExceeded : ErrorCode::kFenced;
+      this->Drop(context, *call, code);
+    }
+  } else if (*state == AttemptState::kRunning) {
+    reply.ran = true;
+    reply.running = true;
+    const std::uint64_t run_id = this->run_of_key.at(key);
+    const std::uint64_t permit = this->runs.at(run_id).permit;
+    const PermitRecord* record = permit == 0 ? nullptr : this->ledger.Find(permit);
+    // Copies that came through other nodes still want the answer.
+    if (cancel.abort && (record == nullptr || record->waiting.empty())) {
+      this->Cancel(context, run_id, ErrorCode::kCallerGone);
+    }
+  } else {
+    reply.ran = *state == AttemptState::kRan;
+  }
+  context.Send(cancel.id.entry, reply);
+}
+
+std::optional<Gate::Run> Gate::TakeRun(std::uint64_t run_id) {
+  const auto found = this->runs.find(run_id);
+  if (found == this->runs.end()) {
+    return std::nullopt;
+  }
+  Run run = std::move(found->second);
+  run.all_slots_used = this->runs.size() >= this->limit.Get();
+  this->runs.erase(found);
+  this->run_of_key.erase(run.key);
+  this->run_deadlines.erase({run.deadline, run_id});
+  return run;
+}
+
+void Gate::OnAnswered(const Context& context, const BackendServerAnswered& answered) {
+  const std::optional<Run> run = this->TakeRun(answered.run);
+  if (!run) {
+    return;
+  }
+  const HttpResponse& response = answered.response;
+  if (response.status != kStatusUnavailable) {
+    this->limit.OnCompleted(context.now - run->started, run->all_slots_used, context.now);
+  } else if (this->limit.OnShed(context.now)) {
+    ++this->shared.counters.limit_decreases;
+  }
+  Answer answer;
+  const bool refused = IsTruthfulRefusal(response);
+  if (refused) {
+    answer = NotRun(ErrorCode::kQueueFull);
+  } else if (response.body.size() > run->max_response_bytes) {
+    answer = Unknown(ErrorCode::kAnswerTooLarge);
+  } else {
+    answer.kind = ResultKind::kAnswered;
+    answer.response = response;
+  }
+  answer.no_retry = FindHeader(response, kNoRetryHeader) != nullptr;
+  if (!refused) {
+    this->quarantine.ReportCompleted(context, this->service, run->fingerprint);
+  }
+  this->Finish(context, *run, answer, !refused);
+}
+
+void Gate::OnFailed(const Context& context, const BackendServerFailed& failed) {
+  const std::optional<Run> run = this->TakeRun(failed.run);
+  if (!run) {
+    return;
+  }
+  if (failed.process_dead) {
+    this->OnProcessDead(context, *run, failed.failure);
+  } else if (failed.failure == BackendFailure::kConnectionLost) {
+    this->lost_connections.push_back(LostConnection{context.now, run->fingerprint});
+  }
+  if (failed.failure == BackendFailure::kNotConnected) {
+    this->Finish(context, *run, NotRun(ErrorCode::kNoBackendServer), false);
+    return;
+  }
+  ErrorCode code = ErrorCode::kBackendFailed;
+  if (failed.failure == BackendFailure::kTooLarge) {
+    code = ErrorCode::kAnswerTooLarge;
+  } else if (failed.process_dead) {
+    code = ErrorCode::kBackendServerCrashed;
+  } else if (run->cancelled != ErrorCode::kOk) {
+    code = run->cancelled;
+  }
+  this->Finish(context, *run, Unknown(code), true);
+}
+
+void Gate::OnProcessDead(const Context& context, const Run& run, BackendFailure failure) {
+  if (run.in_crash) {
+    return;
+  }
+  std::vector<std::uint64_t> fingerprints;
+  if (failure != BackendFailure::kNotConnected) {
+    fingerprints.push_back(run.fingerprint);
+  }
+  for (auto& [id, other] : this->runs) {
+    if (!other.in_crash) {
+      fingerprints.push_back(other.fingerprint);
+      other.in_crash = true;
+    }
+  }
+  const utils::Duration window = this->shared.options.quarantine.crash_window;
+  for (const LostConnection& lost : this->lost_connections) {
+    if (context.now - lost.at < window) {
+      fingerprints.push_back(lost.fingerprint);
+    }
+  }
+  this->lost_connections.clear();
+  if (!fingerprints.empty()) {
+    this->quarantine.ReportCrash(context, this->service, std::move(fingerprints));
+  }
+}
+
+void Gate::Finish(const Context& context, const Run& run, const Answer& answer, bool ran) {
+  this->shared.Require(!ran || answer.kind != ResultKind::kNotRun,
+                       "P5: \"not run\" for a request that the backend server had");
+  this->memory.Finish(run.key, ran, context.now);
+  this->Reply(context, run.id, answer);
+  if (run.permit != 0 && ran) {
+    this->FinishPermit(context, run.permit, answer);
+  } else if (run.permit != 0) {
+    this->VoidPermit(context, run.permit, answer);
+  }
+}
+
+void Gate::OnBackendServer(const Context& context, const BackendServerChanged& changed) {
+  this->service = changed.service;
+  this->announced_slots = changed.slots;
+  this->available = changed.available && !changed.service.empty();
+  this->UpdateSlots(context);
+  if (!this->available) {
+    while (std::optional<AdmittedCall> call = this->queue.Pop()) {
+      this->Drop(context, *call, ErrorCode::kNoBackendServer);
+    }
+  }
+}
+
+void Gate::OnCrashReport(const Context& context, const CrashReport& report) {
+  this->quarantine.OnReport(context, report);
+}
+
+void Gate::OnCrashCleared(const Context& context, const CrashCleared& cleared) {
+  this->quarantine.OnCleared(context, cleared);
+}
+
+void Gate::Reply(const Context& context, const AttemptId& id, Answer answer,
+                 membership::NodeId redirect) const {
+  CallReply reply;
+  reply.id = id;
+  reply.answer = std::move(answer);
+  reply.in_flight = static_cast<std::uint32_t>(this->runs.size());
+  reply.queued = static_cast<std::uint32_t>(this->queue.Size());
+  reply.redirect = std::move(redirect);
+  context.Send(id.entry, std::move(reply));
+}
+
+std::optional<Timestamp> Gate::NextWake() const {
+  std::optional<Timestamp> next = this->queue.NextExpiry();
+  if (!this->run_deadlines.empty()) {
+    KeepEarlier(next, this->run_deadlines.begin()->first);
+  }
+  KeepEarlier(next, this->quarantine.NextExpiry());
+  return next;
+}
+
+void Gate::Fill(Gauges& gauges) const {
+  gauges.in_flight = static_cast<std::uint32_t>(this->runs.size());
+  gauges.queued = static_cast<std::uint32_t>(this->queue.Size());
+  gauges.concurrency_limit = this->limit.Get();
+  gauges.suspects = static_cast<std::uint32_t>(this->quarantine.Size());
+}
+
+}  // namespace amaranthlatch::calls::details
--- /dev/null
+++ b/libs/calls/src/gate_permit.cc
@@ -0,0 +1,150 @@
+// Permits at the gate: issue, use, copies of a used one.
+
+#include <algorithm>
+
+#include "amaranthlatch/utils/hash.h"
+#include "gate.h"
+
+namespace amaranthlatch::calls::details {
+
+namespace {
+using utils::ErrorCode;
+
+// Header fields are left out: nodes on the way may add to them.
+std::uint64_t HashOf(const HttpRequest& request) {
+  std::uint64_t hash = utils::Hash64(request.method);
+  hash = utils::Hash64(request.target, hash);
+  hash = utils::Hash64(request.host, hash);
+  return utils::Hash64(request.body, hash);
+}
+}  // namespace
+
+void Gate::OnPermitRequest(const Context& context, const membership::NodeId& from,
+                           const PermitRequest& request) {
+  PermitReply reply;
+  reply.request = request.request;
+  reply.code = this->CheckOpen(request.service);
+  if (reply.code == ErrorCode::kOk) {
+    const std::optional<std::uint64_t> sequence = this->ledger.Issue(context.now);
+    if (sequence) {
+      ++this->shared.counters.permits_issued;
+      const membership::Member& self = context.members.Self();
+      reply.permit = this->codec.Encode(Permit{request.service, request.route, self.id,
+                                               self.incarnation, self.boot_id, *sequence});
+      reply.expires_in_ms =
+          static_cast<std::uint32_t>(utils::ToMilliseconds(this->shared.options.permit.lifetime));
+    } else {
+      reply.code = ErrorCode::kQueueFull;
+    }
+  }
+  context.Send(from, std::move(reply));
+}
+
+bool Gate::CheckPermit(const Context& context, AdmittedCall& call) {
+  const AttemptId& id = call.request.id;
+  const membership::Member& self = context.members.Self();
+  const std::optional<Permit> permit = this->codec.Decode(call.request.permit);
+  if (!permit) {
+    this->Refuse(context, call, ErrorCode::kPermitInvalid);
+    return false;
+  }
+  if (permit->gate != self.id || permit->boot != self.boot_id) {
+    this->Reply(context, id, Unknown(ErrorCode::kPermitHolderGone));
+    return false;
+  }
+  PermitRecord* record = this->ledger.Find(permit->sequence);
+  if (record == nullptr) {
+    this->Reply(context, id, Unknown(ErrorCode::kPermitExpired));
+    return false;
+  }
+  if (record->state == PermitState::kVoid) {
+    this->Refuse(context, call, ErrorCode::kPermitInvalid);
+    return false;
+  }
+  if (record->state != PermitState::kUnused) {
+    this->AnswerUsedPermit(context, *record, call);
+    return false;
+  }
+  call.permit = permit->sequence;
+  if (this->ledger.IsExpired(*record, context.now)) {
+    this->Refuse(context, call, ErrorCode::kPermitExpired);
+    return false;
+  }
+  if (permit->incarnation != self.incarnation || permit->service != call.request.service ||
+      permit->route != call.request.route) {
+    this->Refuse(context, call, ErrorCode::kPermitInvalid);
+    return false;
+  }
+  record->request_hash = HashOf(call.request.request);
+  return true;
+}
+
+void Gate::AnswerUsedPermit(const Context& context, PermitRecord& record,
+                            const AdmittedCall& call) {
+  if (record.request_hash != HashOf(call.request.request)) {
+    this->Refuse(context, call, ErrorCode::kPermitRequestMismatch);
+    return;
+  }
+  if (record.state == PermitState::kPending) {
+    this->WaitForAnswer(context, record, call);
+    return;
+  }
+  if (!record.answer) {
+    this->Reply(context, call.request.id, Unknown(ErrorCode::kAnswerDropped));
+    return;
+  }
+  ++this->shared.counters.permit_answers_repeated;
+  this->Reply(context, call.request.id, *record.answer);
+}
+
+void Gate::WaitForAnswer(const Context& context, PermitRecord& record, const AdmittedCall& call) {
+  const AttemptId& id = call.request.id;
+  const bool known = std::any_of(record.waiting.begin(), record.waiting.end(),
+                                 [&id](const AttemptId& other) { return other == id; });
+  if (known) {
+    return;
+  }
+  if (record.waiting.size() >= this->shared.options.permit.max_waiting) {
+    this->Reply(context, id, Unknown(ErrorCode::kQueueFull));
+    return;
+  }
+  record.waiting.push_back(id);
+  const auto running = this->run_of_key.find(record.attempt_key);
+  if (running == this->run_of_key.end()) {
+    return;
+  }
+  // The run may go on until the last copy's deadline.
+  Run& run = this->runs.at(running->second);
+  if (call.deadline > run.deadline && run.cancelled == ErrorCode::kOk) {
+    this->run_deadlines.erase({run.deadline, running->second});
+    run.deadline = call.deadline;
+    this->run_deadlines.emplace(run.deadline, running->second);
+  }
+}
+
+void Gate::VoidPermit(const Context& context, std::uint64_t sequence, const Answer& answer) {
+  PermitRecord* record = this->ledger.Find(sequence);
+  if (record == nullptr) {
+    return;
+  }
+  // "Not run" is a promise: no later copy may run.
+  record->state = PermitState::kVoid;
+  for (const AttemptId& id : record->waiting) {
+    this->Reply(context, id, answer);
+  }
+  record->waiting.clear();
+}
+
+void Gate::FinishPermit(const Context& context, std::uint64_t sequence, const Answer& answer) {
+  PermitRecord* record = this->ledger.Find(sequence);
+  if (record == nullptr) {
+    return;
+  }
+  for (const AttemptId& id : record->waiting) {
+    ++this->shared.counters.permit_answers_repeated;
+    this->Reply(context, id, answer);
+  }
+  this->ledger.Finish(sequence, answer, context.now);
+}
+
+}  // namespace amaranthlatch::calls::details
--- /dev/null
+++ b/libs/calls/src/permit_ledger.cc
@@ -0,0 +1,88 @@
+// States and answers of permits, within time and bytes.
+
+#include "permit_ledger.h"
+
+namespace amaranthlatch::calls::details {
+
+namespace {
+// Time for which an expired permit is still known to be unused, in lifetimes after its issue.
+constexpr int kLifetimesKept = 2;
+constexpr std::uint64_t kAnswerOverheadBytes = 256;
+
+std::uint64_t SizeOf(const Answer& answer) {
+  std::uint64_t bytes = kAnswerOverheadBytes + answer.message.size() + answer.response.body.size();
+  for (const auto& [name, value] : answer.response.headers) {
+    bytes += name.size() + value.size();
+  }
+  return bytes;
+}
+}  // namespace
+
+std::optional<std::uint64_t> PermitLedger::Issue(utils::Timestamp now) {
+  while (this->records.size() >= this->options.capacity && !this->dropped.empty()) {
+    this->records.erase(this->dropped.front());
+    this->dropped.pop_front();
+  }
+  if (this->records.size() >= this->options.capacity) {
+    return std::nullopt;
+  }
+  const std::uint64_t sequence = ++this->last_sequence;
+  this->records[sequence].issued = now;
+  this->issued.push_back(sequence);
+  return sequence;
+}
+
+PermitRecord* PermitLedger::Find(std::uint64_t sequence) {
+  const auto found = this->records.find(sequence);
+  return found == this->records.end() ? nullptr : &found->second;
+}
+
+bool PermitLedger::IsExpired(const PermitRecord& record, utils::Timestamp now) const {
+  return now - record.issued >= this->options.lifetime;
+}
+
+void PermitLedger::Finish(std::uint64_t sequence, const Answer& answer, utils::Timestamp now) {
+  PermitRecord* record = this->Find(sequence);
+  if (record == nullptr) {
+    return;
+  }
+  record->state = PermitState::kDone;
+  record->waiting.clear();
+  record->answer = std::make_shared<const Answer>(answer);
+  const std::uint64_t bytes = SizeOf(answer);
+  this->kept.push_back(Kept{now, sequence, bytes});
+  this->answer_bytes += bytes;
+  while (this->answer_bytes > this->options.answer_bytes) {
+    this->DropOldestAnswer();
+  }
+}
+
+void PermitLedger::DropOldestAnswer() {
+  const Kept oldest = this->kept.front();
+  this->kept.pop_front();
+  this->answer_bytes -= oldest.bytes;
+  if (PermitRecord* record = this->Find(oldest.sequence)) {
+    record->answer = nullptr;
+    this->dropped.push_back(oldest.sequence);
+  }
+}
+
+void PermitLedger::Expire(utils::Timestamp now) {
+  while (!this->kept.empty() && now - this->kept.front().done >= this->options.answer_time) {
+    this->DropOldestAnswer();
+  }
+  const utils::Duration keep = this->options.lifetime * kLifetimesKept;
+  while (!this->issued.empty()) {
+    const std::uint64_t sequence = this->issued.front();
+    const PermitRecord* record = this->Find(sequence);
+    if (record != nullptr) {
+      if (now - record->issued < keep || record->state == PermitState::kPending) {
+        break;
+      }
+      this->records.erase(sequence);
+    }
+    this->issued.pop_front();
+  }
+}
+
+}  // namespace amaranthlatch::calls::details
--- /dev/null
+++ b/libs/calls/src/priority_queue.cc
@@ -0,0 +1,85 @@
+// Priority classes with a share for the lower ones.
+
+#include "priority_queue.h"
+
+namespace amaranthlatch::calls::details {
+
+void PriorityQueue::Push(AdmittedCall call) {
+  const auto priority = static_cast<std::size_t>(call.request.priority);
+  const Order order = ++this->next_order;
+  this->places[call.key] = Place{priority, order};
+  this->expiries.emplace(call.expiry, call.key);
+  this->classes[priority].emplace(order, std::move(call));
+}
+
+AdmittedCall PriorityQueue::Take(std::size_t priority, Order order) {
+  auto node = this->classes[priority].extract(order);
+  AdmittedCall call = std::move(node.mapped());
+  this->places.erase(call.key);
+  this->expiries.erase({call.expiry, call.key});
+  return call;
+}
+
+std::size_t PriorityQueue::NextClass() {
+  std::size_t first = 0;
+  while (this->classes[first].empty()) {
+    ++first;
+  }
+  std::size_t oldest = first;
+  if (++this->pops >= this->interval) {
+    this->pops = 0;
+    for (std::size_t i = first + 1; i < this->classes.size(); ++i) {
+      const bool has_call = !this->classes[i].empty();
+      if (has_call && (oldest == first ||
+                       this->classes[i].begin()->first < this->classes[oldest].begin()->first)) {
+        oldest = i;
+      }
+    }
+  }
+  return oldest;
+}
+
+std::optional<AdmittedCall> PriorityQueue::Pop() {
+  if (this->places.empty()) {
+    return std::nullopt;
+  }
+  const std::size_t priority = this->NextClass();
+  return this->Take(priority, this->classes[priority].begin()->first);
+}
+
+std::optional<AdmittedCall> PriorityQueue::Remove(std::uint64_t key) {
+  const auto found = this->places.find(key);
+  if (found == this->places.end()) {
+    return std::nullopt;
+  }
+  const Place place = found->second;
+  return this->Take(place.priority, place.order);
+}
+
+std::optional<AdmittedCall> PriorityQueue::PopExpired(utils::Timestamp now) {
+  if (this->expiries.empty() || this->expiries.begin()->first > now) {
+    return std::nullopt;
+  }
+  return this->Remove(this->expiries.begin()->second);
+}
+
+std::optional<utils::Timestamp> PriorityQueue::NextExpiry() const {
+  if (this->expiries.empty()) {
+    return std::nullopt;
+  }
+  return this->expiries.begin()->first;
+}
+
+std::size_t PriorityQueue::Size(document::Priority priority) const {
+  return this->classes[static_cast<std::size_t>(priority)].size();
+}
+
+std::size_t PriorityQueue::Ahead(document::Priority priority) const {
+  std::size_t ahead = 0;
+  for (std::size_t i = 0; i <= static_cast<std::size_t>(priority); ++i) {
+    ahead += this->classes[i].size();
+  }
+  return ahead;
+}
+
+}  // namespace amaranthlatch::calls::details
