--- a/libs/calls/include/amaranthlatch/calls/calls.h
+++ b/libs/calls/include/amaranthlatch/calls/calls.h
@@ -22,7 +22,7 @@
 class Calls {
  public:
   // `policy` chooses between the backend servers of a level; null means power of two choices.
-  static utils::Result<Calls> Create(Options options,
+  static utils::Result<Calls> Create(const Options& options,
                                      std::unique_ptr<BalancePolicy> policy = nullptr);
 
   Calls(Calls&&) noexcept;
--- a/libs/calls/src/calls.cc
+++ b/libs/calls/src/calls.cc
@@ -52,8 +52,8 @@
 }  // namespace
 
 struct Calls::Parts {
-  Parts(Options options, std::unique_ptr<BalancePolicy> policy)
-      : shared(std::move(options)),
+  Parts(const Options& options, std::unique_ptr<BalancePolicy> policy)
+      : shared(options),
         balancer(shared, std::move(policy)),
         entry(shared, balancer),
         permits(shared, balancer),
@@ -145,7 +145,7 @@
   }
 }
 
-utils::Result<Calls> Calls::Create(Options options, std::unique_ptr<BalancePolicy> policy) {
+utils::Result<Calls> Calls::Create(const Options& options, std::unique_ptr<BalancePolicy> policy) {
   const std::string fault = FindFault(options);
   if (!fault.empty()) {
     return utils::Fail(ErrorCode::kSettingsOutOfRange, fault);
@@ -156,7 +156,7 @@
   if (!policy) {
     policy = std::make_unique<PowerOfTwoPolicy>();
   }
-  return Calls(std::make_unique<Parts>(std::move(options), std::move(policy)));
+  return Calls(std::make_unique<Parts>(options, std::move(policy)));
 }
 
 Calls::Calls(std::unique_ptr<Parts> parts) : parts(std::move(parts)) {}
--- a/libs/calls/src/context.h
+++ b/libs/calls/src/context.h
@@ -19,7 +19,7 @@
 
 // State that outlives events.
 struct Shared {
-  explicit Shared(Options from) : options(std::move(from)), random(options.seed) {}
+  explicit Shared(const Options& from) : options(from), random(options.seed) {}
 
   // Records that a promise does not hold; the first one is kept for the composition to report.
   void Require(bool holds, const char* promise) {
--- a/libs/calls/src/message_codec.cc
+++ b/libs/calls/src/message_codec.cc
@@ -26,13 +26,14 @@
 };
 
 // Limits in bytes and items; a message above one is refused.
+constexpr std::size_t kKibibyte = 1'024;
 constexpr std::size_t kMaxName = 256;
 constexpr std::size_t kMaxToken = 2'048;
 constexpr std::size_t kMaxText = 1'024;
-constexpr std::size_t kMaxTarget = 16 * 1024;
+constexpr std::size_t kMaxTarget = 16 * kKibibyte;
 constexpr std::size_t kMaxHeaderFields = 256;
-constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
-constexpr std::size_t kMaxBody = 64 * 1024 * 1024;
+constexpr std::size_t kMaxHeaderBytes = 64 * kKibibyte;
+constexpr std::size_t kMaxBody = 64 * kKibibyte * kKibibyte;
 constexpr std::size_t kMaxFingerprints = 4'096;
 constexpr std::int64_t kMaxRemainingUs = 3'600'000'000;
 constexpr int kMaxStatus = 999;
--- /dev/null
+++ b/libs/calls/tests/mesh.h
@@ -0,0 +1,175 @@
+// A few calls reducers joined by an in-memory network, with fake members, routes and backend
+// servers, on simulated time. For tests and for the benchmark.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "amaranthlatch/calls/calls.h"
+#include "amaranthlatch/utils/random.h"
+
+namespace amaranthlatch::calls::testing {
+
+class FakeMembers : public membership::MemberView {
+ public:
+  explicit FakeMembers(membership::NodeId self) : self(std::move(self)) {}
+
+  void Set(const membership::Member& member);
+
+  const membership::Member& Self() const override { return this->members.at(this->self); }
+  const membership::Member* Find(std::string_view id) const override;
+  membership::MemberList OfService(std::string_view service) const override;
+  membership::MemberList OfZone(std::string_view zone) const override;
+  membership::MemberList OfRegion(std::string_view region) const override;
+  std::vector<std::string> Zones() const override { return {}; }
+  std::vector<std::string> Regions() const override { return {}; }
+  std::uint64_t Generation() const override { return this->generation; }
+  std::size_t Size() const override { return this->members.size(); }
+
+ private:
+  template <typename Predicate>
+  membership::MemberList Select(Predicate predicate) const;
+
+  membership::NodeId self;
+  std::uint64_t generation = 1;
+  std::map<std::string, membership::Member, std::less<>> members;
+  mutable std::map<std::string, membership::MemberList, std::less<>> lists;
+};
+
+class FakeRoutes : public document::RouteTable {
+ public:
+  void Set(document::ServiceDocument document);
+
+  std::optional<document::RouteMatch> Match(std::string_view host, std::string_view path,
+                                            std::string_view method) const override;
+  std::shared_ptr<const document::ServiceDocument> Find(std::string_view service) const override;
+
+ private:
+  std::map<std::string, std::shared_ptr<const document::ServiceDocument>, std::less<>> documents;
+};
+
+// Service "fleet" at host "fleet" with the routes /read (idempotent), /write, /permit and /batch.
+document::ServiceDocument FleetDocument();
+document::Route* FindRoute(document::ServiceDocument& document, const std::string& name);
+
+enum class BackendMode : std::uint8_t { kNormal, kSilent, kShedding, kDead };
+
+struct Network {
+  double loss = 0.0;
+  double repeat = 0.0;
+  // Share of the messages that come up to `latest` later.
+  double late = 0.0;
+  utils::Duration latest = utils::Seconds(2);
+  utils::Duration delay = utils::Milliseconds(1);
+  std::set<std::pair<std::size_t, std::size_t>> cut;
+};
+
+struct Backend {
+  BackendMode mode = BackendMode::kNormal;
+  // Mean of the service time; it is drawn between half of it and one and a half.
+  utils::Duration service_time = utils::Milliseconds(5);
+  // Concurrent requests above which each takes longer in proportion; 0 for no effect.
+  std::uint32_t comfortable = 0;
+  std::uint32_t slots = 4;
+  std::map<std::uint64_t, std::string> running;
+};
+
+struct Node {
+  FakeMembers members;
+  std::unique_ptr<Calls> calls;
+  Backend backend;
+  std::uint64_t boot = 0;
+  std::uint64_t incarnation = 1;
+  std::optional<utils::Timestamp> wake;
+};
+
+// What became of one call.
+struct Outcome {
+  std::string body;
+  std::size_t node = 0;
+  utils::Timestamp sent{};
+  utils::Timestamp ended{};
+  std::optional<Answer> answer;
+  // Its entry node died.
+  bool lost = false;
+};
+
+class Mesh {
+ public:
+  Mesh(std::size_t nodes, std::uint64_t seed, const Options& options = {});
+
+  utils::Timestamp Now() const { return this->now; }
+  void At(utils::Duration delay, std::function<void()> action);
+  void RunFor(utils::Duration duration);
+
+  // Returns the number of the call. A body that starts with "poison" kills its backend server.
+  std::uint64_t Call(std::size_t node, const std::string& path, const std::string& body,
+                     const std::string& permit = {});
+  void AskPermit(std::size_t node, std::function<void(const AnswerPermit&)> then,
+                 const std::string& path = "/permit");
+  // An answer of kOk gives the permit; runs the mesh for a while.
+  std::string GetPermit(std::size_t node);
+  void Deliver(std::size_t node, const Event& event);
+
+  // The node's process; its backend server lives on.
+  void KillNode(std::size_t node);
+  void StartNode(std::size_t node);
+  void KillBackend(std::size_t node);
+  void StartBackend(std::size_t node);
+  // Brings one node's record to all others, at once or each after a delay.
+  void Publish(std::size_t node, membership::MemberState state, bool at_once = true);
+
+  const Outcome& OutcomeOf(std::uint64_t call) const { return this->outcomes.at(call); }
+  const std::map<std::uint64_t, Outcome>& Outcomes() const { return this->outcomes; }
+  int RunsOf(const std::string& body) const;
+  std::string NodeName(std::size_t node) const { return "10.0.0." + std::to_string(node) + ":1"; }
+  Answer MustAnswer(std::uint64_t call) const;
+  // Text of the first fault: a violation, a call answered twice or with another one's answer.
+  const std::string& Fault() const { return this->fault; }
+
+  std::vector<Node> nodes;
+  FakeRoutes routes;
+  Network network;
+  // Called for every message before it enters the network; false drops it.
+  std::function<bool(std::size_t from, std::size_t to, const Message&)> filter;
+  std::vector<Effect> other_effects;
+  int deaths = 0;
+
+ private:
+  struct Action {
+    utils::Timestamp at;
+    std::uint64_t order;
+    std::function<void()> run;
+  };
+
+  std::size_t IndexOf(const membership::NodeId& id) const;
+  void Handle(std::size_t node, Effect effect);
+  void Send(std::size_t from, std::size_t to, const Message& message);
+  void Arrive(std::size_t from, std::size_t to, const Message& message);
+  void Run(std::size_t node, const RunOnBackendServer& run);
+  void EndRun(std::size_t node, std::uint64_t boot, std::uint64_t run, const Event& event);
+  void ScheduleWake(std::size_t node);
+  void Record(const AnswerCaller& answered);
+
+  Options options;
+  utils::Random random;
+  utils::Timestamp now{utils::Seconds(1'000)};
+  std::uint64_t last_order = 0;
+  std::uint64_t last_call = 0;
+  std::uint64_t last_boot = 0;
+  std::vector<Action> actions;
+  std::map<std::uint64_t, Outcome> outcomes;
+  std::map<std::uint64_t, std::function<void(const AnswerPermit&)>> permit_waits;
+  std::map<std::string, int> runs;
+  std::string fault;
+};
+
+}  // namespace amaranthlatch::calls::testing
--- /dev/null
+++ b/libs/calls/tests/random_faults_test.cc
@@ -0,0 +1,232 @@
+// Random runs under faults: no request runs twice, every "not run" is true, every answer belongs
+// to its request.
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+
+#include "mesh.h"
+
+namespace amaranthlatch::calls::testing {
+
+namespace {
+using utils::Milliseconds;
+using utils::Seconds;
+
+constexpr std::size_t kNodes = 4;
+constexpr utils::Duration kFaultyTime = Seconds(12);
+// Longer than any deadline and any late message.
+constexpr utils::Duration kQuietTime = Seconds(12);
+
+enum class FaultKind : std::uint8_t {
+  kLoss,
+  kRepeat,
+  kLate,
+  kNodeKill,
+  kBackendKill,
+  kSilent,
+  kShed,
+  kSlow,
+  kPartition,
+  kCount,
+};
+
+class FaultyRun {
+ public:
+  explicit FaultyRun(std::uint64_t seed) : random(seed), mesh(kNodes, seed) {}
+
+  // The first broken promise; empty for none.
+  std::string Judge() {
+    const std::size_t faults = 1 + this->random.Below(3);
+    for (std::size_t i = 0; i < faults; ++i) {
+      const auto kind =
+          static_cast<FaultKind>(this->random.Below(static_cast<std::uint64_t>(FaultKind::kCount)));
+      const utils::Duration start = this->random.Jitter(kFaultyTime);
+      this->mesh.At(start, [this, kind] { this->Break(kind); });
+    }
+    for (utils::Duration at = Milliseconds(1); at < kFaultyTime; at += Milliseconds(7)) {
+      this->mesh.At(at, [this] { this->SendOne(); });
+    }
+    this->mesh.RunFor(kFaultyTime);
+    this->Heal();
+    this->mesh.RunFor(kQuietTime);
+    return this->FirstFault();
+  }
+
+  std::size_t Answered() const {
+    std::size_t count = 0;
+    for (const auto& [call, outcome] : this->mesh.Outcomes()) {
+      count += outcome.answer && outcome.answer->kind == ResultKind::kAnswered ? 1 : 0;
+    }
+    return count;
+  }
+
+ private:
+  std::size_t AnyNode() { return this->random.Below(kNodes); }
+
+  void SendOne() {
+    const std::string body = "request " + std::to_string(++this->requests);
+    const std::uint64_t kind = this->random.Below(3);
+    const std::size_t node = this->AnyNode();
+    if (kind == 0) {
+      this->mesh.Call(node, "/read", "read " + body);
+    } else if (kind == 1) {
+      const std::uint64_t call = this->mesh.Call(node, "/write", body);
+      if (this->random.Chance(0.05)) {
+        this->mesh.At(this->random.Jitter(Milliseconds(20)),
+                      [this, node, call] { this->mesh.Deliver(node, CallerGone{call}); });
+      }
+    } else {
+      this->mesh.AskPermit(node, [this, node, body](const AnswerPermit& answer) {
+        if (answer.code == utils::ErrorCode::kOk) {
+          // A new action: an answer may come while the node handles an event.
+          this->mesh.At({}, [this, node, body, permit = answer.permit] {
+            this->SendWithPermit(node, body, permit, 3);
+          });
+        }
+      });
+    }
+  }
+
+  // Sends again through another node, with the first copy answered, lost or still open.
+  void SendWithPermit(std::size_t node, const std::string& body, const std::string& permit,
+                      int sends) {
+    const std::uint64_t call = this->mesh.Call(node, "/permit", body, permit);
+    if (sends <= 1) {
+      return;
+    }
+    const utils::Duration patience = this->random.Jitter(Seconds(1));
+    this->mesh.At(patience, [this, node, call, body, permit, sends] {
+      const auto& answer = this->mesh.OutcomeOf(call).answer;
+      if (answer && answer->kind == ResultKind::kAnswered && !this->random.Chance(0.2)) {
+        return;
+      }
+      if (this->random.Chance(0.5)) {
+        this->mesh.Deliver(node, CallerGone{call});
+      }
+      this->SendWithPermit(this->AnyNode(), body, permit, sends - 1);
+    });
+  }
+
+  void Break(FaultKind kind) {
+    const std::size_t node = this->AnyNode();
+    Backend& backend = this->mesh.nodes[node].backend;
+    const utils::Duration length = Milliseconds(200) + this->random.Jitter(Seconds(4));
+    switch (kind) {
+      case FaultKind::kLoss:
+        this->mesh.network.loss = 0.2;
+        break;
+      case FaultKind::kRepeat:
+        this->mesh.network.repeat = 0.3;
+        this->mesh.network.late = 0.1;
+        break;
+      case FaultKind::kLate:
+        this->mesh.network.late = 0.3;
+        break;
+      case FaultKind::kNodeKill:
+        this->mesh.KillNode(node);
+        this->mesh.At(length, [this, node] { this->mesh.StartNode(node); });
+        break;
+      case FaultKind::kBackendKill:
+        this->mesh.KillBackend(node);
+        this->mesh.At(length, [this, node] { this->mesh.StartBackend(node); });
+        break;
+      case FaultKind::kSilent:
+        backend.mode = BackendMode::kSilent;
+        break;
+      case FaultKind::kShed:
+        backend.mode = BackendMode::kShedding;
+        break;
+      case FaultKind::kSlow:
+        backend.service_time = Seconds(3);
+        break;
+      case FaultKind::kPartition:
+        this->mesh.network.cut.insert({node, (node + 1) % kNodes});
+        break;
+      case FaultKind::kCount:
+        break;
+    }
+    this->mesh.At(length, [this] { this->HealNetwork(); });
+  }
+
+  void HealNetwork() {
+    this->mesh.network = Network{};
+    for (Node& node : this->mesh.nodes) {
+      node.backend.service_time = Milliseconds(5);
+      if (node.backend.mode != BackendMode::kDead) {
+        node.backend.mode = BackendMode::kNormal;
+      }
+    }
+  }
+
+  void Heal() {
+    this->HealNetwork();
+    for (std::size_t i = 0; i < kNodes; ++i) {
+      this->mesh.StartNode(i);
+      this->mesh.StartBackend(i);
+    }
+  }
+
+  std::string FirstFault() const {
+    if (!this->mesh.Fault().empty()) {
+      return this->mesh.Fault();
+    }
+    for (const auto& [call, outcome] : this->mesh.Outcomes()) {
+      const int runs = this->mesh.RunsOf(outcome.body);
+      if (!outcome.answer && !outcome.lost) {
+        return "no answer to " + outcome.body;
+      }
+      if (runs > 1 && !outcome.body.starts_with("read")) {
+        return "ran twice: " + outcome.body;
+      }
+      if (outcome.answer && outcome.answer->kind == ResultKind::kNotRun && runs > 0) {
+        return "\"not run\" (" + outcome.answer->message + ") but ran: " + outcome.body;
+      }
+    }
+    for (const Node& node : this->mesh.nodes) {
+      const Gauges gauges = node.calls->GetGauges();
+      if (gauges.open_calls + gauges.in_flight + gauges.queued != 0) {
+        return "work is left over at the end";
+      }
+    }
+    return {};
+  }
+
+  utils::Random random;
+  Mesh mesh;
+  int requests = 0;
+};
+}  // namespace
+
+TEST_GROUP(RandomFaults){};
+
+// Guards against a fault, or two or three at once, that makes a request run twice, a refusal untrue
+// or an answer go to another call. AMARANTHLATCH_SEED runs one seed, AMARANTHLATCH_RUNS more seeds.
+TEST(RandomFaults, KeepTheirPromises) {
+  std::uint64_t first = 1;
+  std::uint64_t count = 60;
+  if (const char* runs = std::getenv("AMARANTHLATCH_RUNS")) {
+    count = std::strtoull(runs, nullptr, 10);
+  }
+  if (const char* seed = std::getenv("AMARANTHLATCH_SEED")) {
+    first = std::strtoull(seed, nullptr, 10);
+    count = 1;
+  }
+  std::size_t answered = 0;
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    FaultyRun run(seed);
+    const std::string fault = run.Judge();
+    if (!fault.empty()) {
+      FAIL(("seed " + std::to_string(seed) + ": " + fault).c_str());
+    }
+    answered += run.Answered();
+  }
+  // A mesh that refused everything would keep all promises.
+  CHECK_TRUE(answered > count * 800);
+  std::printf("answered %zu in %llu runs\n", answered, static_cast<unsigned long long>(count));
+}
+
+}  // namespace amaranthlatch::calls::testing
