--- a/libs/runtime/src/http_headers.cc
+++ b/libs/runtime/src/http_headers.cc
@@ -80,7 +80,7 @@
 std::string_view FindField(const calls::Headers& headers, std::string_view name) {
   const auto found = std::find_if(headers.begin(), headers.end(),
                                   [name](const auto& field) { return field.first == name; });
-  return found == headers.end() ? std::string_view() : std::string_view(found->second);
+  return found == headers.end() ? std::string_view() : found->second;
 }
 
 bool IsValidField(std::string_view name, std::string_view value) {
