--- a/libs/runtime/tests/log_client_test.cc
+++ b/libs/runtime/tests/log_client_test.cc
@@ -20,10 +20,10 @@
 
 namespace {
 
-const distribution::ReadLog kRead{7, distribution::Stream::kConfig, 5, 10, utils::Seconds(1)};
+const distribution::ReadLog read_effect{7, distribution::Stream::kConfig, 5, 10, utils::Seconds(1)};
 
 LogClient::Event Decode(int status, const std::string& body) {
-  return DecodeLogRead(kRead, {status, {}, body});
+  return DecodeLogRead(read_effect, {status, {}, body});
 }
 
 ErrorCode CodeOf(const LogClient::Event& event) {
@@ -97,8 +97,8 @@
   client.outcomes.push_back(
       calls::HttpResponse{200, {}, R"({"first_kept":1,"head":4,"next":5,"records":[]})"});
   std::optional<LogClient::Event> event;
-  LogClient log(client, "127.0.0.1:1", [&event](LogClient::Event done) { event = done; });
-  log.Read(kRead);
+  LogClient log(client, "127.0.0.1:1", [&event](const LogClient::Event& done) { event = done; });
+  log.Read(read_effect);
   CHECK_TRUE(std::holds_alternative<LogRead>(*event));
   STRCMP_EQUAL("/streams/config/records?from=5&limit=10&wait_ms=1000", client.targets[0].c_str());
   STRCMP_EQUAL("/streams/config/records?from=5&limit=5&wait_ms=1000", client.targets[1].c_str());
@@ -122,7 +122,7 @@
     text.replace(position % text.size(), noise.size() % 5, noise);
     const auto event = Decode(200, text);
     if (const auto* const read = std::get_if<LogRead>(&event)) {
-      distribution::Offset last = kRead.from - 1;
+      distribution::Offset last = read_effect.from - 1;
       for (const auto& record : read->records) {
         RC_ASSERT(record.offset > last);
         last = record.offset;
