--- a/libs/membership/include/amaranthlatch/membership/membership.h
+++ b/libs/membership/include/amaranthlatch/membership/membership.h
@@ -2,7 +2,9 @@
 
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -50,12 +52,14 @@
 
   const MemberView& View() const;
   const Counters& Counts() const;
+  // Known records by state, dead members and those that left among them.
+  std::map<MemberState, std::size_t> CountByState() const;
 
   // Whether the failure detector declares no member dead at present.
   bool Holding() const;
   // Whether failed probes meet silence of all peers: this node is cut off or alone.
   bool Isolated() const;
-  // When the last probe of this node was answered; none before the first answer.
+  // When a peer last answered a probe of this node; none before the first answer.
   std::optional<utils::Timestamp> LastProbeAnswered() const;
 
  private:
--- a/libs/membership/src/failure_detector.cc
+++ b/libs/membership/src/failure_detector.cc
@@ -63,22 +63,20 @@
   this->suspects.erase(from);
 }
 
-bool FailureDetector::OnAck(Context& context, const NodeId& from, const ProbeAck& ack) {
+void FailureDetector::OnAck(Context& context, const ProbeAck& ack) {
   const auto relay = this->relays.find(ack.sequence);
   if (relay != this->relays.end()) {
     context.Send(relay->second.requester, ProbeAck{relay->second.sequence, {}});
     this->relays.erase(relay);
-    return from == relay->second.requester;
+    return;
   }
   const auto probing = this->pending.find(ack.sequence);
   if (probing == this->pending.end()) {
-    return false;
+    return;
   }
   this->suspects.erase(probing->second.target);
   this->pending.erase(probing);
-  this->last_answered = context.now;
   ++context.counters.probes_answered;
-  return true;
 }
 
 void FailureDetector::OnIndirectProbe(Context& context, const NodeId& from,
@@ -127,6 +125,8 @@
   this->relays.clear();
   this->samples.clear();
   this->last_heard = context.now;
+  // A recheck after the pause waits for an answered probe.
+  this->next_probe = context.now;
   for (auto& [id, suspicion] : this->suspects) {
     suspicion = {context.now, context.now + context.options.suspect_timeout};
   }
--- a/libs/membership/src/failure_detector.h
+++ b/libs/membership/src/failure_detector.h
@@ -23,8 +23,7 @@
 
   // Any message of a peer shows that it lives.
   void Heard(Context& context, const NodeId& from);
-  // Returns false for an answer to no open probe.
-  bool OnAck(Context& context, const NodeId& from, const ProbeAck& ack);
+  void OnAck(Context& context, const ProbeAck& ack);
   void OnIndirectProbe(Context& context, const NodeId& from, const IndirectProbe& request,
                        const ZoneDigests& digests);
   void OnUnreachable(Context& context, const NodeId& id, const ZoneDigests& digests);
@@ -39,7 +38,6 @@
   bool IsSuspect(const NodeId& id) const { return this->suspects.contains(id); }
   bool Holding() const { return this->holding; }
   bool Isolated(const Context& context) const;
-  const std::optional<utils::Timestamp>& LastAnswered() const { return this->last_answered; }
 
  private:
   struct Probing {
@@ -85,7 +83,6 @@
   std::deque<utils::Timestamp> deaths;
   utils::Timestamp next_probe{};
   utils::Timestamp last_heard{};
-  std::optional<utils::Timestamp> last_answered;
   utils::Timestamp hold_since{};
   bool holding = false;
   // A hold reached its limit; no other begins until the share of failed members has fallen.
--- a/libs/membership/src/member_table.cc
+++ b/libs/membership/src/member_table.cc
@@ -64,6 +64,14 @@
   return this->unlisted.empty() ? nullptr : &this->unlisted.front().first;
 }
 
+std::map<MemberState, std::size_t> MemberTable::CountByState() const {
+  std::map<MemberState, std::size_t> counts;
+  for (const auto& [id, member] : this->members) {
+    ++counts[member.state];
+  }
+  return counts;
+}
+
 std::size_t MemberTable::ZoneSize(std::string_view zone) const {
   const auto found = this->zones.find(zone);
   return found == this->zones.end() ? 0 : found->second.members.size();
--- a/libs/membership/src/member_table.h
+++ b/libs/membership/src/member_table.h
@@ -41,6 +41,7 @@
   const ZoneDigests& Digests() const { return this->digests; }
   // Sum over all zones.
   std::uint64_t TotalDigest() const { return this->total_digest; }
+  std::map<MemberState, std::size_t> CountByState() const;
   std::size_t ZoneSize(std::string_view zone) const;
 
   const Member& Self() const override { return *this->self; }
--- a/libs/membership/src/membership.cc
+++ b/libs/membership/src/membership.cc
@@ -107,6 +107,7 @@
   details::Dissemination dissemination;
   details::Repair repair;
   details::Join join;
+  std::optional<utils::Timestamp> last_answered;
   bool starting = true;
 };
 
@@ -189,7 +190,8 @@
 }
 
 void Membership::Impl::OnMessage(const NodeId& from, const ProbeAck& message) {
-  this->detector.OnAck(this->context, from, message);
+  this->last_answered = this->context.now;
+  this->detector.OnAck(this->context, message);
   this->repair.OnAck(this->context, this->dissemination, from, message);
   const Member* sender = this->context.table.Find(from);
   if (sender == nullptr || !IsListed(*sender)) {
@@ -344,6 +346,10 @@
 
 const MemberView& Membership::View() const { return this->impl->context.table; }
 
+std::map<MemberState, std::size_t> Membership::CountByState() const {
+  return this->impl->context.table.CountByState();
+}
+
 const Counters& Membership::Counts() const { return this->impl->context.counters; }
 
 bool Membership::Holding() const { return this->impl->detector.Holding(); }
@@ -351,7 +357,7 @@
 bool Membership::Isolated() const { return this->impl->detector.Isolated(this->impl->context); }
 
 std::optional<utils::Timestamp> Membership::LastProbeAnswered() const {
-  return this->impl->detector.LastAnswered();
+  return this->impl->last_answered;
 }
 
 }  // namespace amaranthlatch::membership
--- /dev/null
+++ b/libs/node/src/envelope.cc
@@ -0,0 +1,202 @@
+// Sealing and opening of messages.
+
+#include "amaranthlatch/node/envelope.h"
+
+#include <sodium.h>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "amaranthlatch/document/json_guard.h"
+#include "amaranthlatch/node/message_codec.h"
+
+namespace amaranthlatch::node {
+
+namespace {
+
+using nlohmann::json;
+using utils::ErrorCode;
+using utils::Fail;
+using utils::Result;
+
+static_assert(crypto_auth_KEYBYTES == kKeyBytes);
+static_assert(crypto_kdf_KEYBYTES == kKeyBytes);
+
+constexpr std::size_t kMacBytes = crypto_auth_BYTES;
+constexpr std::size_t kFields = 6;
+constexpr std::size_t kMaxIdBytes = 128;
+// Well above the nodes of the target size, so that all of them and their predecessors are known.
+constexpr std::size_t kRememberedSenders = 32'768;
+// Exactly crypto_kdf_CONTEXTBYTES characters.
+constexpr std::array<char, crypto_kdf_CONTEXTBYTES> kContext = {'a', 'm', 'r', 'l',
+                                                                'a', 't', 'c', 'h'};
+
+const unsigned char* Bytes(const char* data) {
+  return reinterpret_cast<const unsigned char*>(data);
+}
+
+using Mac = std::array<unsigned char, kMacBytes>;
+
+// The receiver's id has a fixed place before the content, with its length, so that no two pairs of
+// id and content give the same bytes.
+Mac ComputeMac(const Key& key, const membership::NodeId& receiver, std::string_view content) {
+  crypto_auth_hmacsha512256_state state;
+  crypto_auth_hmacsha512256_init(&state, key.data(), key.size());
+  const auto length = static_cast<unsigned char>(receiver.size());
+  crypto_auth_hmacsha512256_update(&state, &length, 1);
+  crypto_auth_hmacsha512256_update(&state, Bytes(receiver.data()), receiver.size());
+  crypto_auth_hmacsha512256_update(&state, Bytes(content.data()), content.size());
+  Mac mac{};
+  crypto_auth_hmacsha512256_final(&state, mac.data());
+  return mac;
+}
+
+}  // namespace
+
+Key DeriveKey(std::string_view secret, KeyPurpose purpose) {
+  Key master{};
+  crypto_generichash(master.data(), master.size(), Bytes(secret.data()), secret.size(), nullptr, 0);
+  Key key{};
+  crypto_kdf_derive_from_key(key.data(), key.size(), static_cast<std::uint64_t>(purpose),
+                             kContext.data(), master.data());
+  return key;
+}
+
+bool ReplayFilter::Accept(const membership::NodeId& sender, std::uint64_t boot_id,
+                          std::uint64_t counter) {
+  Window& window = this->Find(sender + ' ' + std::to_string(boot_id));
+  if (counter == 0 || counter + kWindow <= window.highest) {
+    return false;
+  }
+  if (counter > window.highest) {
+    if (counter - window.highest >= kWindow) {
+      window.seen.fill(0);
+    }
+    for (std::uint64_t skipped = window.highest + 1;
+         skipped < counter && counter - window.highest < kWindow; ++skipped) {
+      window.seen[skipped % kWindow / kWordBits] &= ~(1ULL << (skipped % kWordBits));
+    }
+    window.seen[counter % kWindow / kWordBits] &= ~(1ULL << (counter % kWordBits));
+    window.highest = counter;
+  }
+  std::uint64_t& word = window.seen[counter % kWindow / kWordBits];
+  const std::uint64_t bit = 1ULL << (counter % kWordBits);
+  const bool fresh = (word & bit) == 0;
+  word |= bit;
+  return fresh;
+}
+
+ReplayFilter::Window& ReplayFilter::Find(const std::string& key) {
+  const auto found = this->current.find(key);
+  if (found != this->current.end()) {
+    return found->second;
+  }
+  if (this->current.size() >= this->capacity) {
+    this->previous = std::move(this->current);
+    this->current = Windows();
+  }
+  Window window;
+  if (const auto older = this->previous.find(key); older != this->previous.end()) {
+    window = older->second;
+    this->previous.erase(older);
+  }
+  return this->current.emplace(key, window).first->second;
+}
+
+Envelope::Envelope(membership::NodeId self, std::uint64_t boot_id, Key key)
+    : self(std::move(self)), boot_id(boot_id), key(key), replays(kRememberedSenders) {}
+
+Result<Envelope> Envelope::Create(membership::NodeId self, std::uint64_t boot_id,
+                                  std::string_view secret) {
+  if (sodium_init() < 0) {
+    return Fail(ErrorCode::kSettingsOutOfRange, "libsodium cannot be initialised");
+  }
+  if (self.empty() || self.size() > kMaxIdBytes) {
+    return Fail(ErrorCode::kSettingsOutOfRange, "node id is empty or too long");
+  }
+  if (secret.empty()) {
+    return Fail(ErrorCode::kSettingsOutOfRange, "the shared secret is empty", "/secret");
+  }
+  return Envelope(std::move(self), boot_id, DeriveKey(secret, KeyPurpose::kEnvelope));
+}
+
+Result<std::string> Envelope::Seal(const membership::NodeId& to, const Message& message) {
+  EncodedMessage encoded = EncodeMessage(message);
+  std::vector<std::uint8_t> payload(encoded.payload.begin(), encoded.payload.end());
+  const json fields = json::array({kEnvelopeFormat, encoded.module, this->self, this->boot_id,
+                                   this->last_counter + 1, json::binary(std::move(payload))});
+  std::string sealed(kMacBytes, '\0');
+  json::to_cbor(fields, sealed);
+  if (sealed.size() > kMaxEnvelopeBytes || to.size() > kMaxIdBytes) {
+    return Fail(ErrorCode::kMessageTooLarge, "message or receiver id is too large");
+  }
+  ++this->last_counter;
+  ++this->counters.sealed;
+  const std::string_view whole = sealed;
+  const Mac mac = ComputeMac(this->key, to, whole.substr(kMacBytes));
+  std::copy(mac.begin(), mac.end(), sealed.begin());
+  return sealed;
+}
+
+Result<Envelope::Opened> Envelope::Open(std::string_view bytes) {
+  if (bytes.size() > kMaxEnvelopeBytes) {
+    ++this->counters.malformed;
+    return Fail(ErrorCode::kMessageTooLarge, "message is too large");
+  }
+  const std::string_view content = bytes.substr(std::min(bytes.size(), kMacBytes));
+  const Mac mac = ComputeMac(this->key, this->self, content);
+  if (bytes.size() < kMacBytes || sodium_memcmp(mac.data(), bytes.data(), mac.size()) != 0) {
+    ++this->counters.not_authentic;
+    return Fail(ErrorCode::kMessageNotAuthentic, "message has a wrong MAC");
+  }
+  Result<Opened> opened = this->Decode(content);
+  if (opened) {
+    ++this->counters.opened;
+  } else if (opened.error().code == ErrorCode::kMessageReplayed) {
+    ++this->counters.replayed;
+  } else {
+    ++this->counters.malformed;
+  }
+  return opened;
+}
+
+Result<Envelope::Opened> Envelope::Decode(std::string_view content) {
+  const auto parsed = document::ParseCbor(content, ErrorCode::kMessageMalformed);
+  if (!parsed) {
+    return tl::unexpected<utils::Error>(parsed.error());
+  }
+  const json& fields = *parsed;
+  if (!fields.is_array() || fields.empty() || !fields[0].is_number_unsigned()) {
+    return Fail(ErrorCode::kMessageMalformed, "not an envelope");
+  }
+  if (fields[0].get<std::uint64_t>() != kEnvelopeFormat) {
+    return Fail(ErrorCode::kMessageUnknownFormat, "unknown envelope format");
+  }
+  const bool shape = fields.size() == kFields && fields[1].is_number_unsigned() &&
+                     fields[2].is_string() && fields[3].is_number_unsigned() &&
+                     fields[4].is_number_unsigned() && fields[5].is_binary();
+  if (!shape) {
+    return Fail(ErrorCode::kMessageMalformed, "wrong envelope fields");
+  }
+  const auto& sender = fields[2].get_ref<const std::string&>();
+  const auto module = fields[1].get<std::uint64_t>();
+  if (sender.empty() || sender.size() > kMaxIdBytes || module >= std::variant_size_v<Message>) {
+    return Fail(ErrorCode::kMessageMalformed, "envelope field out of range");
+  }
+  const auto boot = fields[3].get<std::uint64_t>();
+  if (!this->replays.Accept(sender, boot, fields[4].get<std::uint64_t>())) {
+    return Fail(ErrorCode::kMessageReplayed, "message came again, or too late to tell");
+  }
+  const auto& payload = fields[5].get_binary();
+  const std::string_view payload_bytes(reinterpret_cast<const char*>(payload.data()),
+                                       payload.size());
+  auto message = DecodeMessage(static_cast<ModuleNumber>(module), payload_bytes);
+  if (!message) {
+    return tl::unexpected<utils::Error>(message.error());
+  }
+  return Opened{sender, boot, *std::move(message)};
+}
+
+}  // namespace amaranthlatch::node
