Add the host and the daemon amaranthlatchd

The host turns callers' requests, node messages, answers of the log and of the backend server into events of the reducer and performs its effects. The gate adds the time of a run to the answer, and the entry node takes it off, so that the added latency of a call is measured without comparing clocks.

--- a/libs/runtime/include/amaranthlatch/runtime/audit.h
+++ b/libs/runtime/include/amaranthlatch/runtime/audit.h
@@ -30,6 +30,9 @@
   // Entries of a service, or of all for an empty name, oldest first.
   nlohmann::json ToJson(std::string_view service) const;
 
+  // When the record at the offset came into force here; empty if before this process started.
+  std::string InForceAt(acceptance::Offset offset) const;
+
   std::size_t Size() const { return this->entries.size(); }
 
  private:
--- /dev/null
+++ b/libs/runtime/include/amaranthlatch/runtime/backend_server_link.h
@@ -0,0 +1,82 @@
+// This node's side of its backend server: announcements, runs, and whether it still lives.
+
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "amaranthlatch/calls/effect.h"
+#include "amaranthlatch/document/service_document.h"
+#include "amaranthlatch/node/event.h"
+#include "amaranthlatch/runtime/http_client.h"
+#include "amaranthlatch/runtime/metrics.h"
+#include "amaranthlatch/utils/clock.h"
+#include "amaranthlatch/utils/result.h"
+
+namespace amaranthlatch::runtime {
+
+// Body of POST /backend-server.
+struct BackendServer {
+  std::string service;
+  // "ip:port" where it takes requests.
+  std::string address;
+  document::Labels labels;
+  std::uint32_t slots = 0;
+  std::uint32_t connections = 0;
+
+  bool operator==(const BackendServer&) const = default;
+};
+
+// Strict; fails with kBadRequest and a pointer.
+utils::Result<BackendServer> ParseBackendServer(const std::string& json);
+
+// Field of a backend server's answer in which the gate tells the entry node how long the run took,
+// in microseconds. The entry node removes it and counts what the mesh added.
+inline constexpr const char* kBackendTimeField = "amaranthlatch-backend-us";
+
+class BackendServerLink {
+ public:
+  using Report = std::function<void(node::Event)>;
+
+  BackendServerLink(asio::io_context& context, const utils::Clock& clock, HttpClient& client,
+                    utils::Duration silent_after, Report report);
+  ~BackendServerLink();
+
+  // Reports BackendServerAnnounced. Announcements are repeated every second.
+  void Announce(BackendServer server);
+
+  // The backend server takes its leave; later losses are not reported.
+  void Leave();
+
+  void Run(const calls::RunOnBackendServer& run);
+  void Cancel(std::uint64_t run);
+
+  const std::optional<BackendServer>& Server() const { return this->server; }
+  const DurationHistogram& RunTimes() const { return this->run_times; }
+
+ private:
+  void ScheduleCheck();
+  void Check();
+  void OnProbed(bool accepted);
+  void OnOutcome(std::uint64_t run, utils::Timestamp begun, HttpOutcome outcome);
+
+  asio::io_context& context;
+  const utils::Clock& clock;
+  HttpClient& client;
+  const utils::Duration silent_after;
+  const Report report;
+  asio::steady_timer check_timer;
+  std::optional<BackendServer> server;
+  utils::Timestamp last_announcement{};
+  // Set while announcements are expected.
+  bool watching = false;
+  DurationHistogram run_times;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace amaranthlatch::runtime
--- a/libs/runtime/src/audit.cc
+++ b/libs/runtime/src/audit.cc
@@ -2,6 +2,7 @@
 
 #include "amaranthlatch/runtime/audit.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace amaranthlatch::runtime {
@@ -46,6 +47,15 @@
   }
 }
 
+std::string AuditTrail::InForceAt(acceptance::Offset offset) const {
+  const auto found = std::lower_bound(this->entries.begin(), this->entries.end(), offset,
+                                      [](const AuditEntry& entry, acceptance::Offset wanted) {
+                                        return entry.verdict.offset < wanted;
+                                      });
+  const bool is_same = found != this->entries.end() && found->verdict.offset == offset;
+  return is_same ? found->in_force_at : std::string();
+}
+
 nlohmann::json AuditTrail::ToJson(std::string_view service) const {
   nlohmann::json list = nlohmann::json::array();
   for (const AuditEntry& entry : this->entries) {
--- /dev/null
+++ b/libs/runtime/src/effect_log.cc
@@ -0,0 +1,97 @@
+// Texts of the log lines.
+
+#include "effect_log.h"
+
+#include <array>
+#include <cstdint>
+#include <variant>
+
+#include "amaranthlatch/runtime/admin_interface.h"
+#include "amaranthlatch/runtime/log_line.h"
+
+namespace amaranthlatch::runtime::details {
+
+namespace {
+
+// One name for each alternative of node::Event, in its order.
+constexpr std::array<std::string_view, std::variant_size_v<node::Event>> kEventNames = {
+    "wake-up",
+    "message-received",
+    "message-not-sent",
+    "peer-unreachable",
+    "backend-server-announced",
+    "backend-server-lost",
+    "drain-requested",
+    "log-read",
+    "log-read-failed",
+    "log-append-done",
+    "log-append-failed",
+    "call-received",
+    "caller-gone",
+    "permit-asked",
+    "backend-server-answered",
+    "backend-server-failed",
+};
+
+}  // namespace
+
+std::string_view EventName(const node::Event& event) { return kEventNames.at(event.index()); }
+
+void LogEffect(const node::InvariantViolated& effect, const node::Event& cause) {
+  LogLine("invariant-violated")
+      .Add("code", utils::ToNumber(utils::ErrorCode::kInvariantViolated))
+      .Add("promise", effect.promise)
+      .Add("detail", effect.detail)
+      .Add("cause", EventName(cause))
+      .Error();
+}
+
+void LogEffect(const membership::MemberChanged& effect) {
+  LogLine("member-changed")
+      .Add("id", effect.after.id)
+      .Add("zone", effect.after.zone)
+      .Add("service", effect.after.service)
+      .Add("state", ToString(effect.after.state))
+      .Add("incarnation", effect.after.incarnation)
+      .Debug();
+}
+
+void LogEffect(const membership::HoldChanged& effect) {
+  LogLine("hold-changed").Add("holding", effect.holding ? "true" : "false").Warn();
+}
+
+void LogEffect(const distribution::VerdictInForce& effect) {
+  const acceptance::Verdict& verdict = effect.verdict;
+  LogLine("record-in-force")
+      .Add("offset", verdict.offset)
+      .Add("service", verdict.service)
+      .Add("publish_id", verdict.publish_id)
+      .Add("author", verdict.author)
+      .Add("code", utils::ToNumber(verdict.code))
+      .Add("name", utils::ToString(verdict.code))
+      .Info();
+}
+
+void LogEffect(const distribution::ReadinessChanged& effect) {
+  LogLine("readiness-changed")
+      .Add("ready", effect.ready ? "true" : "false")
+      .Add("reason", effect.reason)
+      .Info();
+}
+
+void LogEffect(const distribution::FoldStopped& effect) {
+  LogLine("fold-stopped")
+      .Add("offset", effect.offset)
+      .Add("code", utils::ToNumber(utils::ErrorCode::kRecordUnknownFormat))
+      .Error();
+}
+
+void LogEffect(const calls::QuarantineChanged& effect) {
+  LogLine("quarantine-changed")
+      .Add("service", effect.service)
+      .Add("fingerprint", effect.fingerprint)
+      .Add("quarantined", effect.quarantined ? "true" : "false")
+      .Warn();
+}
+
+}  // namespace amaranthlatch::runtime::details
--- /dev/null
+++ b/libs/runtime/src/effect_log.h
@@ -0,0 +1,22 @@
+// Log lines for events and effects that change the state of a node.
+
+#pragma once
+
+#include <string_view>
+
+#include "amaranthlatch/node/effect.h"
+#include "amaranthlatch/node/event.h"
+
+namespace amaranthlatch::runtime::details {
+
+std::string_view EventName(const node::Event& event);
+
+void LogEffect(const node::InvariantViolated& effect, const node::Event& cause);
+void LogEffect(const membership::MemberChanged& effect);
+void LogEffect(const membership::HoldChanged& effect);
+void LogEffect(const distribution::VerdictInForce& effect);
+void LogEffect(const distribution::ReadinessChanged& effect);
+void LogEffect(const distribution::FoldStopped& effect);
+void LogEffect(const calls::QuarantineChanged& effect);
+
+}  // namespace amaranthlatch::runtime::details
--- a/libs/runtime/src/nng_transport.cc
+++ b/libs/runtime/src/nng_transport.cc
@@ -75,7 +75,9 @@
       return;
     }
     Peer* const peer = this->FindOrDial(to);
-    const auto not_sent = [this, report = message.not_sent] { this->ReportNotSent(report); };
+    const auto not_sent = [this, report = std::move(message.not_sent)] {
+      this->ReportNotSent(report);
+    };
     if (peer == nullptr ||
         !peer->link->Send(details::MessageFrame(std::move(message.bytes)), not_sent)) {
       not_sent();
--- /dev/null
+++ b/libs/runtime/src/node_metrics.cc
@@ -0,0 +1,138 @@
+// Names of all metrics.
+
+#include "amaranthlatch/runtime/node_metrics.h"
+
+namespace amaranthlatch::runtime {
+
+namespace {
+
+void AppendCalls(MetricsText& text, const calls::Counters& calls, const calls::Gauges& gauges) {
+  text.Counter("calls_total", calls.answered, R"(result="answered")");
+  text.Counter("calls_total", calls.not_run, R"(result="not-run")");
+  text.Counter("calls_total", calls.unknown, R"(result="unknown")");
+  text.Counter("calls_received_total", calls.calls);
+  text.Counter("call_attempts_total", calls.attempts);
+  text.Counter("call_retries_total", calls.retries);
+  text.Counter("call_retries_over_budget_total", calls.retries_over_budget);
+  text.Counter("call_redirects_total", calls.redirects);
+  text.Counter("call_fences_total", calls.fences);
+  text.Counter("call_fences_not_run_total", calls.fences_not_run);
+  text.Counter("call_fences_unanswered_total", calls.fences_unanswered);
+  text.Counter("call_replies_ignored_total", calls.ignored_replies);
+  text.Counter("permits_asked_total", calls.permits_asked);
+  text.Counter("gate_admitted_total", calls.admitted);
+  text.Counter("gate_queued_total", calls.queued);
+  text.Counter("gate_runs_total", calls.runs);
+  text.Counter("gate_refused_total", calls.refused);
+  text.Counter("gate_dropped_from_queue_total", calls.dropped_from_queue);
+  text.Counter("gate_runs_cancelled_total", calls.cancelled_runs);
+  text.Counter("gate_duplicates_total", calls.duplicates);
+  text.Counter("gate_fenced_total", calls.fenced);
+  text.Counter("gate_foreign_process_total", calls.foreign_process);
+  text.Counter("gate_permits_issued_total", calls.permits_issued);
+  text.Counter("gate_permit_answers_repeated_total", calls.permit_answers_repeated);
+  text.Counter("gate_limit_decreases_total", calls.limit_decreases);
+  text.Counter("backend_server_crashes_total", calls.backend_crashes);
+  text.Counter("requests_quarantined_total", calls.quarantined);
+  text.Counter("suspects_cleared_total", calls.suspects_cleared);
+  text.Gauge("calls_open", gauges.open_calls);
+  text.Gauge("gate_in_flight", gauges.in_flight);
+  text.Gauge("gate_queue_length", gauges.queued);
+  text.Gauge("gate_concurrency_limit", gauges.concurrency_limit);
+  text.Gauge("suspects", gauges.suspects);
+}
+
+void AppendMembership(MetricsText& text, const membership::Counters& membership) {
+  text.Counter("probes_sent_total", membership.probes_sent);
+  text.Counter("probes_failed_total", membership.probes_failed);
+  text.Counter("probes_answered_total", membership.probes_answered);
+  text.Counter("members_declared_dead_total", membership.members_declared_dead);
+  text.Counter("refutations_total", membership.refutations);
+  text.Counter("holds_total", membership.holds);
+  text.Counter("member_records_changed_total", membership.records_changed);
+  text.Counter("member_records_stale_total", membership.records_stale);
+  text.Counter("zone_transfers_requested_total", membership.zone_transfers_requested);
+  text.Counter("zone_transfers_sent_total", membership.zone_transfers_sent);
+  text.Counter("pauses_total", membership.pauses);
+}
+
+void AppendDistribution(MetricsText& text, const distribution::Counters& distribution) {
+  text.Counter("entries_applied_total", distribution.entries_applied);
+  text.Counter("entries_in_force_total", distribution.entries_in_force);
+  text.Counter("pushes_sent_total", distribution.pushes_sent);
+  text.Counter("pushes_received_total", distribution.pushes_received);
+  text.Counter("push_timeouts_total", distribution.push_timeouts);
+  text.Counter("wholes_sent_total", distribution.wholes_sent);
+  text.Counter("differences_sent_total", distribution.differences_sent);
+  text.Counter("patch_mismatches_total", distribution.patch_mismatches);
+  text.Counter("entry_gaps_total", distribution.gaps);
+  text.Counter("digests_sent_total", distribution.digests_sent);
+  text.Counter("entry_repairs_total", distribution.repairs);
+  text.Counter("state_hash_mismatches_total", distribution.hash_mismatches);
+  text.Counter("snapshots_installed_total", distribution.snapshots_installed);
+  text.Counter("snapshots_rejected_total", distribution.snapshots_rejected);
+  text.Counter("snapshots_deferred_total", distribution.snapshots_deferred);
+  text.Counter("snapshots_written_total", distribution.snapshots_written);
+  text.Counter("snapshots_read_total", distribution.snapshots_read);
+  text.Counter("log_reads_total", distribution.log_reads);
+  text.Counter("log_failures_total", distribution.log_failures);
+  text.Counter("log_truncations_total", distribution.log_truncations);
+  text.Counter("reader_takeovers_total", distribution.takeovers);
+}
+
+void AppendTransport(MetricsText& text, const TransportCounters& transport,
+                     const node::Envelope::Counters& envelope) {
+  text.Counter("messages_sent_total", transport.messages_sent);
+  text.Counter("messages_received_total", transport.messages_received);
+  text.Counter("messages_not_sent_total", transport.messages_not_sent);
+  text.Counter("messages_too_large_total", transport.messages_too_large);
+  text.Counter("keep_alives_sent_total", transport.keep_alives_sent);
+  text.Counter("keep_alive_bytes_sent_total", transport.keep_alive_bytes_sent);
+  text.Counter("links_opened_total", transport.links_opened);
+  text.Counter("links_lost_total", transport.links_lost);
+  text.Counter("links_silent_total", transport.links_silent);
+  text.Counter("links_evicted_total", transport.links_evicted);
+  text.Counter("receive_pauses_total", transport.receive_pauses);
+  text.Counter("messages_dropped_total", envelope.not_authentic, R"(reason="not-authentic")");
+  text.Counter("messages_dropped_total", envelope.replayed, R"(reason="replayed")");
+  text.Counter("messages_dropped_total", envelope.malformed, R"(reason="malformed")");
+}
+
+void AppendServer(MetricsText& text, const HttpServerCounters& server, const std::string& label) {
+  text.Counter("http_requests_total", server.requests, label);
+  text.Counter("http_connections_accepted_total", server.connections_accepted, label);
+  text.Counter("http_connections_refused_total", server.connections_refused, label);
+  text.Counter("http_bad_requests_total", server.bad_requests, label);
+  text.Counter("http_callers_gone_total", server.callers_gone, label);
+  text.Counter("http_timeouts_total", server.timeouts, label);
+  text.Gauge("http_connections", static_cast<double>(server.connections), label);
+}
+
+}  // namespace
+
+std::string ToPrometheus(const NodeMetrics& metrics) {
+  MetricsText text;
+  text.Gauge("ready", metrics.ready ? 1 : 0);
+  text.Gauge("offset_held", static_cast<double>(metrics.held));
+  text.Gauge("offset_in_force", static_cast<double>(metrics.in_force));
+  text.Counter("events_total", metrics.counters.node.events);
+  text.Counter("effects_total", metrics.counters.node.effects);
+  text.Counter("invariant_violations_total", metrics.counters.node.invariant_violations);
+  text.Counter("timer_wakes_total", metrics.timer_wakes);
+  text.Counter("seal_failures_total", metrics.seal_failures);
+  AppendCalls(text, metrics.counters.calls, metrics.counters.gauges);
+  AppendMembership(text, metrics.counters.membership);
+  AppendDistribution(text, metrics.counters.distribution);
+  AppendTransport(text, metrics.transport, metrics.envelope);
+  metrics.traffic->AppendTo(text);
+  AppendServer(text, metrics.data_server, R"(address="data")");
+  AppendServer(text, metrics.admin_server, R"(address="admin")");
+  text.Histogram("call_seconds", *metrics.call_times);
+  text.Histogram("call_added_seconds", *metrics.added_times);
+  text.Histogram("backend_run_seconds", *metrics.run_times);
+  text.Histogram("reducer_event_seconds", *metrics.reducer_times);
+  text.Histogram("convergence_seconds", *metrics.convergence_times);
+  return text.Take();
+}
+
+}  // namespace amaranthlatch::runtime
