--- a/standins/backend_server/backend_service.cc
+++ b/standins/backend_server/backend_service.cc
@@ -4,6 +4,7 @@
 
 #include <unistd.h>
 
+#include <asio/post.hpp>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -15,7 +16,9 @@
 using nlohmann::json;
 
 constexpr char kControlPrefix[] = "/stand-in/";
+constexpr std::size_t kForwarderThreads = 16;
 constexpr int kOk = 200;
+constexpr int kBadGateway = 502;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -43,7 +46,10 @@
 }  // namespace
 
 BackendService::BackendService(asio::io_context& context, const BackendOptions& options)
-    : context(context), options(options), started(std::chrono::steady_clock::now()) {
+    : context(context),
+      options(options),
+      started(std::chrono::steady_clock::now()),
+      forwarder(kForwarderThreads) {
   if (!options.runs_file.empty()) {
     this->runs_file.open(options.runs_file, std::ios::app);
   }
@@ -118,6 +124,10 @@
     _exit(kCrashExitCode);
   }
   this->in_flight += 1;
+  this->Work(request, respond);
+}
+
+void BackendService::Work(const Request& request, const Respond& respond) {
   std::chrono::milliseconds work = this->WorkTime();
   const auto deadline = Deadline(request);
   const bool expires = deadline && *deadline < work;
@@ -140,7 +150,26 @@
   });
 }
 
+void BackendService::Forward(const Request& request, const Respond& respond) {
+  this->forwarder.Forward(request, [this, request, respond](bool answered) {
+    asio::post(this->context, [this, request, respond, answered] {
+      if (answered) {
+        Request last = request;
+        last.headers.emplace_back("x-chain-done", "true");
+        this->Finish(last, respond);
+        return;
+      }
+      this->in_flight -= 1;
+      respond(Response{kBadGateway, "text/plain", {}, "the next hop did not answer\n"});
+    });
+  });
+}
+
 void BackendService::Finish(const Request& request, const Respond& respond) {
+  if (Forwarder::HasNext(request) && request.Header("x-chain-done").empty()) {
+    this->Forward(request, respond);
+    return;
+  }
   this->in_flight -= 1;
   if (!this->silent_connections.contains(request.connection)) {
     Response response{kOk, "text/plain", {}, request.method + " " + request.path + "\n"};
--- a/standins/backend_server/backend_service.h
+++ b/standins/backend_server/backend_service.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 
+#include "standins/backend_server/forwarder.h"
 #include "standins/backend_server/options.h"
 #include "standins/support/simple_server.h"
 
@@ -41,6 +42,8 @@
   void HandleControl(const Request& request, const Respond& respond);
   void SetFaults(const nlohmann::json& body);
   void Run(const Request& request, const Respond& respond);
+  void Work(const Request& request, const Respond& respond);
+  void Forward(const Request& request, const Respond& respond);
   void Finish(const Request& request, const Respond& respond);
   void RecordRun(const Request& request);
   std::chrono::milliseconds WorkTime() const;
@@ -60,6 +63,7 @@
   std::uint64_t expired_count = 0;
   std::ofstream runs_file;
   std::function<void()> idle;
+  Forwarder forwarder;
 };
 
 }  // namespace amaranthlatch::standins
--- a/standins/backend_server/main.cc
+++ b/standins/backend_server/main.cc
@@ -39,7 +39,8 @@
   --cold-time-ms=N   Time after the start in which it is cold [default: 0].
   --runs-file=FILE   File that gets one line a run.
 
-Every path runs a request and answers with its method, path and body; X-Crash ends the process.
+Every path runs a request and answers with its method, path and body; X-Crash ends the process;
+X-Chain: ADDRESS,ADDRESS... calls further hops first, with the host in X-Chain-Host.
 Faults: POST /stand-in/faults {"shed":bool,"truncate":bool,"reported_load":N,"work_ms":N,
                                "silence_open_connections":bool}.
 Runs:   GET /stand-in/runs.
