--- a/libs/membership/tests/message_codec_test.cc
+++ b/libs/membership/tests/message_codec_test.cc
@@ -20,8 +20,8 @@
       rc::gen::set(&Member::id, name), rc::gen::set(&Member::region, name),
       rc::gen::set(&Member::zone, name), rc::gen::set(&Member::service, name),
       rc::gen::set(&Member::labels,
-                   rc::gen::element<std::map<std::string, std::string>>(
-                       {}, {{"a", "1"}}, {{"a", "1"}, {"b", "Oshakati \xc3\xa9"}})),
+                   rc::gen::elementOf(std::vector<std::map<std::string, std::string>>{
+                       {}, {{"a", "1"}}, {{"a", "1"}, {"b", "Oshakati \xc3\xa9"}}})),
       rc::gen::set(&Member::incarnation, number), rc::gen::set(&Member::boot_id),
       rc::gen::set(&Member::state, rc::gen::element(MemberState::kJoining, MemberState::kReady,
                                                     MemberState::kDraining, MemberState::kLeft,
