--- a/tools/measure/load.cc
+++ b/tools/measure/load.cc
@@ -46,6 +46,11 @@
     HttpReply reply = this->Send(call);
     for (std::uint32_t i = 0; i < this->options.resends && this->ShouldResend(reply); ++i) {
       std::this_thread::sleep_for(kResendPause);
+      // A refusal as not run ends its permit; the request may take a new one.
+      const bool refused = reply.Header("amaranthlatch-result") == "not-run";
+      if (refused && !this->RenewPermit(call)) {
+        break;
+      }
       reply = this->Send(call);
     }
     this->Sort(key, call, reply);
@@ -82,6 +87,7 @@
     return reply;
   }
 
+  // Adds the permit as the last field.
   bool FetchPermit(HttpCall& call) {
     const nlohmann::json body = {
         {"host", this->options.host}, {"path", call.url}, {"method", "POST"}};
@@ -103,6 +109,11 @@
     return false;
   }
 
+  bool RenewPermit(HttpCall& call) {
+    call.headers.pop_back();
+    return this->FetchPermit(call);
+  }
+
   bool ShouldResend(const HttpReply& reply) const {
     const bool answered = reply.Header("amaranthlatch-result") == "answered" && reply.status != 0;
     return this->options.kind == CallKind::kRecord && !answered;
