--- a/libs/acceptance/src/snapshot.cc
+++ b/libs/acceptance/src/snapshot.cc
@@ -1,6 +1,7 @@
-// Snapshots: `[format, head, hash, documents, verdicts]` in CBOR, compressed. Documents are
-// `[service, version, source]` by service; verdicts are `[flags, verdict]` by offset, where the
-// flags tell whether the publish id is remembered and whether the history holds the verdict.
+// Snapshots: a compressed sequence of CBOR items. The first is `[format, head, hash, number of
+// documents, number of verdicts]`. Documents follow as `[service, version, source]` by service,
+// then verdicts as `[flags, verdict]` by offset, where the flags tell whether the publish id is
+// remembered and whether the history holds the verdict.
 
 #include <zstd.h>
 
@@ -10,7 +11,7 @@
 
 #include "amaranthlatch/acceptance/state.h"
 #include "amaranthlatch/document/document_parser.h"
-#include "amaranthlatch/document/json_guard.h"
+#include "cbor_sequence.h"
 #include "state_data.h"
 #include "validation.h"
 #include "verdict_codec.h"
@@ -28,7 +29,7 @@
 constexpr std::uint64_t kPublishIdFlag = 1;
 constexpr std::uint64_t kHistoryFlag = 2;
 
-constexpr std::size_t kTopFields = 5;
+constexpr std::size_t kHeaderFields = 5;
 constexpr std::size_t kDocumentFields = 3;
 constexpr std::size_t kVerdictFields = 2;
 
@@ -41,16 +42,7 @@
   return utils::Fail(ErrorCode::kSnapshotMalformed, std::move(message));
 }
 
-json DocumentsToJson(const State::Data& data) {
-  json documents = json::array();
-  data.documents.ForEach([&](const auto& entry) {
-    const AcceptedDocument& accepted = entry.value->accepted;
-    documents.push_back(json::array({entry.key, accepted.version, *accepted.source}));
-  });
-  return documents;
-}
-
-json VerdictsToJson(const State::Data& data) {
+std::map<Offset, FlaggedVerdict> FlagVerdicts(const State::Data& data) {
   std::map<Offset, FlaggedVerdict> flagged;
   data.publish_order.ForEach([&](const auto& entry) {
     flagged[entry.key] = {entry.value, kPublishIdFlag};
@@ -62,14 +54,10 @@
       item.flags |= kHistoryFlag;
     }
   });
-  json verdicts = json::array();
-  for (const auto& [offset, item] : flagged) {
-    verdicts.push_back(json::array({item.flags, details::VerdictToJson(item.stored->verdict)}));
-  }
-  return verdicts;
+  return flagged;
 }
 
-std::string Compress(const std::vector<std::uint8_t>& bytes) {
+std::string Compress(const std::string& bytes) {
   std::string compressed(ZSTD_compressBound(bytes.size()), '\0');
   const std::size_t size = ZSTD_compress(compressed.data(), compressed.size(), bytes.data(),
                                          bytes.size(), kCompressionLevel);
@@ -115,79 +103,130 @@
   return std::nullopt;
 }
 
-std::optional<utils::Error> AddVerdict(State::Data& data, const json& item, Offset& last_offset) {
-  const utils::Error malformed{ErrorCode::kSnapshotMalformed, "a verdict has another shape", ""};
+utils::Result<FlaggedVerdict> ReadVerdict(const json& item, Offset last_offset, Offset head) {
   if (!item.is_array() || item.size() != kVerdictFields || !item[0].is_number_unsigned()) {
-    return malformed;
+    return Malformed("a verdict has another shape");
   }
   auto verdict = details::VerdictFromJson(item[1]);
-  if (!verdict || verdict->offset <= last_offset || verdict->offset > data.head) {
-    return malformed;
-  }
-  last_offset = verdict->offset;
-  const auto flags = item[0].get<std::uint64_t>();
-  const auto stored = details::StoreVerdict(std::move(*verdict));
-  if ((flags & kPublishIdFlag) != 0) {
-    if (data.publish_ids.Find(stored->verdict.publish_id) != nullptr) {
-      return malformed;
-    }
-    data.RememberPublishId(stored);
+  if (!verdict || verdict->offset <= last_offset || verdict->offset > head) {
+    return Malformed("a verdict has another shape or is out of place");
   }
-  if ((flags & kHistoryFlag) != 0) {
-    data.AppendHistory(stored);
-  }
-  return std::nullopt;
+  return FlaggedVerdict{details::StoreVerdict(std::move(*verdict)), item[0].get<std::uint64_t>()};
 }
 
-bool HasTopShape(const json& content) {
-  return content.is_array() && content.size() == kTopFields && content[0] == kSnapshotFormat &&
-         content[1].is_number_unsigned() && content[2].is_number_unsigned() &&
-         content[3].is_array() && content[4].is_array();
-}
+// Counts and hash of the first item.
+struct Header {
+  Offset head = 0;
+  std::uint64_t hash = 0;
+  std::uint64_t documents = 0;
+  std::uint64_t verdicts = 0;
+};
 
-utils::Result<std::shared_ptr<State::Data>> ReadContent(const json& content) {
-  if (!HasTopShape(content)) {
+utils::Result<Header> ReadHeader(details::CborSequenceReader& reader) {
+  const auto item = reader.Next();
+  if (!item) {
+    return tl::unexpected(item.error());
+  }
+  bool has_shape = item->is_array() && item->size() == kHeaderFields;
+  for (std::size_t i = 0; has_shape && i < kHeaderFields; ++i) {
+    has_shape = (*item)[i].is_number_unsigned();
+  }
+  if (!has_shape || (*item)[0] != kSnapshotFormat) {
     return Malformed("not a snapshot of format " + std::to_string(kSnapshotFormat));
   }
-  auto data = std::make_shared<State::Data>();
-  data->head = content[1].get<Offset>();
-  for (const json& item : content[3]) {
-    if (const auto error = AddDocument(*data, item)) {
-      return tl::unexpected(*error);
+  return Header{(*item)[1].get<Offset>(), (*item)[2].get<std::uint64_t>(),
+                (*item)[3].get<std::uint64_t>(), (*item)[4].get<std::uint64_t>()};
+}
+
+std::optional<utils::Error> ReadDocuments(State::Data& data, details::CborSequenceReader& reader,
+                                          const Header& header) {
+  for (std::uint64_t i = 0; i < header.documents; ++i) {
+    const auto item = reader.Next();
+    if (!item) {
+      return item.error();
+    }
+    if (auto error = AddDocument(data, *item)) {
+      return error;
     }
   }
+  return std::nullopt;
+}
+
+std::optional<utils::Error> ReadVerdicts(State::Data& data, details::CborSequenceReader& reader,
+                                         const Header& header) {
+  details::VerdictList remembered;
   Offset last_offset = 0;
-  for (const json& item : content[4]) {
-    if (const auto error = AddVerdict(*data, item, last_offset)) {
-      return tl::unexpected(*error);
+  for (std::uint64_t i = 0; i < header.verdicts; ++i) {
+    const auto item = reader.Next();
+    if (!item) {
+      return item.error();
+    }
+    const auto flagged = ReadVerdict(*item, last_offset, header.head);
+    if (!flagged) {
+      return flagged.error();
+    }
+    last_offset = flagged->stored->verdict.offset;
+    if ((flagged->flags & kPublishIdFlag) != 0) {
+      remembered.push_back(flagged->stored);
+    }
+    if ((flagged->flags & kHistoryFlag) != 0) {
+      data.AppendHistory(flagged->stored);
     }
   }
+  if (!data.SetPublishIds(std::move(remembered))) {
+    return utils::Error{ErrorCode::kSnapshotMalformed, "the publish ids are not distinct", ""};
+  }
+  return std::nullopt;
+}
+
+utils::Result<std::shared_ptr<State::Data>> ReadContent(details::CborSequenceReader& reader,
+                                                        const Header& header) {
+  auto data = std::make_shared<State::Data>();
+  data->head = header.head;
+  auto error = ReadDocuments(*data, reader, header);
+  error = error ? error : ReadVerdicts(*data, reader, header);
+  if (error) {
+    return tl::unexpected(*error);
+  }
+  if (!reader.IsAtEnd()) {
+    return Malformed("bytes follow the last item");
+  }
   return data;
 }
 
 }  // namespace
 
 std::string State::EncodeSnapshot() const {
-  const json content = json::array({kSnapshotFormat, this->data->head, this->Hash(),
-                                    DocumentsToJson(*this->data), VerdictsToJson(*this->data)});
-  return Compress(json::to_cbor(content));
+  const std::map<Offset, FlaggedVerdict> flagged = FlagVerdicts(*this->data);
+  details::CborSequenceWriter writer;
+  writer.Append(json::array({kSnapshotFormat, this->data->head, this->Hash(),
+                             this->data->documents.Size(), flagged.size()}));
+  this->data->documents.ForEach([&](const auto& entry) {
+    const AcceptedDocument& accepted = entry.value->accepted;
+    writer.Append(json::array({entry.key, accepted.version, *accepted.source}));
+  });
+  for (const auto& [offset, item] : flagged) {
+    writer.Append(json::array({item.flags, details::VerdictToJson(item.stored->verdict)}));
+  }
+  return Compress(writer.Bytes());
 }
 
 utils::Result<State> State::DecodeSnapshot(std::string_view bytes) {
-  const auto decompressed = Decompress(bytes);
-  if (!decompressed) {
-    return tl::unexpected(decompressed.error());
-  }
-  const auto content = document::ParseCbor(*decompressed, ErrorCode::kSnapshotMalformed);
+  const auto content = Decompress(bytes);
   if (!content) {
     return tl::unexpected(content.error());
   }
-  auto data = ReadContent(*content);
+  details::CborSequenceReader reader(*content);
+  const auto header = ReadHeader(reader);
+  if (!header) {
+    return tl::unexpected(header.error());
+  }
+  auto data = ReadContent(reader, *header);
   if (!data) {
     return tl::unexpected(data.error());
   }
   State state(std::move(*data));
-  if (state.Hash() != (*content)[2].get<std::uint64_t>()) {
+  if (state.Hash() != header->hash) {
     return utils::Fail(ErrorCode::kSnapshotHashMismatch, "the content does not match its hash");
   }
   if (const std::string dangling = state.FirstDanglingReference(); !dangling.empty()) {
--- a/libs/acceptance/src/state.cc
+++ b/libs/acceptance/src/state.cc
@@ -151,13 +151,19 @@
 
 std::string State::FirstDanglingReference() const {
   std::string dangling;
+  const auto defines = [this](const document::ServiceDocument& source,
+                              const document::SplitTarget& target) {
+    if (target.service == source.service) {
+      return source.versions.contains(target.version);
+    }
+    const AcceptedDocument* other = this->FindAccepted(target.service);
+    return other != nullptr && other->document->versions.contains(target.version);
+  };
   this->data->documents.ForEach([&](const auto& entry) {
     const document::ServiceDocument& source = *entry.value->accepted.document;
     for (const document::Route& route : source.routes) {
       for (const document::SplitTarget& target : route.split) {
-        const auto found = this->Find(target.service);
-        const bool resolves = found != nullptr && found->versions.contains(target.version);
-        if (!resolves && dangling.empty()) {
+        if (dangling.empty() && !defines(source, target)) {
           dangling = source.service + " route " + route.name + " -> " + target.service + "/" +
                      target.version;
         }
--- a/libs/acceptance/src/state_data.cc
+++ b/libs/acceptance/src/state_data.cc
@@ -2,6 +2,7 @@
 
 #include "state_data.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <utility>
@@ -22,6 +23,18 @@
   return utils::Hash64({reinterpret_cast<const char*>(bytes.data()), bytes.size()}, seed);
 }
 
+std::uint64_t HashOfVerdict(const Verdict& verdict) {
+  std::uint64_t hash = utils::CombineHash(verdict.offset, verdict.replaced);
+  hash = utils::CombineHash(hash, static_cast<std::uint64_t>(verdict.outcome));
+  hash = utils::CombineHash(hash, static_cast<std::uint64_t>(verdict.action));
+  hash = utils::CombineHash(hash, utils::ToNumber(verdict.code));
+  for (const std::string* text : {&verdict.message, &verdict.pointer, &verdict.service,
+                                  &verdict.publish_id, &verdict.author, &verdict.published_at}) {
+    hash = utils::Hash64(*text, hash);
+  }
+  return hash;
+}
+
 // Versions that the routes of a document name, by service, without those of its own.
 std::map<std::string, std::vector<std::string>> ForeignTargets(
     const document::ServiceDocument& document) {
@@ -43,7 +56,7 @@
 }  // namespace
 
 StoredVerdictPtr StoreVerdict(Verdict verdict) {
-  const std::uint64_t hash = HashOfCbor(VerdictToJson(verdict), 0);
+  const std::uint64_t hash = HashOfVerdict(verdict);
   return std::make_shared<const StoredVerdict>(StoredVerdict{std::move(verdict), hash});
 }
 
@@ -101,6 +114,29 @@
   }
 }
 
+bool State::Data::SetPublishIds(details::VerdictList verdicts) {
+  using ByOffset = details::PersistentMap<Offset, details::StoredVerdictPtr>;
+  using ById = details::PersistentMap<std::string, details::StoredVerdictPtr>;
+  std::vector<ByOffset::Entry> by_offset;
+  std::vector<ById::Entry> by_id;
+  for (const details::StoredVerdictPtr& stored : verdicts) {
+    by_offset.push_back({stored->verdict.offset, stored});
+    by_id.push_back({stored->verdict.publish_id, stored});
+    this->sum += details::HashOfPublishId(*stored);
+  }
+  std::sort(by_id.begin(), by_id.end(),
+            [](const auto& left, const auto& right) { return left.key < right.key; });
+  const auto repeated =
+      std::adjacent_find(by_id.begin(), by_id.end(),
+                         [](const auto& left, const auto& right) { return left.key == right.key; });
+  if (repeated != by_id.end() || by_id.size() > kMaxPublishIds) {
+    return false;
+  }
+  this->publish_order = ByOffset::FromSorted(std::move(by_offset));
+  this->publish_ids = ById::FromSorted(std::move(by_id));
+  return true;
+}
+
 void State::Data::ForgetOldestPublishId() {
   const details::StoredVerdictPtr oldest = this->publish_order.First()->value;
   this->publish_order.Erase(oldest->verdict.offset);
--- a/libs/acceptance/src/state_data.h
+++ b/libs/acceptance/src/state_data.h
@@ -83,6 +83,10 @@
   void RememberPublishId(const details::StoredVerdictPtr& stored);
   void AppendHistory(const details::StoredVerdictPtr& stored);
 
+  // Sets the remembered publish ids of an empty state; `verdicts` are in ascending order of offset.
+  // False where an id occurs twice or there are too many.
+  bool SetPublishIds(details::VerdictList verdicts);
+
  private:
   void ForgetOldestPublishId();
   void DropUnusedHistory();
--- a/libs/acceptance/src/verdict_codec.h
+++ b/libs/acceptance/src/verdict_codec.h
@@ -1,4 +1,4 @@
-// Verdicts as JSON arrays, for hashes and snapshots.
+// Verdicts as JSON arrays, for snapshots.
 
 #pragma once
 
@@ -10,7 +10,7 @@
 namespace amaranthlatch::acceptance::details {
 
 // `[offset, outcome, code, message, pointer, service, publish_id, author, published_at, action,
-// replaced]`. The texts are part of the state: a release that changes them changes the state hash
+// replaced]`. The texts are part of the state hash: a release that changes them changes the hash
 // and must raise kSnapshotFormat.
 nlohmann::json VerdictToJson(const Verdict& verdict);
 
--- a/libs/acceptance/tests/state_property_test.cc
+++ b/libs/acceptance/tests/state_property_test.cc
@@ -170,9 +170,12 @@
 
 // Guards against a stack that overflows and memory that a few bytes make large.
 TEST(StateProperty, NestedAndInflatedSnapshotsAreRefused) {
-  const std::string nested = Compress(std::string(10'000'000, '\x81'));
+  std::string content;
+  content.resize(10'000'000, '\x81');
+  const std::string nested = Compress(content);
   CHECK_TRUE(State::DecodeSnapshot(nested).error().code == ErrorCode::kSnapshotMalformed);
-  const std::string inflated = Compress(std::string(kMaxSnapshotBytes + 1, '\0'));
+  content.resize(kMaxSnapshotBytes + 1);
+  const std::string inflated = Compress(content);
   CHECK_TRUE(State::DecodeSnapshot(inflated).error().code == ErrorCode::kSnapshotMalformed);
 }
 
