--- a/libs/acceptance/tests/state_test.cc
+++ b/libs/acceptance/tests/state_test.cc
@@ -5,6 +5,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include "amaranthlatch/acceptance/publish_record.h"
+#include "amaranthlatch/acceptance/verdict_json.h"
 #include "record_fixture.h"
 
 namespace amaranthlatch::acceptance {
@@ -98,6 +99,20 @@
   CHECK_TRUE(!repeated && repeated.error().code == ErrorCode::kOffsetGap);
 }
 
+// Guards against an audit trail whose verdicts cannot be read back.
+TEST(State, VerdictsAreReadBackFromJson) {
+  Publish(PutRecord("p1", MakeDocument("a"), 0));
+  for (const nlohmann::json& record :
+       {PutRecord("p2", MakeDocument("a"), 1), PutRecord("p1", MakeDocument("a"), 1),
+        RemoveRecord("p3", "a", 1), RemoveRecord("p4", "a", 2)}) {
+    const Verdict verdict = Publish(record);
+    CHECK_TRUE(VerdictFromJson(ToJson(verdict)) == verdict);
+  }
+  for (const char* text : {"7", "{}", R"({"outcome":"accepted"})"}) {
+    CHECK_FALSE(VerdictFromJson(nlohmann::json::parse(text)).has_value());
+  }
+}
+
 // Guards against snapshots that lose a part of the state.
 TEST(State, SnapshotGivesAnEqualState) {
   Publish(PutRecord("p1", MakeDocument("a"), 0));
