--- a/libs/distribution/include/amaranthlatch/distribution/options.h
+++ b/libs/distribution/include/amaranthlatch/distribution/options.h
@@ -71,6 +71,8 @@
   utils::Duration snapshot_check = utils::Seconds(5);
   // A snapshot in the stream is renewed when it is more records than this behind.
   std::uint64_t snapshot_max_behind = 1'000;
+  // An unchanged state is written again after this time, because the log may keep records by age.
+  utils::Duration snapshot_max_age = utils::Seconds(3'600);
 
   bool operator==(const Options&) const = default;
 };
--- a/libs/distribution/src/anti_entropy.cc
+++ b/libs/distribution/src/anti_entropy.cc
@@ -63,7 +63,7 @@
 
 std::optional<membership::NodeId> AntiEntropy::RandomOutsidePeer(const Context& context) {
   if (this->random.Chance(0.5)) {
-    const auto remote = this->RandomRemoteReader(context, this->random.Chance(0.5));
+    auto remote = this->RandomRemoteReader(context, this->random.Chance(0.5));
     if (remote) {
       return remote;
     }
--- a/libs/distribution/src/difference.cc
+++ b/libs/distribution/src/difference.cc
@@ -12,8 +12,8 @@
 
 namespace {
 
-const char* const kDocument = "document";
-const char* const kService = "service";
+constexpr const char* kDocument = "document";
+constexpr const char* kService = "service";
 
 std::uint64_t HashBytes(const std::vector<std::uint8_t>& bytes) {
   return utils::Hash64({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
--- a/libs/distribution/src/distribution.cc
+++ b/libs/distribution/src/distribution.cc
@@ -14,6 +14,7 @@
 #include "reader_role.h"
 #include "readiness.h"
 #include "replica.h"
+#include "snapshot_stream.h"
 #include "snapshot_transfer.h"
 #include "topology.h"
 
@@ -40,6 +41,7 @@
   void Spread(const Context& context, EntrySource source, Offset before);
   EntrySource SourceOf(const Context& context, const membership::NodeId& from);
   void PutInForce(const Context& context);
+  bool WritesSnapshots();
   void RunTimers(const Context& context);
   void ReportReadiness(const Context& context);
   std::optional<utils::Timestamp> FindNextWake() const;
@@ -67,6 +69,8 @@
   details::CatchUp catch_up{this->options,      this->topology, this->replica,
                             this->readiness,    this->log,      this->snapshot_receiver,
                             this->anti_entropy, this->exchange, this->random};
+  details::SnapshotStream snapshot_stream{this->options, this->replica,  this->log,
+                                          this->numbers, this->counters, this->random};
   bool reported_ready = false;
   std::optional<std::uint64_t> pruned_generation;
   // Nothing before the first event.
@@ -198,8 +202,14 @@
     this->readiness.OnUnreachable(unreachable->id);
   } else if (const auto* read = std::get_if<LogRead>(&event)) {
     this->log.OnRead(context, *read, applied);
+    this->snapshot_stream.OnRead(context, *read);
   } else if (const auto* failure = std::get_if<LogReadFailed>(&event)) {
     this->log.OnFailed(context, *failure);
+    this->snapshot_stream.OnFailed(context, *failure);
+  } else if (const auto* done = std::get_if<LogAppendDone>(&event)) {
+    this->snapshot_stream.OnAppendDone(context, *done);
+  } else if (const auto* append = std::get_if<LogAppendFailed>(&event)) {
+    this->snapshot_stream.OnAppendFailed(context, *append);
   }
   if (applied) {
     // A starting node that is no reader reads for itself only.
@@ -225,6 +235,19 @@
   }
 }
 
+// The reader of the platform's region writes; without that region, the reader of the first one.
+bool Distribution::Parts::WritesSnapshots() {
+  const std::vector<std::string> regions = this->topology.Regions();
+  const bool known =
+      std::find(regions.begin(), regions.end(), this->options.log_region) != regions.end();
+  const bool own_region = known ? this->topology.Region() == this->options.log_region
+                                : !regions.empty() && this->topology.Region() == regions.front();
+  // Without heartbeats every candidate takes itself for active.
+  const bool reader =
+      this->strategy->EveryNodeReads() ? this->role.Rank() == 0U : this->role.Active();
+  return own_region && reader && this->readiness.Ready();
+}
+
 void Distribution::Parts::RunTimers(const Context& context) {
   this->counters.push_timeouts += this->links.ExpirePushes(context.now);
   const bool exchanges = !this->strategy->EveryNodeReads();
@@ -236,6 +259,8 @@
     this->anti_entropy.Run(context, reader, following);
   }
   this->snapshot_receiver.Run(context);
+  this->snapshot_stream.Run(context, this->WritesSnapshots(),
+                            this->catch_up.WantsSnapshotStream(context));
   this->PutInForce(context);
   this->catch_up.Run(context);
   this->readiness.Run(context);
@@ -259,6 +284,7 @@
            this->snapshot_receiver.NextWake(),
            this->catch_up.NextWake(),
            this->readiness.NextWake(),
+           this->snapshot_stream.NextWake(),
        }) {
     if (due && (!next || *due < *next)) {
       next = due;
--- a/libs/distribution/src/message_codec.cc
+++ b/libs/distribution/src/message_codec.cc
@@ -120,19 +120,19 @@
   }
 
   const json& Array(std::size_t limit) {
-    static const json kEmpty = json::array();
+    static const json empty = json::array();
     const json* field = this->Next();
     if (field == nullptr || !field->is_array() || field->size() > limit) {
       this->failed = true;
-      return kEmpty;
+      return empty;
     }
     return *field;
   }
 
   const json& Any() {
-    static const json kNull;
+    static const json null;
     const json* field = this->Next();
-    return field == nullptr ? kNull : *field;
+    return field == nullptr ? null : *field;
   }
 
   void Fail() { this->failed = true; }
--- a/libs/distribution/src/reader_role.h
+++ b/libs/distribution/src/reader_role.h
@@ -20,6 +20,7 @@
   // the ones before them have been silent. A second reader costs only bytes.
   bool Update(const Context& context);
   bool Active() const { return this->active; }
+  std::optional<std::size_t> Rank() const { return this->rank; }
 
   void OnHeartbeat(const Context& context, const membership::NodeId& from,
                    const ReaderHeartbeat& heartbeat, Offset held);
--- /dev/null
+++ b/libs/distribution/src/snapshot_stream.h
@@ -0,0 +1,65 @@
+// Snapshots in the log: written by the reader of the platform's region, read as the last resort.
+
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "amaranthlatch/distribution/counters.h"
+#include "amaranthlatch/distribution/options.h"
+#include "context.h"
+#include "log_follower.h"
+#include "replica.h"
+#include "snapshot_scan.h"
+
+namespace amaranthlatch::distribution::details {
+
+class SnapshotStream {
+ public:
+  SnapshotStream(const Options& options, Replica& replica, const LogFollower& log,
+                 RequestNumbers& numbers, Counters& counters, utils::Random& random);
+
+  // `writer` tells whether this node writes snapshots, `wanted` whether it needs one.
+  void Run(const Context& context, bool writer, bool wanted);
+  std::optional<utils::Timestamp> NextWake() const;
+
+  void OnRead(const Context& context, const LogRead& read) { this->scan.OnRead(context, read); }
+  void OnFailed(const Context& context, const LogReadFailed& failure) {
+    this->scan.OnFailed(context, failure);
+  }
+  void OnAppendDone(const Context& context, const LogAppendDone& done);
+  void OnAppendFailed(const Context& context, const LogAppendFailed& failure);
+
+ private:
+  struct Writing {
+    Snapshot snapshot;
+    std::size_t index = 0;
+    std::uint64_t request = 0;
+    utils::Timestamp deadline{};
+    utils::Timestamp next_append{};
+  };
+
+  void FinishScan(const Context& context, bool wanted);
+  // Returns whether the snapshot that the scan has found is intact and of use.
+  bool UseFound(bool wanted);
+  void Check(const Context& context);
+  bool IsDue(const Context& context) const;
+  void Write(const Context& context);
+  void RetryAppend(const Context& context);
+
+  const Options& options;
+  Replica& replica;
+  const LogFollower& log;
+  RequestNumbers& numbers;
+  Counters& counters;
+  SnapshotScan scan;
+  Backoff backoff;
+  bool was_writer = false;
+  utils::Timestamp next_check{};
+  // Offset of the newest complete snapshot in the stream, and when this node saw or wrote it.
+  std::optional<Offset> newest;
+  utils::Timestamp newest_since{};
+  std::optional<Writing> writing;
+};
+
+}  // namespace amaranthlatch::distribution::details
--- a/libs/distribution/src/snapshot_transfer.cc
+++ b/libs/distribution/src/snapshot_transfer.cc
@@ -76,7 +76,7 @@
       chunk.offset <= this->replica.HeldOffset()) {
     return false;
   }
-  this->transfer.emplace();
+  this->transfer = Transfer();
   this->transfer->from = from;
   this->transfer->count = chunk.count;
   this->transfer->deadline = context.now;
--- a/libs/distribution/tests/cluster.cc
+++ b/libs/distribution/tests/cluster.cc
@@ -128,6 +128,7 @@
   node.held = 0;
   node.in_force = 0;
   node.stopped = false;
+  node.seen_boots.clear();
   node.paused_until = {};
   this->members[index].boot_id = this->next_boot++;
   ++this->members[index].incarnation;
@@ -168,7 +169,7 @@
   if (!to || !this->nodes[*to].reducer || this->Cut(from, to)) {
     if (to && !this->Cut(from, to)) {
       this->Enqueue(kLocalDelay,
-                    {from, this->members[from].boot_id, 0, PeerUnreachable{message.to}});
+                    {from, this->members[from].boot_id, 0, 0, PeerUnreachable{message.to}});
     }
     return;
   }
@@ -187,7 +188,7 @@
     }
     const utils::Duration delay =
         (same_region ? kLocalDelay : kRegionDelay) + this->random.Jitter(this->fault.late);
-    this->Enqueue(delay, {*to, this->members[*to].boot_id, this->members[from].boot_id,
+    this->Enqueue(delay, {*to, this->members[*to].boot_id, from, this->members[from].boot_id,
                           PeerMessage{this->members[from].id, *decoded}});
   }
 }
@@ -204,7 +205,7 @@
   const ReadLog& read = pending.read;
   const FakeStream& stream = this->StreamOf(read.stream);
   const auto answer = [&](Event event) {
-    this->Enqueue(this->LogDelay(), {pending.node, pending.boot, 0, std::move(event)});
+    this->Enqueue(this->LogDelay(), {pending.node, pending.boot, 0, 0, std::move(event)});
     return true;
   };
   if (this->fault.log_down || this->Cut(pending.node, std::nullopt)) {
@@ -246,7 +247,7 @@
   if (down || this->fault.log_loses_answers) {
     event = LogAppendFailed{append.request, error};
   }
-  this->Enqueue(this->LogDelay(), {index, this->members[index].boot_id, 0, std::move(event)});
+  this->Enqueue(this->LogDelay(), {index, this->members[index].boot_id, 0, 0, std::move(event)});
 }
 
 void Cluster::Perform(std::size_t index, const std::vector<Effect>& effects) {
@@ -306,21 +307,35 @@
   }
 }
 
+bool Cluster::Accepts(const Delivery& delivery) {
+  if (this->members[delivery.to].boot_id != delivery.to_boot) {
+    return false;
+  }
+  std::uint64_t& seen = this->nodes[delivery.to].seen_boots[delivery.from];
+  const bool older = delivery.from_boot != 0 && delivery.from_boot < seen;
+  seen = std::max(seen, delivery.from_boot);
+  return !older;
+}
+
+void Cluster::DeliverDue() {
+  while (!this->queue.empty() && this->queue.begin()->first <= this->now) {
+    const Delivery delivery = this->queue.begin()->second;
+    this->queue.erase(this->queue.begin());
+    const utils::Timestamp paused_until = this->nodes[delivery.to].paused_until;
+    if (paused_until > this->now) {
+      this->queue.emplace(paused_until, delivery);
+    } else if (this->Accepts(delivery)) {
+      this->Deliver(delivery.to, delivery.event);
+    }
+  }
+}
+
 void Cluster::Run(utils::Duration time) {
   const utils::Timestamp end = this->now + time;
   while (this->now < end && this->violation.empty()) {
     this->now += kStep;
     this->AnswerReads();
-    while (!this->queue.empty() && this->queue.begin()->first <= this->now) {
-      const auto [due, delivery] = *this->queue.begin();
-      this->queue.erase(this->queue.begin());
-      const bool current = this->members[delivery.to].boot_id == delivery.to_boot;
-      if (const Node& node = this->nodes[delivery.to]; node.paused_until > this->now) {
-        this->queue.emplace(node.paused_until, delivery);
-      } else if (current) {
-        this->Deliver(delivery.to, delivery.event);
-      }
-    }
+    this->DeliverDue();
     for (std::size_t i = 0; i < this->nodes.size(); ++i) {
       const Node& node = this->nodes[i];
       const auto due = node.reducer ? node.reducer->NextWake() : std::nullopt;
--- a/libs/distribution/tests/cluster.h
+++ b/libs/distribution/tests/cluster.h
@@ -83,6 +83,8 @@
     Offset served = 0;
     std::vector<acceptance::Verdict> verdicts;
     bool stopped = false;
+    // Newest process seen of each sender: the envelope lets nothing older through.
+    std::map<std::size_t, std::uint64_t> seen_boots;
   };
 
   // Zones are named "r<region>z<zone>".
@@ -104,6 +106,7 @@
   std::string Violation() const { return this->violation; }
   utils::Timestamp Now() const { return this->now; }
   std::string Describe() const;
+  const membership::Member& MemberAt(std::size_t index) const { return this->members[index]; }
 
   Fault fault;
   FakeStream config;
@@ -115,6 +118,8 @@
   struct Delivery {
     std::size_t to = 0;
     std::uint64_t to_boot = 0;
+    // For messages of other nodes.
+    std::size_t from = 0;
     std::uint64_t from_boot = 0;
     Event event;
   };
@@ -126,6 +131,8 @@
   };
 
   void Deliver(std::size_t index, const Event& event);
+  void DeliverDue();
+  bool Accepts(const Delivery& delivery);
   void Perform(std::size_t index, const std::vector<Effect>& effects);
   void Send(std::size_t from, const SendMessage& message);
   void Enqueue(utils::Duration delay, Delivery delivery);
