Stop waking a starting node for a timer that has passed

Cause: random run 747 did not converge: a node that starts kept asking for a wake-up at a time in the past, took every event for the end of a pause and forgot what its peers hold. Change: the timer ends once it has passed; the test cluster fails any run in which a reducer asks to be woken at or before the present.

--- a/libs/distribution/src/readiness.cc
+++ b/libs/distribution/src/readiness.cc
@@ -55,6 +55,7 @@
 }
 
 void Readiness::Run(const Context& context) {
+  this->last_run = context.now;
   if (!this->started_at) {
     this->started_at = context.now;
   }
@@ -187,7 +188,11 @@
   if (this->phase == Phase::kReady || !this->started_at) {
     return std::nullopt;
   }
-  return this->querying ? this->next_query : *this->started_at + this->options.alone_after;
+  const utils::Timestamp alone_at = *this->started_at + this->options.alone_after;
+  if (this->querying) {
+    return this->next_query;
+  }
+  return alone_at > this->last_run ? std::optional(alone_at) : std::nullopt;
 }
 
 std::string Readiness::Reason() const {
--- a/libs/distribution/src/readiness.h
+++ b/libs/distribution/src/readiness.h
@@ -65,6 +65,7 @@
 
   Phase phase = Phase::kStarting;
   std::optional<utils::Timestamp> started_at;
+  utils::Timestamp last_run{};
   std::optional<Offset> target;
   utils::Timestamp next_query{};
   bool querying = false;
--- a/libs/distribution/tests/cluster.cc
+++ b/libs/distribution/tests/cluster.cc
@@ -277,6 +277,10 @@
   }
   this->Perform(index, node.reducer->Reduce(event, this->now, *node.view));
   this->Check(index);
+  const std::optional<utils::Timestamp> next = node.reducer->NextWake();
+  if (next && *next <= this->now) {
+    this->Fail(node.id + " asks to be woken at once, again and again");
+  }
 }
 
 void Cluster::Fail(const std::string& text) {
@@ -368,6 +372,11 @@
     if (node.reducer) {
       text += "\n" + node.id + " held " + std::to_string(node.reducer->Held()) + " in force " +
               std::to_string(node.in_force) + " " + node.reducer->Reason();
+      const Counters& c = node.reducer->GetCounters();
+      text += " mism " + std::to_string(c.hash_mismatches) + " strangers " +
+              std::to_string(c.strangers) + " pushes " + std::to_string(c.pushes_received) +
+              " gaps " + std::to_string(c.gaps) + " repairs " + std::to_string(c.repairs) +
+              " pauses " + std::to_string(c.pauses);
     }
   }
   return text;
