--- a/libs/calls/src/entry.cc
+++ b/libs/calls/src/entry.cc
@@ -191,11 +191,17 @@
 void Entry::OnReply(const Context& context, const CallReply& reply) {
   OpenCall* call = this->IsOwn(context, reply.id) ? this->Find(reply.id.call) : nullptr;
   Attempt* attempt = call == nullptr ? nullptr : FindOpen(*call, reply.id.attempt);
+  const Answer& answer = reply.answer;
+  if (attempt == nullptr && answer.kind == ResultKind::kAnswered && call != nullptr &&
+      IsGivenUp(*call, reply.id.attempt)) {
+    // An earlier attempt of a call that may repeat: its late answer is as good as another's.
+    this->Finish(context, *call, answer);
+    return;
+  }
   if (attempt == nullptr) {
     ++this->shared.counters.ignored_replies;
     return;
   }
-  const Answer& answer = reply.answer;
   this->balancer.OnLoad(attempt->gate, reply.in_flight + reply.queued, context.now);
   if (answer.code == ErrorCode::kGateUnreachable) {
     this->balancer.OnForeignProcess(attempt->gate, attempt->gate_boot);
@@ -322,6 +328,11 @@
   return attempt.stage == AttemptStage::kOpen ? &attempt : nullptr;
 }
 
+bool Entry::IsGivenUp(const OpenCall& call, std::uint32_t number) {
+  return number != 0 && number <= call.attempts.size() &&
+         call.attempts[number - 1].stage == AttemptStage::kUnknown;
+}
+
 std::optional<Timestamp> Entry::NextWake() const {
   if (this->timers.empty()) {
     return std::nullopt;
--- a/libs/calls/src/entry.h
+++ b/libs/calls/src/entry.h
@@ -122,6 +122,8 @@
   OpenCall* Find(std::uint64_t call);
   // The open attempt of an id; null for one that is settled or was never made.
   static Attempt* FindOpen(OpenCall& call, std::uint32_t number);
+  // The attempt may have run, and the call goes on without it.
+  static bool IsGivenUp(const OpenCall& call, std::uint32_t number);
   bool IsOwn(const Context& context, const AttemptId& id) const;
   void Schedule(OpenCall& call);
   static utils::Timestamp WakeOf(const OpenCall& call);
--- /dev/null
+++ b/libs/calls/tests/entry_test.cc
@@ -0,0 +1,224 @@
+// Tests of the entry side: fences, retries and the truth of its answers.
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+#include "mesh.h"
+
+namespace amaranthlatch::calls::testing {
+
+using utils::ErrorCode;
+using utils::Milliseconds;
+using utils::Seconds;
+
+// Node 0 has no backend server of its own, so that every call crosses the network.
+TEST_GROUP(Entry) {
+  Mesh mesh{3, 1};
+
+  void setup() override { this->mesh.Publish(0, membership::MemberState::kJoining); }
+
+  // Drops the first `count` messages of type T.
+  template <typename T>
+  void Lose(int count) {
+    this->mesh.filter = [count](std::size_t, std::size_t, const Message& message) mutable {
+      return !std::holds_alternative<T>(message) || count-- <= 0;
+    };
+  }
+  Answer CallAndWait(const std::string& path, const std::string& body) {
+    const std::uint64_t call = this->mesh.Call(0, path, body);
+    this->mesh.RunFor(Seconds(4));
+    return this->mesh.MustAnswer(call);
+  }
+  const Counters& EntryCounters() { return this->mesh.nodes[0].calls->GetCounters(); }
+  void teardown() override { STRCMP_EQUAL("", this->mesh.Fault().c_str()); }
+};
+
+// Guards against a lost request that ends as unknown although a fence can prove that it never ran.
+TEST(Entry, LostRequestIsFencedAndSentElsewhere) {
+  this->Lose<CallRequest>(1);
+  const Answer answer = this->CallAndWait("/write", "a");
+  CHECK_TRUE(answer.kind == ResultKind::kAnswered);
+  CHECK_EQUAL(1, this->mesh.RunsOf("a"));
+  CHECK_EQUAL(1, this->EntryCounters().fences_not_run);
+}
+
+// Guards against a second run of a request whose answer was lost, and against a false "not run".
+TEST(Entry, LostReplyOfAWriteIsUnknown) {
+  this->Lose<CallReply>(1);
+  const Answer answer = this->CallAndWait("/write", "a");
+  CHECK_TRUE(answer.kind == ResultKind::kUnknown);
+  CHECK_EQUAL(1, this->mesh.RunsOf("a"));
+}
+
+// Guards against an idempotent call that fails although another server can answer it.
+TEST(Entry, LostReplyOfAReadIsRetriedElsewhere) {
+  this->Lose<CallReply>(1);
+  CHECK_TRUE(this->CallAndWait("/read", "a").kind == ResultKind::kAnswered);
+}
+
+// Guards against callers that wait for ever when the gate never answers the fence.
+TEST(Entry, UnansweredFenceEndsAsUnknownInTime) {
+  this->mesh.filter = [](std::size_t, std::size_t to, const Message&) { return to == 0; };
+  const std::uint64_t call = this->mesh.Call(0, "/write", "a");
+  this->mesh.RunFor(Milliseconds(2'500));
+  CHECK_TRUE(this->mesh.MustAnswer(call).kind == ResultKind::kUnknown);
+  CHECK_TRUE(this->EntryCounters().fences_unanswered > 0);
+}
+
+// Guards against a late copy that runs after the fence has said "not run".
+TEST(Entry, RequestThatArrivesAfterItsFenceIsRefused) {
+  std::optional<CallRequest> held;
+  std::size_t gate = 0;
+  this->mesh.filter = [&](std::size_t, std::size_t to, const Message& message) {
+    const auto* request = std::get_if<CallRequest>(&message);
+    if (request == nullptr || held) {
+      return true;
+    }
+    held = *request;
+    gate = to;
+    return false;
+  };
+  CHECK_TRUE(this->CallAndWait("/write", "a").kind == ResultKind::kAnswered);
+  this->mesh.Deliver(gate, PeerMessage{this->mesh.NodeName(0), *held});
+  this->mesh.RunFor(Seconds(1));
+  CHECK_EQUAL(1, this->mesh.RunsOf("a"));
+}
+
+// Guards against a late answer of an earlier attempt that is thrown away while a read still waits.
+TEST(Entry, LateAnswerOfAnEarlierAttemptIsUsedForARead) {
+  std::optional<CallReply> late;
+  this->mesh.filter = [&](std::size_t, std::size_t, const Message& message) {
+    const auto* reply = std::get_if<CallReply>(&message);
+    if (reply != nullptr && !late) {
+      late = *reply;
+    }
+    return reply == nullptr;
+  };
+  const std::uint64_t call = this->mesh.Call(0, "/read", "a");
+  this->mesh.RunFor(Milliseconds(900));
+  CHECK_TRUE(this->EntryCounters().retries > 0);
+  this->mesh.Deliver(0, PeerMessage{late->id.entry, *late});
+  CHECK_TRUE(this->mesh.MustAnswer(call).kind == ResultKind::kAnswered);
+  // The same answer again finds no call.
+  this->mesh.Deliver(0, PeerMessage{late->id.entry, *late});
+  CHECK_EQUAL(1, this->EntryCounters().ignored_replies);
+}
+
+// Guards against an answer that is taken for a call of the entry node's previous process.
+TEST(Entry, ReplyToAnotherProcessIsIgnored) {
+  CallReply forged;
+  this->mesh.filter = [&](std::size_t, std::size_t, const Message& message) {
+    if (const auto* reply = std::get_if<CallReply>(&message)) {
+      forged = *reply;
+    }
+    return !std::holds_alternative<CallReply>(message);
+  };
+  const std::uint64_t call = this->mesh.Call(0, "/write", "a");
+  this->mesh.RunFor(Milliseconds(100));
+  forged.id.entry_boot += 1;
+  this->mesh.Deliver(0, PeerMessage{forged.id.entry, forged});
+  CHECK_FALSE(this->mesh.OutcomeOf(call).answer.has_value());
+}
+
+// Guards against a message that never left the process being treated as sent.
+TEST(Entry, AttemptNotSentIsNotRun) {
+  this->mesh.filter = [](std::size_t, std::size_t, const Message&) { return false; };
+  const std::uint64_t call = this->mesh.Call(0, "/write", "a");
+  const std::string entry = this->mesh.NodeName(0);
+  for (std::uint32_t attempt = 1; attempt <= 3; ++attempt) {
+    this->mesh.Deliver(0, AttemptNotSent{{entry, this->mesh.nodes[0].boot, call, attempt}});
+    this->mesh.RunFor(Milliseconds(300));
+  }
+  CHECK_TRUE(this->mesh.MustAnswer(call).kind == ResultKind::kNotRun);
+}
+
+// Guards against a broken link being taken for a proof that the request did not run.
+TEST(Entry, PeerUnreachableIsNoProof) {
+  this->mesh.nodes[1].backend.service_time = Seconds(1);
+  this->mesh.nodes[2].backend.service_time = Seconds(1);
+  const std::uint64_t call = this->mesh.Call(0, "/write", "a");
+  this->mesh.RunFor(Milliseconds(20));
+  const int runs = this->mesh.RunsOf("a");
+  this->mesh.network.cut = {{0, 1}, {0, 2}};
+  this->mesh.Deliver(0, PeerUnreachable{this->mesh.NodeName(1)});
+  this->mesh.Deliver(0, PeerUnreachable{this->mesh.NodeName(2)});
+  this->mesh.RunFor(Seconds(1));
+  CHECK_EQUAL(1, runs);
+  CHECK_TRUE(this->mesh.MustAnswer(call).kind == ResultKind::kUnknown);
+  // Well before the deadline.
+  CHECK_TRUE(this->mesh.OutcomeOf(call).ended - this->mesh.OutcomeOf(call).sent < Seconds(1));
+}
+
+// Guards against a restarted gate that vouches for what its predecessor ran.
+TEST(Entry, RestartedGateCannotSayNotRun) {
+  this->mesh.Publish(2, membership::MemberState::kJoining);
+  this->mesh.nodes[1].backend.service_time = Seconds(3);
+  const std::uint64_t call = this->mesh.Call(0, "/write", "a");
+  this->mesh.RunFor(Milliseconds(100));
+  CHECK_EQUAL(1, this->mesh.RunsOf("a"));
+  this->mesh.KillNode(1);
+  this->mesh.StartNode(1);
+  this->mesh.RunFor(Seconds(4));
+  CHECK_TRUE(this->mesh.MustAnswer(call).kind == ResultKind::kUnknown);
+}
+
+// Guards against retries that multiply the load of an outage.
+TEST(Entry, RetriesStayWithinTheBudget) {
+  this->mesh.KillBackend(1);
+  this->mesh.KillBackend(2);
+  for (int i = 0; i < 300; ++i) {
+    this->mesh.Call(0, "/read", std::to_string(i));
+    this->mesh.RunFor(Milliseconds(10));
+  }
+  this->mesh.RunFor(Seconds(4));
+  // The burst of 10 and a tenth of the calls.
+  CHECK_TRUE(this->EntryCounters().retries <= 40);
+  CHECK_TRUE(this->EntryCounters().retries >= 30);
+  CHECK_EQUAL(300, this->EntryCounters().not_run);
+}
+
+// Guards against levels that retry each other's failures.
+TEST(Entry, AnswerMarkedNoRetryIsPassedOn) {
+  this->mesh.filter = [this](std::size_t from, std::size_t, const Message& message) {
+    const auto* reply = std::get_if<CallReply>(&message);
+    if (reply == nullptr || reply->answer.no_retry) {
+      return true;
+    }
+    CallReply marked = *reply;
+    marked.answer = Answer{ResultKind::kNotRun, ErrorCode::kQueueFull, "deeper", {}, true};
+    this->mesh.At({}, [this, from, marked] {
+      this->mesh.Deliver(0, PeerMessage{this->mesh.NodeName(from), marked});
+    });
+    return false;
+  };
+  const Answer answer = this->CallAndWait("/read", "a");
+  CHECK_TRUE(answer.kind == ResultKind::kNotRun && answer.no_retry);
+  CHECK_EQUAL(1, this->EntryCounters().attempts);
+}
+
+// Guards against calls without a route, a permit or room that reach a gate.
+TEST(Entry, RefusesWhatItCannotRoute) {
+  CHECK_TRUE(this->CallAndWait("/none", "a").code == ErrorCode::kNoRoute);
+  CHECK_TRUE(this->CallAndWait("/permit", "a").code == ErrorCode::kPermitRequired);
+  CHECK_TRUE(this->CallAndWait("/read", std::string(5'000, 'x')).code ==
+             ErrorCode::kRequestTooLarge);
+  this->mesh.Deliver(0, AdmissionChanged{false});
+  CHECK_TRUE(this->CallAndWait("/read", "a").code == ErrorCode::kNodeNotReady);
+  CHECK_EQUAL(0, this->EntryCounters().attempts);
+  CHECK_EQUAL(4, this->EntryCounters().not_run);
+}
+
+// Guards against an entry node that forgets the caller's own deadline.
+TEST(Entry, CallersDeadlineEndsTheCall) {
+  this->mesh.nodes[1].backend.mode = BackendMode::kSilent;
+  this->mesh.nodes[2].backend.mode = BackendMode::kSilent;
+  const std::uint64_t call = this->mesh.Call(0, "/write", "a", "", Milliseconds(200));
+  this->mesh.RunFor(Seconds(4));
+  CHECK_TRUE(this->mesh.MustAnswer(call).code == ErrorCode::kDeadlineExceeded);
+  CHECK_TRUE(this->mesh.MustAnswer(call).kind == ResultKind::kUnknown);
+  CHECK_TRUE(this->mesh.OutcomeOf(call).ended - this->mesh.OutcomeOf(call).sent <
+             Milliseconds(700));
+}
+
+}  // namespace amaranthlatch::calls::testing
