--- a/libs/calls/tests/random_faults_test.cc
+++ b/libs/calls/tests/random_faults_test.cc
@@ -38,7 +38,14 @@
 
 class FaultyRun {
  public:
-  explicit FaultyRun(std::uint64_t seed) : random(seed), mesh(kNodes, seed) {}
+  explicit FaultyRun(std::uint64_t seed) : random(seed), mesh(kNodes, seed) {
+    // With locality most calls stay on their node; without it most cross the network.
+    document::ServiceDocument document = FleetDocument();
+    if (this->random.Chance(0.75)) {
+      document.locality.prefer = document::LocalityPreference::kNone;
+    }
+    this->mesh.routes.Set(document);
+  }
 
   // The first broken promise; empty for none.
   std::string Judge() {
