--- a/libs/calls/tests/random_faults_test.cc
+++ b/libs/calls/tests/random_faults_test.cc
@@ -4,6 +4,7 @@
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
 
+#include <array>
 #include <cstdio>
 #include <cstdlib>
 #include <string>
@@ -17,6 +18,7 @@
 using utils::Seconds;
 
 constexpr std::size_t kNodes = 4;
+constexpr std::uint64_t kMaxFaults = 8;
 constexpr utils::Duration kFaultyTime = Seconds(12);
 // Longer than any deadline and any late message.
 constexpr utils::Duration kQuietTime = Seconds(12);
@@ -31,20 +33,32 @@
   kShed,
   kSlow,
   kPartition,
+  kNotAdmitting,
   kCount,
 };
 
 class FaultyRun {
  public:
-  explicit FaultyRun(std::uint64_t seed) : random(seed), mesh(kNodes, seed) {}
+  explicit FaultyRun(std::uint64_t seed) : random(seed), mesh(kNodes, seed) {
+    // With locality most calls stay on their node; without it most cross the network.
+    document::ServiceDocument document = FleetDocument();
+    if (this->random.Chance(0.75)) {
+      document.locality.prefer = document::LocalityPreference::kNone;
+    }
+    this->mesh.routes.Set(document);
+    // From idle to overloaded: 4 nodes with 4 slots each take 107 calls a second at 150 ms.
+    constexpr std::array<std::int64_t, 4> kServiceTimes = {5, 20, 60, 150};
+    this->service_time = Milliseconds(kServiceTimes.at(this->random.Below(kServiceTimes.size())));
+    this->HealNetwork();
+  }
 
   // The first broken promise; empty for none.
   std::string Judge() {
-    const std::size_t faults = 1 + this->random.Below(3);
+    const std::size_t faults = 1 + this->random.Below(kMaxFaults);
     for (std::size_t i = 0; i < faults; ++i) {
       const auto kind =
           static_cast<FaultKind>(this->random.Below(static_cast<std::uint64_t>(FaultKind::kCount)));
-      const utils::Duration start = this->random.Jitter(kFaultyTime);
+      const utils::Duration start = this->random.Jitter(kFaultyTime / 3);
       this->mesh.At(start, [this, kind] { this->Break(kind); });
     }
     for (utils::Duration at = Milliseconds(1); at < kFaultyTime; at += Milliseconds(7)) {
@@ -114,7 +128,9 @@
   void Break(FaultKind kind) {
     const std::size_t node = this->AnyNode();
     Backend& backend = this->mesh.nodes[node].backend;
-    const utils::Duration length = Milliseconds(200) + this->random.Jitter(Seconds(4));
+    // Half of the faults are so short that nodes restart while messages to them are under way.
+    const utils::Duration longest = this->random.Chance(0.5) ? Milliseconds(30) : Seconds(4);
+    const utils::Duration length = Milliseconds(1) + this->random.Jitter(longest);
     switch (kind) {
       case FaultKind::kLoss:
         this->mesh.network.loss = 0.2;
@@ -146,6 +162,10 @@
       case FaultKind::kPartition:
         this->mesh.network.cut.insert({node, (node + 1) % kNodes});
         break;
+      case FaultKind::kNotAdmitting:
+        this->mesh.Deliver(node, AdmissionChanged{false});
+        this->mesh.At(length, [this, node] { this->mesh.Deliver(node, AdmissionChanged{true}); });
+        break;
       case FaultKind::kCount:
         break;
     }
@@ -155,7 +175,7 @@
   void HealNetwork() {
     this->mesh.network = Network{};
     for (Node& node : this->mesh.nodes) {
-      node.backend.service_time = Milliseconds(5);
+      node.backend.service_time = this->service_time;
       if (node.backend.mode != BackendMode::kDead) {
         node.backend.mode = BackendMode::kNormal;
       }
@@ -197,13 +217,14 @@
 
   utils::Random random;
   Mesh mesh;
+  utils::Duration service_time{};
   int requests = 0;
 };
 }  // namespace
 
 TEST_GROUP(RandomFaults){};
 
-// Guards against a fault, or two or three at once, that makes a request run twice, a refusal untrue
+// Guards against a fault, or several at once, that makes a request run twice, a refusal untrue
 // or an answer go to another call. AMARANTHLATCH_SEED runs one seed, AMARANTHLATCH_RUNS more seeds.
 TEST(RandomFaults, KeepTheirPromises) {
   std::uint64_t first = 1;
@@ -225,7 +246,7 @@
     answered += run.Answered();
   }
   // A mesh that refused everything would keep all promises.
-  CHECK_TRUE(answered > count * 800);
+  CHECK_TRUE(answered > count * 500);
   std::printf("answered %zu in %llu runs\n", answered, static_cast<unsigned long long>(count));
 }
 
