--- a/libs/runtime/include/amaranthlatch/runtime/backend_server_link.h
+++ b/libs/runtime/include/amaranthlatch/runtime/backend_server_link.h
@@ -41,7 +41,7 @@
 
 class BackendServerLink {
  public:
-  using Report = std::function<void(node::Event)>;
+  using Report = std::function<void(const node::Event&)>;
 
   BackendServerLink(asio::io_context& context, const utils::Clock& clock, HttpClient& client,
                     utils::Duration silent_after, Report report);
--- a/libs/runtime/include/amaranthlatch/runtime/caller_gateway.h
+++ b/libs/runtime/include/amaranthlatch/runtime/caller_gateway.h
@@ -17,7 +17,7 @@
 
 class CallerGateway final : public HttpServerListener {
  public:
-  using Report = std::function<void(node::Event)>;
+  using Report = std::function<void(const node::Event&)>;
 
   CallerGateway(const utils::Clock& clock, Report report);
 
--- a/libs/runtime/src/host.cc
+++ b/libs/runtime/src/host.cc
@@ -63,7 +63,7 @@
         on_stopped(std::move(on_stopped)),
         wake_timer(context),
         drain_timer(context),
-        gateway(this->clock, [this](node::Event event) { this->Apply(event); }),
+        gateway(this->clock, [this](const node::Event& event) { this->Apply(event); }),
         admin(*this) {}
 
   utils::Result<void> Open() {
@@ -188,7 +188,7 @@
     this->log_http_client = std::move(*log);
     this->backend_server = std::make_unique<BackendServerLink>(
         this->context, this->clock, *this->backend_client, this->settings.silent,
-        [this](node::Event event) { this->OnBackendEvent(event); });
+        [this](const node::Event& event) { this->OnBackendEvent(event); });
     this->log_client = std::make_unique<LogClient>(
         *this->log_http_client, this->settings.log_address, [this](const LogClient::Event& event) {
           std::visit([this](const auto& inner) { this->Apply(inner); }, event);
--- a/libs/runtime/src/log_client.cc
+++ b/libs/runtime/src/log_client.cc
@@ -26,6 +26,8 @@
 constexpr int kStatusOk = 200;
 constexpr int kStatusCreated = 201;
 constexpr int kStatusGone = 410;
+constexpr int kStatusTooManyRequests = 429;
+constexpr int kStatusServerError = 500;
 
 std::string PathOf(distribution::Stream stream) {
   return stream == distribution::Stream::kConfig ? "/streams/config/records"
@@ -39,9 +41,9 @@
 utils::Error Malformed(std::string text) { return {ErrorCode::kLogMalformed, std::move(text), {}}; }
 
 utils::Error StatusError(int status) {
-  constexpr int kServerError = 500;
   std::string text = "the log answered with status " + std::to_string(status);
-  return status >= kServerError ? Unavailable(std::move(text)) : Malformed(std::move(text));
+  const bool later = status >= kStatusServerError || status == kStatusTooManyRequests;
+  return later ? Unavailable(std::move(text)) : Malformed(std::move(text));
 }
 
 std::optional<Offset> OffsetIn(const nlohmann::json& object, const char* key) {
@@ -55,7 +57,11 @@
 // An empty object where the text is not one.
 nlohmann::json ParseObject(const std::string& text) {
   nlohmann::json value = nlohmann::json::parse(text, nullptr, false);
-  return value.is_object() ? value : nlohmann::json::object();
+  if (!value.is_object()) {
+    return nlohmann::json::object();
+  }
+  // Never copied: the JSON library copies nested values by recursion.
+  return value;
 }
 
 // Records in ascending order from `from` on; empty if the list has another shape.
--- a/libs/runtime/tests/http_server_test.cc
+++ b/libs/runtime/tests/http_server_test.cc
@@ -23,36 +23,6 @@
   std::vector<std::uint64_t> gone;
 };
 
-// A caller that writes raw bytes.
-struct RawCaller {
-  RawCaller(asio::io_context& context, std::uint16_t port) : socket(context) {
-    this->socket.connect({asio::ip::address_v4::loopback(), port});
-    this->socket.non_blocking(true);
-  }
-
-  void Write(const std::string& text) {
-    asio::error_code error;
-    this->socket.write_some(asio::buffer(text), error);
-  }
-
-  // Takes what has come; true once the server has closed the connection.
-  bool Poll() {
-    std::array<char, 4096> buffer{};
-    asio::error_code error;
-    const std::size_t bytes = this->socket.read_some(asio::buffer(buffer), error);
-    this->received.append(buffer.data(), bytes);
-    return error && error != asio::error::would_block;
-  }
-
-  bool Has(const std::string& text) {
-    this->Poll();
-    return this->received.find(text) != std::string::npos;
-  }
-
-  asio::ip::tcp::socket socket;
-  std::string received;
-};
-
 ServerResponse Answer(int status, const std::string& body) {
   ServerResponse answer;
   answer.response.status = status;
--- a/libs/runtime/tests/log_client_test.cc
+++ b/libs/runtime/tests/log_client_test.cc
@@ -75,6 +75,7 @@
   CHECK_TRUE(CodeOf(Decode(200, R"({"first_kept":-1,"head":6,"next":5,"records":[]})")) ==
              ErrorCode::kLogMalformed);
   CHECK_TRUE(CodeOf(Decode(503, "")) == ErrorCode::kLogUnavailable);
+  CHECK_TRUE(CodeOf(Decode(429, "")) == ErrorCode::kLogUnavailable);
   CHECK_TRUE(CodeOf(Decode(404, "")) == ErrorCode::kLogMalformed);
   const auto truncated = Decode(410, R"({"first_kept":9})");
   CHECK_TRUE(CodeOf(truncated) == ErrorCode::kLogTruncated);
--- a/libs/runtime/tests/test_support.h
+++ b/libs/runtime/tests/test_support.h
@@ -43,6 +43,43 @@
   }
 }
 
+// A port that nobody listens on.
+inline std::string FreeAddress() {
+  asio::io_context context;
+  const asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+// A caller that writes raw bytes.
+struct RawCaller {
+  RawCaller(asio::io_context& context, std::uint16_t port) : socket(context) {
+    this->socket.connect({asio::ip::address_v4::loopback(), port});
+    this->socket.non_blocking(true);
+  }
+
+  void Write(const std::string& text) {
+    asio::error_code error;
+    this->socket.write_some(asio::buffer(text), error);
+  }
+
+  // Takes what has come; true once the server has closed the connection.
+  bool Poll() {
+    std::array<char, 4096> buffer{};
+    asio::error_code error;
+    const std::size_t bytes = this->socket.read_some(asio::buffer(buffer), error);
+    this->received.append(buffer.data(), bytes);
+    return error && error != asio::error::would_block;
+  }
+
+  bool Has(const std::string& text) {
+    this->Poll();
+    return this->received.find(text) != std::string::npos;
+  }
+
+  asio::ip::tcp::socket socket;
+  std::string received;
+};
+
 // A server that counts what it reads and does what the script says.
 class ScriptedServer {
  public:
--- a/libs/runtime/tests/transport_test.cc
+++ b/libs/runtime/tests/transport_test.cc
@@ -12,13 +12,6 @@
 
 namespace {
 
-// A port that nobody listens on.
-std::string FreeAddress() {
-  asio::io_context context;
-  const asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
-  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
 struct Recorder : TransportListener {
   void OnMessage(std::string bytes) override { this->messages.push_back(std::move(bytes)); }
   void OnPeerLost(const membership::NodeId& peer) override { this->lost.push_back(peer); }
