--- a/libs/runtime/src/host.cc
+++ b/libs/runtime/src/host.cc
@@ -117,14 +117,14 @@
   }
 
   void OnMessage(std::string bytes) override {
-    const auto opened = this->envelope->Open(bytes);
+    auto opened = this->envelope->Open(bytes);
     if (!opened || this->stopped) {
       return;
     }
     this->transport->NoteHeard(opened->sender);
     this->traffic.Count(Direction::kReceived, opened->message, this->RegionOf(opened->sender),
                         bytes.size());
-    this->Apply(node::MessageReceived{opened->sender, opened->message});
+    this->Apply(node::MessageReceived{std::move(opened->sender), std::move(opened->message)});
   }
 
   void OnPeerLost(const membership::NodeId& peer) override {
--- a/libs/runtime/tests/host_test.cc
+++ b/libs/runtime/tests/host_test.cc
@@ -19,7 +19,7 @@
 
 namespace {
 
-const char* const kDocument = R"({"format":1,"service":"field-log","owner":"records-team",
+const char* const document_json = R"({"format":1,"service":"field-log","owner":"records-team",
   "hosts":["field-log.example"],"versions":{"stable":{"labels":{}}},
   "routes":[{"name":"all","path_prefix":"/","methods":["POST"],
     "split":[{"version":"stable","weight":1}],"idempotent":false,"permit_required":false,
@@ -106,7 +106,7 @@
                                  {"author", "team"},
                                  {"published_at", FormatWallTime(WallTimeMilliseconds())},
                                  {"action", "put"},
-                                 {"document", nlohmann::json::parse(kDocument)}};
+                                 {"document", nlohmann::json::parse(document_json)}};
   CHECK_TRUE(Has(log_address, "POST", "/streams/config/records", record.dump(), "201"));
   const nlohmann::json server = {{"service", "field-log"},
                                  {"address", backend.Address()},
