Pass over members that do not answer as gateways and for pushes

A zone's stand-in took over only after the gateway was declared dead, and pushes in a mass failure went to members that had failed. Suspects are now passed over for 30 s. Tests: an update crosses zones within 5 s of the gateway's death; a node cut off for 60 s and for 700 s keeps its list and rejoins within 20 s.

--- a/libs/membership/src/context.h
+++ b/libs/membership/src/context.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <utility>
@@ -16,6 +17,10 @@
 namespace amaranthlatch::membership::details {
 
 struct Context {
+  static constexpr std::size_t kMaxUnreachable = 4'096;
+  // A member that did not answer is passed over for this long.
+  static constexpr utils::Duration kUnreachableAge = utils::Seconds(30);
+
   Context(Options settings, const Member& self)
       : options(std::move(settings)), table(self), random(options.seed) {}
 
@@ -24,13 +29,25 @@
     this->effects.push_back(SendMessage{to, std::move(message)});
   }
 
+  void MarkUnreachable(const NodeId& id) {
+    if (this->unreachable.size() >= kMaxUnreachable) {
+      this->unreachable.clear();
+    }
+    this->unreachable[id] = this->now;
+  }
+
+  bool IsReachable(const NodeId& id) const {
+    const auto found = this->unreachable.find(id);
+    return found == this->unreachable.end() || this->now - found->second > kUnreachableAge;
+  }
+
   bool IsSelf(const NodeId& id) const { return id == this->options.id; }
 
   const Options options;
   MemberTable table;
   utils::Random random;
   Counters counters;
-  // Members of other zones that did not answer lately; they are passed over as gateways.
+  // Members that did not answer lately; they are passed over as gateways and for pushes.
   std::map<NodeId, utils::Timestamp> unreachable;
   // Set for the duration of one event.
   utils::Timestamp now{};
--- a/libs/membership/src/dissemination.cc
+++ b/libs/membership/src/dissemination.cc
@@ -20,14 +20,6 @@
 constexpr std::size_t kRecentChanges = 32;
 constexpr std::size_t kMaxRecent = 256;
 constexpr utils::Duration kRecentAge = utils::Seconds(15);
-// A member of another zone that did not answer is passed over as gateway for this long.
-constexpr utils::Duration kUnreachableAge = utils::Seconds(30);
-
-bool IsReachable(const Context& context, const NodeId& id) {
-  const auto found = context.unreachable.find(id);
-  return found == context.unreachable.end() || context.now - found->second > kUnreachableAge;
-}
-
 }  // namespace
 
 const std::vector<NodeId>& Gateways::Leaders(const Context& context, const std::string& zone) {
@@ -57,7 +49,7 @@
 const NodeId* Gateways::Find(const Context& context, const std::string& zone, std::size_t rank) {
   const std::vector<NodeId>& leaders = this->Leaders(context, zone);
   for (const NodeId& leader : leaders) {
-    if (!IsReachable(context, leader)) {
+    if (!context.IsReachable(leader)) {
       continue;
     }
     if (rank == 0) {
@@ -163,7 +155,8 @@
   // More tries than peers, because a choice may fall on this node or a peer chosen before.
   for (std::size_t i = 0; i < 4 * count && peers.size() < count && list->size() > 1; ++i) {
     const NodeId& id = (*list)[context.random.Below(list->size())].id;
-    if (!context.IsSelf(id) && std::find(peers.begin(), peers.end(), id) == peers.end()) {
+    if (!context.IsSelf(id) && context.IsReachable(id) &&
+        std::find(peers.begin(), peers.end(), id) == peers.end()) {
       peers.push_back(id);
     }
   }
--- a/libs/membership/src/failure_detector.cc
+++ b/libs/membership/src/failure_detector.cc
@@ -75,6 +75,7 @@
     return;
   }
   this->suspects.erase(probing->second.target);
+  context.unreachable.erase(probing->second.target);
   this->pending.erase(probing);
   ++context.counters.probes_answered;
 }
@@ -251,6 +252,7 @@
 
 void FailureDetector::Fail(Context& context, const NodeId& target, const ZoneDigests& digests) {
   ++context.counters.probes_failed;
+  context.MarkUnreachable(target);
   if (!this->IsTarget(context, target) || this->suspects.contains(target)) {
     return;
   }
--- a/libs/membership/src/join.cc
+++ b/libs/membership/src/join.cc
@@ -13,6 +13,8 @@
 
 // Zone members in the answer to a joining node.
 constexpr std::size_t kMembersInAnswer = 32;
+// Bounds the answer where there are very many zones.
+constexpr std::size_t kGatewaysInAnswer = 160;
 // Answers to strangers are paced, so that a peer that does not listen costs little.
 constexpr utils::Duration kStrangerInterval = utils::Milliseconds(50);
 // Tries to find a lost member by random choice.
@@ -74,7 +76,8 @@
   reply.page_count = 1;
   std::set<NodeId> chosen = {context.options.id};
   for (const auto& [zone, digest] : context.table.Digests()) {
-    for (std::size_t rank = 0; rank < Gateways::kRanks; ++rank) {
+    for (std::size_t rank = 0; rank < Gateways::kRanks && chosen.size() < kGatewaysInAnswer;
+         ++rank) {
       if (const NodeId* id = dissemination.Ranks().Find(context, zone, rank)) {
         chosen.insert(*id);
       }
--- a/libs/membership/src/membership.cc
+++ b/libs/membership/src/membership.cc
@@ -177,6 +177,7 @@
   if (member == nullptr || this->HasLeft()) {
     return;
   }
+  this->context.MarkUnreachable(event.id);
   const ZoneDigests digests = details::Repair::ShortDigests(this->context);
   this->detector.OnUnreachable(this->context, event.id, digests);
 }
--- a/libs/membership/src/repair.cc
+++ b/libs/membership/src/repair.cc
@@ -23,7 +23,6 @@
 constexpr utils::Duration kPageInterval = utils::Milliseconds(10);
 constexpr std::size_t kPagesPerInterval = 4;
 constexpr std::size_t kMaxWanted = 1024;
-constexpr std::size_t kMaxUnreachable = 256;
 
 std::uint32_t PageCount(const MemberList& list, std::uint32_t page_records) {
   const std::size_t pages = (list->size() + page_records - 1) / page_records;
@@ -186,10 +185,7 @@
 void Repair::ProbeOtherZone(Context& context, Dissemination& dissemination,
                             FailureDetector& detector) {
   if (!this->foreign_target.empty() && this->foreign_sent < context.now) {
-    if (context.unreachable.size() >= kMaxUnreachable) {
-      context.unreachable.clear();
-    }
-    context.unreachable[this->foreign_target] = context.now;
+    context.MarkUnreachable(this->foreign_target);
     this->foreign_target.clear();
   }
   if (!dissemination.Ranks().OwnRank(context)) {
--- a/libs/membership/tests/membership_test.cc
+++ b/libs/membership/tests/membership_test.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <string>
 
+#include "amaranthlatch/utils/hash.h"
 #include "mesh.h"
 
 namespace amaranthlatch::membership {
@@ -173,6 +174,49 @@
   CHECK_FALSE(mesh.nodes.at(IdOf(0, 20)).membership.Holding());
 }
 
+// Guards against a node that empties its lists because it is cut off, or does not find back after
+// the others have forgotten it.
+TEST(Membership, IsolatedNodeHoldsAndRejoins) {
+  for (const int cut_seconds : {60, 700}) {
+    Mesh mesh(6);
+    StartAll(mesh, 2, 8);
+    mesh.Run(utils::Seconds(12));
+    const NodeId alone = IdOf(1, 5);
+    mesh.cut_nodes = {alone};
+    mesh.Run(utils::Seconds(cut_seconds));
+    CHECK_EQUAL(16U, mesh.View(alone).Size());
+    CHECK_EQUAL(15U, mesh.View(IdOf(1, 1)).Size());
+    mesh.cut_nodes.clear();
+    mesh.Run(utils::Seconds(20));
+    CheckAgreement(mesh, 6, "20 s after one node was cut off");
+  }
+}
+
+// Guards against stand-ins that do not take over: the gateway of a zone dies, then a member of the
+// zone changes.
+TEST(Membership, UpdatesCrossZonesWithoutTheGateway) {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Mesh mesh(seed);
+    StartAll(mesh, 3, 6);
+    mesh.Run(utils::Seconds(12));
+    NodeId gateway;
+    std::uint64_t highest = 0;
+    for (int index = 0; index < 6; ++index) {
+      const std::uint64_t weight = utils::RendezvousWeight(ZoneOf(0), IdOf(0, index));
+      if (weight > highest) {
+        highest = weight;
+        gateway = IdOf(0, index);
+      }
+    }
+    mesh.Kill(gateway);
+    const NodeId changed = gateway == IdOf(0, 2) ? IdOf(0, 3) : IdOf(0, 2);
+    mesh.Feed(changed, BackendServerAnnounced{"moved", {}, 1});
+    mesh.Run(utils::Seconds(5));
+    const Member* seen = mesh.View(IdOf(1, 2)).Find(changed);
+    CHECK_TRUE(seen != nullptr && seen->service == "moved");
+  }
+}
+
 // Guards against a restarted node whose clock is behind and whose record nobody takes.
 TEST(Membership, RestartWithAnEarlierClockIsSeenByAll) {
   Mesh mesh(4);
--- a/libs/membership/tests/mesh.h
+++ b/libs/membership/tests/mesh.h
@@ -112,6 +112,8 @@
   std::map<NodeId, Process> nodes;
   Faults faults;
   std::set<std::string> cut_zones;
+  // Nodes that reach nobody.
+  std::set<NodeId> cut_nodes;
   std::uint64_t messages = 0;
   std::uint64_t bytes = 0;
   bool count_bytes = false;
@@ -141,6 +143,9 @@
   }
 
   bool Crosses(const NodeId& from, const NodeId& to) const {
+    if (this->cut_nodes.contains(from) || this->cut_nodes.contains(to)) {
+      return true;
+    }
     const std::string& left = this->nodes.at(from).zone;
     const std::string& right = this->nodes.at(to).zone;
     return left != right && (this->cut_zones.contains(left) || this->cut_zones.contains(right));
