--- a/apps/amaranthlatch/src/curl_client.cc
+++ b/apps/amaranthlatch/src/curl_client.cc
@@ -59,7 +59,8 @@
     return tl::unexpected(HttpFailure{false, "libcurl gave no handle"});
   }
   HttpResponse response;
-  const auto timeout = static_cast<long>(utils::ToMilliseconds(request.timeout));  // NOLINT
+  // NOLINTNEXTLINE(google-runtime-int): type of libcurl.
+  const auto timeout = static_cast<long>(utils::ToMilliseconds(request.timeout));
   curl_easy_reset(curl);
   curl_easy_setopt(curl, CURLOPT_URL, request.url.c_str());
   curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http");
--- a/libs/acceptance/src/snapshot.cc
+++ b/libs/acceptance/src/snapshot.cc
@@ -173,7 +173,7 @@
       data.AppendHistory(flagged->stored);
     }
   }
-  if (!data.SetPublishIds(std::move(remembered))) {
+  if (!data.SetPublishIds(remembered)) {
     return utils::Error{ErrorCode::kSnapshotMalformed, "the publish ids are not distinct", ""};
   }
   return std::nullopt;
--- a/libs/acceptance/src/state_data.cc
+++ b/libs/acceptance/src/state_data.cc
@@ -114,7 +114,7 @@
   }
 }
 
-bool State::Data::SetPublishIds(details::VerdictList verdicts) {
+bool State::Data::SetPublishIds(const details::VerdictList& verdicts) {
   using ByOffset = details::PersistentMap<Offset, details::StoredVerdictPtr>;
   using ById = details::PersistentMap<std::string, details::StoredVerdictPtr>;
   std::vector<ByOffset::Entry> by_offset;
--- a/libs/acceptance/src/state_data.h
+++ b/libs/acceptance/src/state_data.h
@@ -85,7 +85,7 @@
 
   // Sets the remembered publish ids of an empty state; `verdicts` are in ascending order of offset.
   // False where an id occurs twice or there are too many.
-  bool SetPublishIds(details::VerdictList verdicts);
+  bool SetPublishIds(const details::VerdictList& verdicts);
 
  private:
   void ForgetOldestPublishId();
