Compare after a pause by a question of its own; count more witnesses

Cause: a message that waited in a buffer during a pause ended the recheck before the node had compared anything (directed test PausedNodeComparesItsStateFirst). Change: EntriesRequest and EntriesPush carry a token that the answer repeats; the node is ready again when what the answer showed is in force. Conclusion: a recheck ends only on an answer given after the pause.

--- a/libs/distribution/include/amaranthlatch/distribution/message.h
+++ b/libs/distribution/include/amaranthlatch/distribution/message.h
@@ -32,6 +32,8 @@
   std::vector<Entry> entries;
   // Nodes of the receiver's zone, the sender among them, that hold all of the entries.
   std::uint32_t holders = 0;
+  // That of the request that this push answers; 0 for pushes that answer none.
+  std::uint32_t token = 0;
   bool operator==(const EntriesPush&) const = default;
 };
 
@@ -51,6 +53,8 @@
 struct EntriesRequest {
   Offset held = 0;
   bool whole = false;
+  // Repeated in the answer, so that the sender knows that it was given after the question.
+  std::uint32_t token = 0;
   bool operator==(const EntriesRequest&) const = default;
 };
 
--- a/libs/distribution/src/distribution.cc
+++ b/libs/distribution/src/distribution.cc
@@ -36,6 +36,8 @@
   void HandlePush(const Context& context, const membership::NodeId& from, const EntriesPush& push);
   void HandleHeartbeat(const Context& context, const membership::NodeId& from,
                        const ReaderHeartbeat& heartbeat);
+  void HandleChunk(const Context& context, const membership::NodeId& from,
+                   const SnapshotChunk& chunk);
   void AnswerHeldQuery(const Context& context, const membership::NodeId& from);
   void CheckPause(const Context& context);
   void Spread(const Context& context, EntrySource source, Offset before);
@@ -121,7 +123,7 @@
                                      const EntriesPush& push) {
   const Offset before = this->replica.HeldOffset();
   this->exchange.OnPush(context, from, push);
-  this->readiness.OnExchange(from);
+  this->readiness.OnPush(context, push);
   const EntrySource source = this->SourceOf(context, from);
   // A reader in a zone without the log gets entries from other regions and serves its own.
   const bool for_region = source == EntrySource::kOtherZone && this->role.Active();
@@ -130,12 +132,22 @@
 
 void Distribution::Parts::HandleHeartbeat(const Context& context, const membership::NodeId& from,
                                           const ReaderHeartbeat& heartbeat) {
+  this->links.NoteHeld(context, from, heartbeat.held);
   this->role.OnHeartbeat(context, from, heartbeat, this->replica.HeldOffset());
   if (heartbeat.held > this->replica.HeldOffset()) {
     this->exchange.AskOnce(context, from);
   }
 }
 
+void Distribution::Parts::HandleChunk(const Context& context, const membership::NodeId& from,
+                                      const SnapshotChunk& chunk) {
+  if (this->links.Get(context, from).distrusted) {
+    return;
+  }
+  this->links.NoteHeld(context, from, chunk.offset);
+  this->snapshot_receiver.OnChunk(context, from, chunk);
+}
+
 void Distribution::Parts::AnswerHeldQuery(const Context& context, const membership::NodeId& from) {
   HeldReply reply;
   reply.held = this->replica.HeldOffset();
@@ -179,14 +191,13 @@
   } else if (const auto* request = std::get_if<EntriesRequest>(&event.message)) {
     this->exchange.OnRequest(context, from, *request);
   } else if (const auto* chunk = std::get_if<SnapshotChunk>(&event.message)) {
-    if (!this->links.Get(context, from).distrusted) {
-      this->snapshot_receiver.OnChunk(context, from, *chunk);
-    }
+    this->HandleChunk(context, from, *chunk);
   } else if (const auto* later = std::get_if<SnapshotRetryLater>(&event.message)) {
     this->snapshot_receiver.OnRetryLater(context, from, *later);
   } else if (const auto* heartbeat = std::get_if<ReaderHeartbeat>(&event.message)) {
     this->HandleHeartbeat(context, from, *heartbeat);
   } else if (const auto* reply = std::get_if<HeldReply>(&event.message)) {
+    this->links.NoteHeld(context, from, reply->held);
     this->readiness.OnHeldReply(from, *reply);
   }
 }
--- a/libs/distribution/src/entry_exchange.cc
+++ b/libs/distribution/src/entry_exchange.cc
@@ -36,10 +36,12 @@
   return 1 + this->links.CountHolders(context, this->topology, offset, to);
 }
 
-void EntryExchange::SendEntries(const Context& context, const membership::NodeId& to, Offset after,
-                                bool whole) {
-  EntriesPush push{.previous = after,
-                   .entries = this->replica.Tail().After(after, this->options.push_bytes, whole)};
+void EntryExchange::SendEntries(const Context& context, const membership::NodeId& to,
+                                const EntriesRequest& request) {
+  EntriesPush push;
+  push.previous = request.held;
+  push.entries = this->replica.Tail().After(request.held, this->options.push_bytes, request.whole);
+  push.token = request.token;
   if (push.entries.empty()) {
     return;
   }
@@ -49,16 +51,19 @@
   push.holders = this->Holders(context, to, push.entries.back().offset);
   PeerLink& link = this->links.Get(context, to);
   link.in_flight = true;
-  link.pushed_from = after;
+  link.pushed_from = request.held;
   link.push_deadline = context.now + this->options.push_timeout;
   ++this->counters.pushes_sent;
   context.Send(to, std::move(push));
 }
 
-void EntryExchange::SendEmpty(const Context& context, const membership::NodeId& to) {
-  const Offset held = this->replica.HeldOffset();
-  const std::uint32_t holders = this->Holders(context, to, held);
-  context.Send(to, EntriesPush{.previous = held, .entries = {}, .holders = holders});
+void EntryExchange::SendEmpty(const Context& context, const membership::NodeId& to,
+                              std::uint32_t token) {
+  EntriesPush push;
+  push.previous = this->replica.HeldOffset();
+  push.holders = this->Holders(context, to, push.previous);
+  push.token = token;
+  context.Send(to, std::move(push));
 }
 
 void EntryExchange::Push(const Context& context, const membership::NodeId& to, Offset after) {
@@ -68,7 +73,7 @@
     return;
   }
   if (this->replica.Tail().Covers(after)) {
-    this->SendEntries(context, to, after, false);
+    this->SendEntries(context, to, EntriesRequest{.held = after});
   } else {
     // Shows the peer that this node is ahead; it asks and is offered a snapshot.
     this->SendDigest(context, to);
@@ -149,13 +154,16 @@
   link.held = request.held;
   link.in_flight = false;
   if (link.distrusted || request.held >= this->replica.HeldOffset()) {
-    this->SendEmpty(context, from);
+    this->SendEmpty(context, from, request.token);
     return;
   }
   ++this->counters.repairs;
   if (this->replica.Tail().Covers(request.held)) {
-    this->SendEntries(context, from, request.held, request.whole);
+    this->SendEntries(context, from, request);
   } else {
+    if (request.token != 0) {
+      this->SendEmpty(context, from, request.token);
+    }
     this->snapshots.OnRequest(context, from, SnapshotRequest{});
   }
 }
@@ -185,12 +193,13 @@
   context.Send(to, Digest{this->replica.HeldOffset(), this->replica.Held().Hash()});
 }
 
-void EntryExchange::Ask(const Context& context, const membership::NodeId& peer) {
+void EntryExchange::Ask(const Context& context, const membership::NodeId& peer,
+                        std::uint32_t token) {
   if (this->links.Get(context, peer).distrusted) {
     return;
   }
   this->ask_open_until = context.now + this->options.ask_interval;
-  context.Send(peer, EntriesRequest{.held = this->replica.HeldOffset()});
+  context.Send(peer, EntriesRequest{.held = this->replica.HeldOffset(), .token = token});
 }
 
 void EntryExchange::AskOnce(const Context& context, const membership::NodeId& peer) {
--- a/libs/distribution/src/entry_exchange.h
+++ b/libs/distribution/src/entry_exchange.h
@@ -35,7 +35,7 @@
 
   // Asks a peer for the entries above the held offset. It answers in any case, and thereby shows
   // what it holds.
-  void Ask(const Context& context, const membership::NodeId& peer);
+  void Ask(const Context& context, const membership::NodeId& peer, std::uint32_t token = 0);
 
   // The same where a peer is known to be ahead; at most one such request is open at a time.
   void AskOnce(const Context& context, const membership::NodeId& peer);
@@ -50,8 +50,10 @@
  private:
   bool SameZone(const Context& context, const membership::NodeId& id) const;
   std::uint32_t Holders(const Context& context, const membership::NodeId& to, Offset offset);
-  void SendEntries(const Context& context, const membership::NodeId& to, Offset after, bool whole);
-  void SendEmpty(const Context& context, const membership::NodeId& to);
+  void SendEntries(const Context& context, const membership::NodeId& to,
+                   const EntriesRequest& request);
+  // Shows what this node holds.
+  void SendEmpty(const Context& context, const membership::NodeId& to, std::uint32_t token);
   bool ApplyAll(const Context& context, const membership::NodeId& from, const EntriesPush& push);
 
   const Options& options;
--- a/libs/distribution/src/message_codec.cc
+++ b/libs/distribution/src/message_codec.cc
@@ -48,7 +48,8 @@
     // Offsets follow from the position, because a push has no gaps.
     entries.push_back(json::array({entry.record, entry.patch_base, entry.record_hash}));
   }
-  return Encode(MessageType::kEntriesPush, {push.previous, std::move(entries), push.holders});
+  return Encode(MessageType::kEntriesPush,
+                {push.previous, std::move(entries), push.holders, push.token});
 }
 
 json ToJson(const EntriesAck& ack) { return Encode(MessageType::kEntriesAck, {ack.held}); }
@@ -58,7 +59,7 @@
 }
 
 json ToJson(const EntriesRequest& request) {
-  return Encode(MessageType::kEntriesRequest, {request.held, request.whole});
+  return Encode(MessageType::kEntriesRequest, {request.held, request.whole, request.token});
 }
 
 json ToJson(const SnapshotRequest& request) {
@@ -173,6 +174,7 @@
     push.entries.push_back(std::move(entry));
   }
   push.holders = reader.Number32();
+  push.token = reader.Number32();
   return push;
 }
 
@@ -214,8 +216,11 @@
       return Digest{held, reader.Number()};
     }
     case MessageType::kEntriesRequest: {
-      const Offset held = reader.Number();
-      return EntriesRequest{held, reader.Flag()};
+      EntriesRequest request;
+      request.held = reader.Number();
+      request.whole = reader.Flag();
+      request.token = reader.Number32();
+      return request;
     }
     case MessageType::kSnapshotRequest: {
       const Offset offset = reader.Number();
--- a/libs/distribution/src/peer_links.cc
+++ b/libs/distribution/src/peer_links.cc
@@ -13,6 +13,9 @@
 // How long a peer that refused a message or did not acknowledge a push is passed over.
 constexpr utils::Duration kUnreachableTime = utils::Seconds(3);
 
+// No setting asks for more witnesses than this.
+constexpr std::uint32_t kMaxCountedHolders = 8;
+
 bool IsListed(const membership::Member* member) {
   return member != nullptr && member->state != membership::MemberState::kLeft &&
          member->state != membership::MemberState::kDead;
@@ -55,6 +58,11 @@
   link.in_flight = false;
 }
 
+void PeerLinks::NoteHeld(const Context& context, const membership::NodeId& id, Offset held) {
+  PeerLink& link = this->Get(context, id);
+  link.held = std::max(link.held, held);
+}
+
 bool PeerLinks::IsReachable(const membership::NodeId& id, utils::Timestamp now) const {
   const auto found = this->links.find(id);
   return found == this->links.end() || found->second.unreachable_until <= now;
@@ -74,7 +82,7 @@
 Offset PeerLinks::HeldByAtLeast(const Context& context, Topology& topology, std::size_t count) {
   std::vector<Offset> offsets;
   for (const membership::NodeId& peer : topology.ZonePeers()) {
-    if (this->links.contains(peer)) {
+    if (this->links.contains(peer) && !this->Get(context, peer).distrusted) {
       offsets.push_back(this->Get(context, peer).held);
     }
   }
--- a/libs/distribution/src/peer_links.h
+++ b/libs/distribution/src/peer_links.h
@@ -36,6 +36,9 @@
   // that one holds nothing.
   PeerLink& Get(const Context& context, const membership::NodeId& id);
 
+  // The peer has shown that it holds entries up to `held`.
+  void NoteHeld(const Context& context, const membership::NodeId& id, Offset held);
+
   // Forgets what the peer holds: its process has just started.
   void ForgetHeld(const membership::NodeId& id);
   void ForgetAllHeld();
@@ -44,7 +47,8 @@
   void MarkUnreachable(const Context& context, const membership::NodeId& id);
   bool IsReachable(const membership::NodeId& id, utils::Timestamp now) const;
 
-  // Zone peers other than `except` that are known to hold `offset`.
+  // Zone peers other than `except` that are known to hold `offset`, counted up to the largest
+  // number of witnesses.
   std::uint32_t CountHolders(const Context& context, Topology& topology, Offset offset,
                              const membership::NodeId& except);
 
--- a/libs/distribution/src/readiness.cc
+++ b/libs/distribution/src/readiness.cc
@@ -17,6 +17,8 @@
 constexpr std::size_t kMaxListedMembers = 4'096;
 constexpr std::size_t kRecheckPeers = 3;
 constexpr utils::Duration kRecheckTimeout = utils::Seconds(2);
+// Time to get what an answer has shown.
+constexpr utils::Duration kRecheckCatchUpTime = utils::Seconds(10);
 
 }  // namespace
 
@@ -151,6 +153,8 @@
   this->recheck_deadline = context.now + kRecheckTimeout;
   this->recheck_reads = this->log.FinishedReads();
   this->recheck_peers.clear();
+  this->recheck_target.reset();
+  ++this->recheck_token;
   if (this->options.spread == SpreadKind::kPoll) {
     return;
   }
@@ -159,23 +163,28 @@
   peers.resize(std::min(peers.size(), kRecheckPeers));
   for (const membership::NodeId& id : peers) {
     this->recheck_peers.insert(id);
-    this->exchange.Ask(context, id);
+    this->exchange.Ask(context, id, this->recheck_token);
   }
 }
 
 void Readiness::RunRecheck(const Context& context) {
   const bool log_answered =
       this->options.spread == SpreadKind::kPoll && this->log.FinishedReads() > this->recheck_reads;
-  const bool nobody_left = this->options.spread != SpreadKind::kPoll && this->recheck_peers.empty();
+  const bool nobody_left = this->options.spread != SpreadKind::kPoll && !this->recheck_target &&
+                           this->recheck_peers.empty();
+  const bool compared =
+      this->recheck_target && this->replica.InForceOffset() >= *this->recheck_target;
   // Peers that do not answer are partitioned from this node: it continues with what it has.
-  if (log_answered || nobody_left || this->recheck_deadline <= context.now) {
+  if (log_answered || nobody_left || compared || this->recheck_deadline <= context.now) {
     this->phase = Phase::kReady;
   }
 }
 
-void Readiness::OnExchange(const membership::NodeId& from) {
-  if (this->recheck_peers.contains(from)) {
-    this->recheck_peers.clear();
+void Readiness::OnPush(const Context& context, const EntriesPush& push) {
+  const bool answers = this->phase == Phase::kRecheck && push.token == this->recheck_token;
+  if (answers && !this->recheck_target) {
+    this->recheck_target = push.previous + push.entries.size();
+    this->recheck_deadline = context.now + kRecheckCatchUpTime;
   }
 }
 
--- a/libs/distribution/src/readiness.h
+++ b/libs/distribution/src/readiness.h
@@ -38,8 +38,8 @@
 
   void OnPause(const Context& context);
   void OnHeldReply(const membership::NodeId& from, const HeldReply& reply);
-  // A zone peer has answered a request of this node, which has applied the answer.
-  void OnExchange(const membership::NodeId& from);
+  // A push that answers a question of this node shows what its sender holds.
+  void OnPush(const Context& context, const EntriesPush& push);
   void OnUnreachable(const membership::NodeId& id);
 
  private:
@@ -74,6 +74,10 @@
 
   std::set<membership::NodeId> recheck_peers;
   utils::Timestamp recheck_deadline{};
+  // Marks the answers to the questions after the last pause.
+  std::uint32_t recheck_token = 0;
+  // What the first answer showed; it must be in force here before the node is ready again.
+  std::optional<Offset> recheck_target;
   std::uint64_t recheck_reads = 0;
 };
 
