--- /dev/null
+++ b/libs/calls/tests/balancer_test.cc
@@ -0,0 +1,156 @@
+// Tests of the choice of backend servers.
+
+#include "balancer.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+#include <string>
+
+#include "mesh.h"
+
+namespace amaranthlatch::calls::testing {
+
+using details::AttemptOutcome;
+using membership::Member;
+using membership::MemberState;
+using utils::Milliseconds;
+using utils::Seconds;
+
+TEST_GROUP(Balancer) {
+  details::Shared shared{Options{}};
+  details::Balancer balancer{shared, std::make_unique<PowerOfTwoPolicy>()};
+  FakeMembers members{"self"};
+  FakeRoutes routes;
+  document::ServiceDocument document = FleetDocument();
+  utils::Timestamp now{Seconds(100)};
+  std::vector<Effect> effects;
+  std::deque<Message> local;
+
+  void setup() override {
+    this->routes.Set(this->document);
+    this->Add("self", "r1", "z1", MemberState::kJoining);
+  }
+  void Add(const std::string& id, const std::string& region, const std::string& zone,
+           MemberState state = MemberState::kReady, const document::Labels& labels = {}) {
+    Member member;
+    member.id = id;
+    member.region = region;
+    member.zone = zone;
+    member.service = "fleet";
+    member.labels = labels;
+    member.state = state;
+    member.slots = 4;
+    member.boot_id = 1;
+    this->members.Set(member);
+  }
+  std::string Choose(const std::vector<std::string>& tried = {}) {
+    const details::Context context{this->now, this->members, this->routes, this->effects,
+                                   this->local};
+    const Member* chosen =
+        this->balancer.Choose(context, *FindRoute(this->document, "read"), tried);
+    return chosen == nullptr ? "" : chosen->id;
+  }
+  std::map<std::string, int> Draw(int count) {
+    std::map<std::string, int> drawn;
+    for (int i = 0; i < count; ++i) {
+      ++drawn[this->Choose()];
+    }
+    return drawn;
+  }
+  void Load(const std::string& id, int calls) {
+    for (int i = 0; i < calls; ++i) {
+      this->balancer.OnSent(id);
+    }
+  }
+};
+
+// Guards against calls that leave their zone or region while it has room, or stay when it is full.
+TEST(Balancer, NearLevelsFirstThenSpill) {
+  this->Add("far", "r2", "z9");
+  this->Add("region", "r1", "z2");
+  this->Add("zone", "r1", "z1");
+  STRCMP_EQUAL("zone", this->Choose().c_str());
+  this->Load("zone", 4);
+  STRCMP_EQUAL("region", this->Choose().c_str());
+  this->Load("region", 4);
+  STRCMP_EQUAL("far", this->Choose().c_str());
+  this->Load("far", 4);
+  // Everything is full: the nearest again.
+  STRCMP_EQUAL("zone", this->Choose().c_str());
+  this->Add("self", "r1", "z1");
+  STRCMP_EQUAL("self", this->Choose().c_str());
+}
+
+// Guards against work for servers that are not ready, and against a first choice that repeats.
+TEST(Balancer, OnlyReadyMembersAndUntriedOnesFirst) {
+  STRCMP_EQUAL("", this->Choose().c_str());
+  this->Add("a", "r1", "z1");
+  this->Add("b", "r1", "z1", MemberState::kDraining);
+  CHECK_EQUAL(50, this->Draw(50)["a"]);
+  this->Add("b", "r1", "z1");
+  STRCMP_EQUAL("b", this->Choose({"a"}).c_str());
+  CHECK_FALSE(this->Choose({"a", "b"}).empty());
+  this->balancer.OnForeignProcess("a", 1);
+  CHECK_EQUAL(50, this->Draw(50)["b"]);
+}
+
+// Guards against a split that ignores weights or labels, and against a canary without servers that
+// fails its share of the calls.
+TEST(Balancer, SplitFollowsWeightsAndLabels) {
+  this->document.versions = {{"stable", {{{"release", "1"}}}}, {"canary", {{{"release", "2"}}}}};
+  FindRoute(this->document, "read")->split = {{"fleet", "stable", 90}, {"fleet", "canary", 10}};
+  this->routes.Set(this->document);
+  this->Add("old", "r1", "z1", MemberState::kReady, {{"release", "1"}, {"other", "x"}});
+  CHECK_EQUAL(500, this->Draw(500)["old"]);
+  this->Add("new", "r1", "z1", MemberState::kReady, {{"release", "2"}});
+  auto drawn = this->Draw(2'000);
+  CHECK_TRUE(drawn["new"] > 140 && drawn["new"] < 260);
+}
+
+// Guards against load on servers that are slow, busy or failing by this node's own account.
+TEST(Balancer, ObservationsDecideWithinALevel) {
+  for (const char* id : {"a", "b", "c", "d"}) {
+    this->Add(id, "r1", "z1");
+  }
+  const auto end = [this](const std::string& id, AttemptOutcome outcome, utils::Duration latency) {
+    this->balancer.OnSent(id);
+    this->balancer.OnEnded(id, outcome, latency, this->now);
+  };
+  for (const char* id : {"a", "b", "c", "d"}) {
+    end(id, AttemptOutcome::kAnswered, Milliseconds(id[0] == 'a' ? 50 : 5));
+  }
+  this->Load("b", 1);
+  for (int i = 0; i < 4; ++i) {
+    end("c", AttemptOutcome::kFault, {});
+  }
+  auto drawn = this->Draw(1'200);
+  CHECK_TRUE(drawn["a"] == 0);
+  CHECK_TRUE(drawn["d"] > 500);
+  CHECK_TRUE(drawn["c"] < drawn["b"]);
+  // The faults are forgotten.
+  this->now += Seconds(20);
+  drawn = this->Draw(1'200);
+  CHECK_TRUE(drawn["c"] > drawn["b"]);
+}
+
+// Guards against a cold server that gets its full share at once.
+TEST(Balancer, NewServersStartSlowly) {
+  this->document.protection.slow_start = Seconds(10);
+  this->routes.Set(this->document);
+  for (const char* id : {"a", "b", "c", "d"}) {
+    this->Add(id, "r1", "z1");
+  }
+  this->Draw(10);
+  this->now += Seconds(60);
+  this->Add("new", "r1", "z1");
+  this->Draw(1);
+  this->now += Seconds(2);
+  const int early = this->Draw(1'000)["new"];
+  this->now += Seconds(9);
+  const int warm = this->Draw(1'000)["new"];
+  CHECK_TRUE(early < 100);
+  CHECK_TRUE(warm > 120);
+}
+
+}  // namespace amaranthlatch::calls::testing
--- /dev/null
+++ b/libs/calls/tests/parts_test.cc
@@ -0,0 +1,229 @@
+// Tests of the small parts: codec, memory, queue, ledger, options.
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+#include "amaranthlatch/calls/calls.h"
+#include "amaranthlatch/calls/message_codec.h"
+#include "attempt_memory.h"
+#include "permit_ledger.h"
+#include "priority_queue.h"
+
+namespace amaranthlatch::calls::testing {
+
+using nlohmann::json;
+using utils::ErrorCode;
+using utils::Milliseconds;
+using utils::Seconds;
+using utils::Timestamp;
+
+TEST_GROUP(Parts){};
+
+namespace {
+using Bytes = std::vector<char>;
+
+std::string AnyText() {
+  const auto bytes = *rc::gen::arbitrary<Bytes>();
+  return std::string(bytes.begin(), bytes.end());
+}
+
+AttemptId AnyId() {
+  return {"10.0.0.1:1", *rc::gen::arbitrary<std::uint64_t>(), *rc::gen::arbitrary<std::uint64_t>(),
+          *rc::gen::arbitrary<std::uint32_t>()};
+}
+
+Headers AnyHeaders() {
+  Headers headers;
+  const auto count = *rc::gen::inRange(0, 5);
+  for (int i = 0; i < count; ++i) {
+    headers.emplace_back(AnyText(), AnyText());
+  }
+  return headers;
+}
+
+Message AnyMessage() {
+  switch (*rc::gen::inRange(0, 8)) {
+    case 0: {
+      CallRequest m;
+      m.id = AnyId();
+      m.gate_boot = *rc::gen::arbitrary<std::uint64_t>();
+      m.service = "fleet";
+      m.request = {AnyText(), AnyText(), AnyText(), AnyHeaders(), AnyText()};
+      m.remaining = utils::Duration(*rc::gen::inRange(0, 60'000'000));
+      m.idempotent = *rc::gen::arbitrary<bool>();
+      m.priority = static_cast<document::Priority>(*rc::gen::inRange(0, 4));
+      m.permit = "token";
+      return m;
+    }
+    case 1: {
+      CallReply m;
+      m.id = AnyId();
+      m.answer.kind = static_cast<ResultKind>(*rc::gen::inRange(0, 3));
+      m.answer.code = ErrorCode::kQueueFull;
+      m.answer.response = {*rc::gen::inRange(0, 1000), AnyHeaders(), AnyText()};
+      m.answer.no_retry = *rc::gen::arbitrary<bool>();
+      m.queued = *rc::gen::arbitrary<std::uint32_t>();
+      return m;
+    }
+    case 2:
+      return CallCancel{AnyId(), 7, *rc::gen::arbitrary<bool>()};
+    case 3:
+      return CallCancelReply{AnyId(), true, *rc::gen::arbitrary<bool>()};
+    case 4:
+      return PermitRequest{*rc::gen::arbitrary<std::uint64_t>(), "fleet", "fleet/read"};
+    case 5:
+      return PermitReply{*rc::gen::arbitrary<std::uint64_t>(), ErrorCode::kOk, "token", 5};
+    case 6:
+      return CrashReport{"fleet", *rc::gen::arbitrary<std::vector<std::uint64_t>>(), "a", 1, 2};
+    default:
+      return CrashCleared{"fleet", *rc::gen::arbitrary<std::uint64_t>()};
+  }
+}
+}  // namespace
+
+// Guards against a message that changes on its way, and against one that decodes although a field
+// is missing, added or of another type.
+TEST(Parts, CodecKeepsMessagesAndRefusesOthers) {
+  const bool holds = rc::check([] {
+    const Message message = AnyMessage();
+    const json encoded = ToJson(message);
+    const auto decoded = MessageFromJson(json::from_cbor(json::to_cbor(encoded)));
+    RC_ASSERT(decoded.has_value());
+    RC_ASSERT(*decoded == message);
+    for (std::size_t i = 0; i < encoded.size(); ++i) {
+      json changed = encoded;
+      changed[i] = json::object();
+      RC_ASSERT(!MessageFromJson(changed).has_value());
+      changed = encoded;
+      changed.erase(i);
+      RC_ASSERT(!MessageFromJson(changed).has_value());
+    }
+    json longer = encoded;
+    longer.push_back(1);
+    RC_ASSERT(!MessageFromJson(longer).has_value());
+  });
+  CHECK_TRUE(holds);
+}
+
+// Guards against messages that take unbounded memory or name unknown values.
+TEST(Parts, CodecBoundsFields) {
+  CHECK_FALSE(MessageFromJson(json::object()).has_value());
+  CHECK_FALSE(MessageFromJson(json::array({99})).has_value());
+  CallRequest request;
+  request.service = std::string(300, 'x');
+  CHECK_TRUE(MessageFromJson(ToJson(request)).error().code == ErrorCode::kMessageTooLarge);
+  request = CallRequest{};
+  request.request.headers.assign(300, {"a", "b"});
+  CHECK_TRUE(MessageFromJson(ToJson(request)).error().code == ErrorCode::kMessageTooLarge);
+  CrashReport report;
+  report.fingerprints.resize(5'000);
+  CHECK_TRUE(MessageFromJson(ToJson(report)).error().code == ErrorCode::kMessageTooLarge);
+  json reply = ToJson(PermitReply{1, ErrorCode::kOk, "", 0});
+  reply[2] = 4;
+  CHECK_FALSE(MessageFromJson(reply).has_value());
+}
+
+// Guards against a memory that forgets a refused or finished attempt before its time.
+TEST(Parts, AttemptMemoryForgetsNothingEarly) {
+  const utils::Duration keep = Seconds(10);
+  details::AttemptMemory memory(100'000, 1ULL << 16U, keep);
+  Timestamp now{Seconds(1)};
+  std::vector<std::pair<Timestamp, std::uint64_t>> refused;
+  for (std::uint64_t i = 0; i < 20'000; ++i) {
+    now += Milliseconds(2);
+    memory.Expire(now);
+    const std::uint64_t key = details::KeyOf({"a", 1, i, 1});
+    if (i % 2 == 0) {
+      memory.Refuse(key);
+      refused.emplace_back(now, key);
+    } else {
+      memory.Admit(key);
+      memory.Finish(key, true, now);
+    }
+    if (i >= 4'000 && i % 2 == 0) {
+      const auto& [at, old] = refused[refused.size() - 2'000];
+      CHECK_TRUE(now - at >= keep || memory.IsRefused(old));
+    }
+  }
+  CHECK_TRUE(memory.Find(details::KeyOf({"a", 1, 19'999, 1})) == details::AttemptState::kRan);
+  CHECK_TRUE(memory.Find(details::KeyOf({"a", 1, 19'999 - 4'990, 1})).has_value());
+  CHECK_TRUE(memory.Size() <= 2'501);
+}
+
+// Guards against a queue that loses, repeats or reorders calls of a class.
+TEST(Parts, QueueKeepsOrderWithinAClass) {
+  const bool holds = rc::check([] {
+    details::PriorityQueue queue(16);
+    std::array<std::uint64_t, document::kPriorityCount> last{};
+    std::size_t size = 0;
+    for (std::uint64_t key = 1; key <= 200; ++key) {
+      const int action = *rc::gen::inRange(0, 5);
+      if (action < 3) {
+        details::AdmittedCall call;
+        call.key = key;
+        call.request.priority = static_cast<document::Priority>(*rc::gen::inRange(0, 4));
+        call.expiry = Timestamp(Seconds(1));
+        queue.Push(std::move(call));
+        ++size;
+      } else if (action == 3) {
+        size -= queue.Remove(*rc::gen::inRange<std::uint64_t>(1, key + 1)) ? 1 : 0;
+      } else if (const auto call = queue.Pop()) {
+        --size;
+        auto& newest = last.at(static_cast<std::size_t>(call->request.priority));
+        RC_ASSERT(call->key > newest);
+        newest = call->key;
+      }
+      RC_ASSERT(queue.Size() == size);
+      RC_ASSERT(queue.NextExpiry().has_value() == (size > 0));
+    }
+    while (queue.PopExpired(Timestamp(Seconds(1)))) {
+      --size;
+    }
+    RC_ASSERT(size == 0);
+  });
+  CHECK_TRUE(holds);
+}
+
+// Guards against answers of permits that take more memory than allowed, and against a full ledger
+// that issues permits it cannot follow.
+TEST(Parts, LedgerIsBounded) {
+  PermitOptions options;
+  options.answer_bytes = 10'000;
+  options.capacity = 50;
+  details::PermitLedger ledger(options);
+  Answer answer{
+      ResultKind::kAnswered, ErrorCode::kOk, "", {200, {}, std::string(1'000, 'x')}, false};
+  for (int i = 0; i < 50; ++i) {
+    const auto sequence = ledger.Issue(Timestamp{});
+    CHECK_TRUE(sequence.has_value());
+    if (i >= 20) {
+      ledger.Finish(*sequence, answer, Timestamp{});
+    }
+    CHECK_TRUE(ledger.AnswerBytes() <= 10'000);
+  }
+  // Used permits give way, unused ones do not.
+  int more = 0;
+  while (ledger.Issue(Timestamp{})) {
+    ++more;
+  }
+  CHECK_TRUE(more > 0 && more < 30);
+  CHECK_EQUAL(50, ledger.Size());
+  CHECK_TRUE(ledger.Find(1) != nullptr);
+  ledger.Expire(Timestamp(Seconds(1'300)));
+  CHECK_EQUAL(0, ledger.Size());
+}
+
+// Guards against settings that would make the gate forget early or not work.
+TEST(Parts, CreateRefusesUnsafeOptions) {
+  Options options;
+  options.gate.refusal_filter_bits = 1'000;
+  CHECK_FALSE(Calls::Create(options).has_value());
+  options = Options{};
+  options.gate.memory_margin = Milliseconds(1);
+  CHECK_TRUE(Calls::Create(options).error().code == ErrorCode::kSettingsOutOfRange);
+}
+
+}  // namespace amaranthlatch::calls::testing
--- /dev/null
+++ b/libs/calls/tests/quarantine_test.cc
@@ -0,0 +1,179 @@
+// Tests of the crash quarantine.
+
+#include "quarantine.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <set>
+#include <string>
+
+#include "mesh.h"
+
+namespace amaranthlatch::calls::testing {
+
+using utils::ErrorCode;
+using utils::Milliseconds;
+using utils::Seconds;
+
+TEST_GROUP(Quarantine) {
+  Mesh mesh{6, 3};
+
+  void setup() override {
+    document::ServiceDocument document = FleetDocument();
+    document.locality.prefer = document::LocalityPreference::kNone;
+    this->mesh.routes.Set(document);
+  }
+  void teardown() override { STRCMP_EQUAL("", this->mesh.Fault().c_str()); }
+  void RestartDead() {
+    for (std::size_t i = 0; i < this->mesh.nodes.size(); ++i) {
+      if (this->mesh.nodes[i].backend.mode == BackendMode::kDead) {
+        this->mesh.StartBackend(i);
+      }
+    }
+  }
+  // Sends the poisoned request again and again, each time through another node.
+  void SendPoison(int copies, const std::string& path) {
+    for (int i = 0; i < copies; ++i) {
+      this->mesh.Call(static_cast<std::size_t>(i) % this->mesh.nodes.size(), path, "poison");
+      this->mesh.RunFor(Milliseconds(100));
+      this->RestartDead();
+    }
+    this->mesh.RunFor(Seconds(5));
+  }
+};
+
+// Guards against a request that crashes one backend server after the other.
+TEST(Quarantine, PoisonedRequestCrashesAtMostTwoServers) {
+  this->SendPoison(20, "/write");
+  CHECK_EQUAL(2, this->mesh.deaths);
+  const std::uint64_t refused = this->mesh.Call(3, "/write", "poison");
+  const std::uint64_t innocent = this->mesh.Call(3, "/write", "innocent");
+  this->mesh.RunFor(Seconds(1));
+  CHECK_TRUE(this->mesh.MustAnswer(refused).code == ErrorCode::kPoisoned);
+  CHECK_TRUE(this->mesh.MustAnswer(refused).kind == ResultKind::kNotRun);
+  CHECK_TRUE(this->mesh.MustAnswer(innocent).kind == ResultKind::kAnswered);
+}
+
+// Guards against retries of the system itself that spread the crash.
+TEST(Quarantine, RetriesOfAPoisonedReadStopAtTwo) {
+  this->SendPoison(10, "/read");
+  CHECK_EQUAL(2, this->mesh.deaths);
+}
+
+// Guards against a quarantine that never ends.
+TEST(Quarantine, QuarantineExpires) {
+  this->SendPoison(5, "/write");
+  CHECK_EQUAL(2, this->mesh.deaths);
+  this->mesh.RunFor(Seconds(601));
+  this->SendPoison(1, "/write");
+  CHECK_EQUAL(3, this->mesh.deaths);
+}
+
+// Guards against innocent requests that stay under suspicion for having been in flight.
+TEST(Quarantine, InnocentsInFlightAreCleared) {
+  document::ServiceDocument document = FleetDocument();
+  document.locality.prefer = document::LocalityPreference::kNone;
+  document.protection.slots = 4;
+  this->mesh.routes.Set(document);
+  for (Node& node : this->mesh.nodes) {
+    node.backend.service_time = Milliseconds(40);
+  }
+  for (int i = 0; i < 12; ++i) {
+    this->mesh.Call(0, "/read", "innocent " + std::to_string(i));
+  }
+  this->mesh.RunFor(Milliseconds(5));
+  this->mesh.Call(0, "/write", "poison");
+  this->mesh.RunFor(Seconds(3));
+  this->RestartDead();
+  for (const auto& [call, outcome] : this->mesh.Outcomes()) {
+    if (outcome.body != "poison") {
+      CHECK_TRUE(outcome.answer && outcome.answer->kind == ResultKind::kAnswered);
+    }
+  }
+  std::uint32_t suspects = 0;
+  for (const Node& node : this->mesh.nodes) {
+    suspects = std::max(suspects, node.calls->GetGauges().suspects);
+  }
+  CHECK_EQUAL(1, suspects);
+}
+
+// One quarantine at a gate of a service with many gates.
+TEST_GROUP(QuarantineTable) {
+  details::Shared shared{Options{}};
+  details::Quarantine quarantine{shared};
+  FakeMembers members{"gate 100"};
+  FakeRoutes routes;
+  utils::Timestamp now{Seconds(100)};
+  std::vector<Effect> effects;
+  std::deque<Message> local;
+  details::Context context{now, members, routes, effects, local};
+
+  void setup() override {
+    for (int i = 100; i < 300; ++i) {
+      membership::Member member;
+      member.id = "gate " + std::to_string(i);
+      member.service = "fleet";
+      member.state = membership::MemberState::kReady;
+      this->members.Set(member);
+    }
+  }
+  std::set<std::string> Receivers() {
+    std::set<std::string> receivers;
+    for (const Effect& effect : this->effects) {
+      if (const auto* send = std::get_if<SendMessage>(&effect)) {
+        receivers.insert(send->to);
+      }
+    }
+    this->effects.clear();
+    return receivers;
+  }
+};
+
+// Guards against gates that a report does not reach, and against relays that pass it on for ever.
+TEST(QuarantineTable, ReportReachesAllGatesThroughRelays) {
+  this->quarantine.ReportCrash(this->context, "fleet", {7, 7, 8});
+  std::set<std::string> reached = this->Receivers();
+  CHECK_TRUE(reached.size() >= 63 && reached.size() <= 66);
+  const std::set<std::string> direct = reached;
+  const CrashReport report{"fleet", {7, 8}, "gate 100", 0, 1};
+  for (const std::string& relay : direct) {
+    FakeMembers view = this->members;
+    FakeMembers own{relay};
+    for (const membership::Member& member : *view.OfService("fleet")) {
+      own.Set(member);
+    }
+    details::Quarantine other{this->shared};
+    const details::Context at_relay{this->now, own, this->routes, this->effects, this->local};
+    other.OnReport(at_relay, report);
+    const std::set<std::string> share = this->Receivers();
+    CHECK_TRUE(share.size() <= 3);
+    reached.insert(share.begin(), share.end());
+    other.OnReport(at_relay, report);
+    CHECK_EQUAL(0, this->Receivers().size());
+  }
+  reached.insert("gate 100");
+  CHECK_EQUAL(200, reached.size());
+}
+
+// Guards against one death that counts twice, and against a table that grows or forgets the
+// quarantined ones first.
+TEST(QuarantineTable, DeathsCountOnceAndTheTableIsBounded) {
+  const auto report = [this](std::uint64_t fingerprint, std::uint64_t crash) {
+    this->quarantine.OnReport(this->context, CrashReport{"fleet", {fingerprint}, "x", 1, crash});
+  };
+  report(1, 1);
+  report(1, 1);
+  CHECK_TRUE(this->quarantine.Of("fleet", 1) == details::Suspicion::kSuspect);
+  CHECK_TRUE(this->quarantine.Of("claims", 1) == details::Suspicion::kNone);
+  report(1, 2);
+  CHECK_TRUE(this->quarantine.Of("fleet", 1) == details::Suspicion::kQuarantined);
+  this->quarantine.OnCleared(this->context, CrashCleared{"fleet", 1});
+  CHECK_TRUE(this->quarantine.Of("fleet", 1) == details::Suspicion::kQuarantined);
+  for (std::uint64_t i = 0; i < 5'000; ++i) {
+    report(1'000 + i, 3);
+  }
+  CHECK_EQUAL(4'096, this->quarantine.Size());
+  CHECK_TRUE(this->quarantine.Of("fleet", 1) == details::Suspicion::kQuarantined);
+}
+
+}  // namespace amaranthlatch::calls::testing
--- a/libs/calls/tests/random_faults_test.cc
+++ b/libs/calls/tests/random_faults_test.cc
@@ -228,7 +228,7 @@
 // or an answer go to another call. AMARANTHLATCH_SEED runs one seed, AMARANTHLATCH_RUNS more seeds.
 TEST(RandomFaults, KeepTheirPromises) {
   std::uint64_t first = 1;
-  std::uint64_t count = 60;
+  std::uint64_t count = 200;
   if (const char* runs = std::getenv("AMARANTHLATCH_RUNS")) {
     count = std::strtoull(runs, nullptr, 10);
   }
