Draw log truncation and single-node partitions in the random runs

Cause: the random runs never truncated the log and never cut one node from its peers while it could reach the log.

--- a/libs/distribution/tests/fault_test.cc
+++ b/libs/distribution/tests/fault_test.cc
@@ -42,7 +42,7 @@
   void Episode() {
     const std::uint64_t kinds = 1 + this->random.Below(3);
     for (std::uint64_t i = 0; i < kinds; ++i) {
-      this->Begin(this->random.Below(10));
+      this->Begin(this->random.Below(12));
     }
     const std::uint64_t steps = 3 + this->random.Below(8);
     for (std::uint64_t i = 0; i < steps; ++i) {
@@ -118,7 +118,8 @@
   void Cut() {
     const std::string zone = this->cluster.MemberAt(this->DrawNode()).zone;
     const std::string region = this->cluster.MemberAt(this->DrawNode()).region;
-    const std::uint64_t kind = this->random.Below(4);
+    const membership::NodeId node = this->cluster.MemberAt(this->DrawNode()).id;
+    const std::uint64_t kind = this->random.Below(5);
     this->cluster.fault.cut = [=](const membership::Member& from, const membership::Member* to) {
       const bool leaves_zone = to == nullptr || (from.zone == zone) != (to->zone == zone);
       const bool leaves_region = to != nullptr && (from.region == region) != (to->region == region);
@@ -129,6 +130,8 @@
           return to != nullptr && leaves_zone;
         case 2:
           return leaves_region || (to == nullptr && from.region == region);
+        case 3:
+          return to != nullptr && (from.id == node || to->id == node);
         default:
           return leaves_zone && (to != nullptr || from.zone == zone);
       }
@@ -164,6 +167,9 @@
         this->cluster.Pause(this->DrawNode(), this->random.Jitter(utils::Seconds(6)));
         this->cluster.Pause(this->DrawNode(), this->random.Jitter(utils::Seconds(6)));
         break;
+      case 8:
+        this->Truncate();
+        break;
       default:
         this->KillOne();
         this->KillOne();
@@ -171,6 +177,23 @@
     }
   }
 
+  // Drops what a complete snapshot in the log covers, after enough records for one.
+  void Truncate() {
+    for (int i = 0; i < 40; ++i) {
+      this->PublishSome();
+    }
+    this->cluster.Run(utils::Seconds(8));
+    std::map<Offset, std::set<std::uint64_t>> chunks;
+    Offset covered = 0;
+    for (const nlohmann::json& record : this->cluster.snapshots.records) {
+      const Offset offset = record["offset"];
+      chunks[offset].insert(record["index"].get<std::uint64_t>());
+      covered = chunks[offset].size() == record["count"] ? std::max(covered, offset) : covered;
+    }
+    Offset& first_kept = this->cluster.config.first_kept;
+    first_kept = std::max(first_kept, covered + 1 - std::min(covered, this->random.Below(5)));
+  }
+
   void End() {
     this->cluster.fault = Fault{};
     this->mass_death = false;
