--- a/libs/distribution/src/distribution.cc
+++ b/libs/distribution/src/distribution.cc
@@ -82,7 +82,7 @@
   details::SnapshotStream snapshot_stream{this->options, this->replica,  this->log,
                                           this->numbers, this->counters, this->random};
   bool reported_ready = false;
-  std::optional<std::uint64_t> pruned_generation;
+  std::optional<std::uint64_t> links_generation;
   // Nothing before the first event.
   std::optional<utils::Timestamp> next_wake;
   bool begun = false;
@@ -246,8 +246,7 @@
   if (this->replica.InForceOffset() >= held) {
     return;
   }
-  const Offset known =
-      *needed == 0 ? held : this->links.HeldByAtLeast(context, this->topology, *needed);
+  const Offset known = *needed == 0 ? held : this->links.HeldByAtLeast(*needed);
   const Offset witnessed = std::max(known, this->exchange.ReportedWitnessed());
   for (acceptance::Verdict& verdict : this->replica.PutInForce(witnessed)) {
     context.effects.emplace_back(VerdictInForce{std::move(verdict)});
@@ -331,9 +330,9 @@
   Parts& all = *this->parts;
   const Context context{.now = now, .members = members, .effects = effects};
   all.topology.Refresh(members);
-  if (all.pruned_generation != members.Generation()) {
-    all.pruned_generation = members.Generation();
-    all.links.Prune(context);
+  if (all.links_generation != members.Generation()) {
+    all.links_generation = members.Generation();
+    all.links.Refresh(context);
   }
   all.CheckPause(context);
   all.Handle(context, event);
--- a/libs/distribution/src/entry_exchange.cc
+++ b/libs/distribution/src/entry_exchange.cc
@@ -33,7 +33,7 @@
   if (!this->SameZone(context, to)) {
     return 0;
   }
-  return 1 + this->links.CountHolders(context, this->topology, offset, to);
+  return 1 + this->links.CountHolders(offset, to);
 }
 
 void EntryExchange::SendEntries(const Context& context, const membership::NodeId& to,
--- a/libs/distribution/src/peer_links.cc
+++ b/libs/distribution/src/peer_links.cc
@@ -21,16 +21,37 @@
          member->state != membership::MemberState::kDead;
 }
 
+// Starts the link afresh where the member has another process.
+void Adopt(const Context& context, const membership::Member& member, PeerLink& link) {
+  if (member.boot_id != link.boot_id) {
+    link = PeerLink{};
+    link.boot_id = member.boot_id;
+  }
+  const membership::Member& self = context.members.Self();
+  link.in_own_zone = member.zone == self.zone && member.id != self.id;
+}
+
 }  // namespace
 
 PeerLink& PeerLinks::Get(const Context& context, const membership::NodeId& id) {
-  PeerLink& link = this->links[id];
-  const membership::Member* member = context.members.Find(id);
-  if (member != nullptr && member->boot_id != link.boot_id) {
-    link = PeerLink{};
-    link.boot_id = member->boot_id;
+  const auto [found, added] = this->links.try_emplace(id);
+  const membership::Member* member = added ? context.members.Find(id) : nullptr;
+  if (member != nullptr) {
+    Adopt(context, *member, found->second);
+  }
+  return found->second;
+}
+
+void PeerLinks::Refresh(const Context& context) {
+  for (auto it = this->links.begin(); it != this->links.end();) {
+    const membership::Member* member = context.members.Find(it->first);
+    if (IsListed(member)) {
+      Adopt(context, *member, it->second);
+      ++it;
+    } else {
+      it = this->links.erase(it);
+    }
   }
-  return link;
 }
 
 void PeerLinks::ForgetHeld(const membership::NodeId& id) {
@@ -68,22 +89,22 @@
   return found == this->links.end() || found->second.unreachable_until <= now;
 }
 
-std::uint32_t PeerLinks::CountHolders(const Context& context, Topology& topology, Offset offset,
-                                      const membership::NodeId& except) {
+std::uint32_t PeerLinks::CountHolders(Offset offset, const membership::NodeId& except) const {
   std::uint32_t count = 0;
-  for (const membership::NodeId& peer : topology.ZonePeers()) {
-    if (peer != except && this->links.contains(peer) && this->Get(context, peer).held >= offset) {
-      ++count;
+  for (const auto& [id, link] : this->links) {
+    const bool holds = link.in_own_zone && !link.distrusted && link.held >= offset;
+    if (holds && id != except && ++count >= kMaxCountedHolders) {
+      break;
     }
   }
   return count;
 }
 
-Offset PeerLinks::HeldByAtLeast(const Context& context, Topology& topology, std::size_t count) {
+Offset PeerLinks::HeldByAtLeast(std::size_t count) const {
   std::vector<Offset> offsets;
-  for (const membership::NodeId& peer : topology.ZonePeers()) {
-    if (this->links.contains(peer) && !this->Get(context, peer).distrusted) {
-      offsets.push_back(this->Get(context, peer).held);
+  for (const auto& [id, link] : this->links) {
+    if (link.in_own_zone && !link.distrusted) {
+      offsets.push_back(link.held);
     }
   }
   if (count == 0 || offsets.size() < count) {
@@ -116,10 +137,4 @@
   return next;
 }
 
-void PeerLinks::Prune(const Context& context) {
-  std::erase_if(this->links, [&context](const auto& entry) {
-    return !IsListed(context.members.Find(entry.first));
-  });
-}
-
 }  // namespace amaranthlatch::distribution::details
--- a/libs/distribution/src/peer_links.h
+++ b/libs/distribution/src/peer_links.h
@@ -10,12 +10,12 @@
 #include "amaranthlatch/membership/member.h"
 #include "amaranthlatch/utils/time.h"
 #include "context.h"
-#include "topology.h"
 
 namespace amaranthlatch::distribution::details {
 
 struct PeerLink {
   std::uint64_t boot_id = 0;
+  bool in_own_zone = false;
   // The peer's present process is known to hold entries up to here.
   Offset held = 0;
   // The peer had another state at an offset that both know: no state is taken from it.
@@ -49,18 +49,18 @@
 
   // Zone peers other than `except` that are known to hold `offset`, counted up to the largest
   // number of witnesses.
-  std::uint32_t CountHolders(const Context& context, Topology& topology, Offset offset,
-                             const membership::NodeId& except);
+  std::uint32_t CountHolders(Offset offset, const membership::NodeId& except) const;
 
   // Highest offset that at least `count` zone peers hold.
-  Offset HeldByAtLeast(const Context& context, Topology& topology, std::size_t count);
+  Offset HeldByAtLeast(std::size_t count) const;
 
   // Gives up pushes past their deadline; returns how many.
   std::size_t ExpirePushes(utils::Timestamp now);
   std::optional<utils::Timestamp> NextDeadline() const;
 
-  // Drops links to nodes that are no members any more.
-  void Prune(const Context& context);
+  // Takes over changes of the members: drops links to nodes that are none any more, and starts
+  // those with another process afresh.
+  void Refresh(const Context& context);
 
  private:
   std::map<membership::NodeId, PeerLink> links;
