--- a/libs/calls/tests/gate_test.cc
+++ b/libs/calls/tests/gate_test.cc
@@ -52,7 +52,7 @@
     this->mesh.Deliver(kGate, PeerMessage{this->mesh.NodeName(1), message});
   }
   CallRequest SendNew(document::Priority priority = document::Priority::kNormal) {
-    const CallRequest request = this->Make(priority);
+    CallRequest request = this->Make(priority);
     this->Send(request);
     return request;
   }
--- a/libs/calls/tests/mesh.cc
+++ b/libs/calls/tests/mesh.cc
@@ -317,7 +317,9 @@
   }
   Duration time = backend.service_time / 2 + this->random.Jitter(backend.service_time);
   if (backend.comfortable != 0 && backend.running.size() > backend.comfortable) {
-    time = time * backend.running.size() / backend.comfortable;
+    const auto running = static_cast<Duration::rep>(backend.running.size());
+    const auto best = static_cast<Duration::rep>(backend.comfortable);
+    time = time * running * running / (best * best);
   }
   if (backend.mode == BackendMode::kShedding) {
     time = utils::Milliseconds(1);
@@ -350,13 +352,22 @@
 }
 
 void Mesh::StartNode(std::size_t index) {
-  Node& node = this->nodes[index];
-  if (node.calls) {
-    return;
+  if (!this->nodes[index].calls) {
+    this->Boot(index, nullptr);
   }
+}
+
+void Mesh::SetPolicy(std::size_t index, std::unique_ptr<BalancePolicy> policy) {
+  this->nodes[index].calls.reset();
+  this->Boot(index, std::move(policy));
+  this->Publish(index, MemberState::kReady);
+}
+
+void Mesh::Boot(std::size_t index, std::unique_ptr<BalancePolicy> policy) {
+  Node& node = this->nodes[index];
   Options own = this->options;
   own.seed = this->random.Next();
-  node.calls = std::make_unique<Calls>(std::move(*Calls::Create(own)));
+  node.calls = std::make_unique<Calls>(std::move(*Calls::Create(own, std::move(policy))));
   node.boot = ++this->last_boot;
   ++node.incarnation;
   this->Publish(index, MemberState::kReady, node.boot <= this->nodes.size());
--- a/libs/calls/tests/mesh.h
+++ b/libs/calls/tests/mesh.h
@@ -76,7 +76,8 @@
   BackendMode mode = BackendMode::kNormal;
   // Mean of the service time; it is drawn between half of it and one and a half.
   utils::Duration service_time = utils::Milliseconds(5);
-  // Concurrent requests above which each takes longer in proportion; 0 for no effect.
+  // Concurrent requests above which the time grows with their square, so that twice as many
+  // halve the throughput; 0 for no effect.
   std::uint32_t comfortable = 0;
   std::uint32_t slots = 4;
   std::map<std::uint64_t, std::string> running;
@@ -120,6 +121,8 @@
   std::string GetPermit(std::size_t node);
   void Deliver(std::size_t node, const Event& event);
 
+  // Replaces a node that has had no calls yet by one with this policy.
+  void SetPolicy(std::size_t node, std::unique_ptr<BalancePolicy> policy);
   // The node's process; its backend server lives on.
   void KillNode(std::size_t node);
   void StartNode(std::size_t node);
@@ -152,6 +155,7 @@
   };
 
   std::size_t IndexOf(const membership::NodeId& id) const;
+  void Boot(std::size_t node, std::unique_ptr<BalancePolicy> policy);
   void Handle(std::size_t node, Effect effect);
   void Send(std::size_t from, std::size_t to, const Message& message);
   void Arrive(std::size_t from, std::size_t to, const Message& message);
