--- a/tools/reducer_benchmark/acceptance_benchmark.cc
+++ b/tools/reducer_benchmark/acceptance_benchmark.cc
@@ -53,6 +53,9 @@
 }  // namespace
 
 nlohmann::json MeasureAcceptance(std::size_t services) {
+  if (services == 0) {
+    return nullptr;
+  }
   acceptance::State state;
   const std::size_t before = HeapBytes();
   std::size_t publish = 0;
