--- a/libs/membership/tests/membership_test.cc
+++ b/libs/membership/tests/membership_test.cc
@@ -174,6 +174,22 @@
   CHECK_FALSE(mesh.nodes.at(IdOf(0, 20)).membership.Holding());
 }
 
+// Guards against a hold that keeps replaced instances listed forever.
+TEST(Membership, HoldEndsAfterItsLimit) {
+  Mesh mesh(7);
+  StartAll(mesh, 2, 12);
+  mesh.Run(utils::Seconds(12));
+  for (int index = 0; index < 8; ++index) {
+    mesh.Kill(IdOf(0, index));
+  }
+  mesh.Run(utils::Seconds(300));
+  CHECK_TRUE(mesh.nodes.at(IdOf(0, 10)).membership.Holding());
+  CHECK_TRUE(mesh.View(IdOf(0, 10)).OfZone(ZoneOf(0))->size() >= 10);
+  mesh.Run(utils::Seconds(400));
+  CheckAgreement(mesh, 7, "700 s after a lasting mass failure");
+  CHECK_FALSE(mesh.nodes.at(IdOf(0, 10)).membership.Holding());
+}
+
 // Guards against a node that empties its lists because it is cut off, or does not find back after
 // the others have forgotten it.
 TEST(Membership, IsolatedNodeHoldsAndRejoins) {
