--- a/libs/distribution/src/distribution.cc
+++ b/libs/distribution/src/distribution.cc
@@ -22,6 +22,14 @@
 
 using details::Context;
 
+namespace {
+
+constexpr int kMaxRounds = 3;
+// A timer that stays due must not keep the host busy.
+constexpr utils::Duration kMinSleep = utils::Milliseconds(1);
+
+}  // namespace
+
 // Members refer to each other, so the parts never move.
 struct Distribution::Parts {
   explicit Parts(Options settings)
@@ -36,6 +44,8 @@
   void HandlePush(const Context& context, const membership::NodeId& from, const EntriesPush& push);
   void HandleHeartbeat(const Context& context, const membership::NodeId& from,
                        const ReaderHeartbeat& heartbeat);
+  void HandleChunk(const Context& context, const membership::NodeId& from,
+                   const SnapshotChunk& chunk);
   void AnswerHeldQuery(const Context& context, const membership::NodeId& from);
   void CheckPause(const Context& context);
   void Spread(const Context& context, EntrySource source, Offset before);
@@ -72,7 +82,7 @@
   details::SnapshotStream snapshot_stream{this->options, this->replica,  this->log,
                                           this->numbers, this->counters, this->random};
   bool reported_ready = false;
-  std::optional<std::uint64_t> pruned_generation;
+  std::optional<std::uint64_t> links_generation;
   // Nothing before the first event.
   std::optional<utils::Timestamp> next_wake;
   bool begun = false;
@@ -121,7 +131,7 @@
                                      const EntriesPush& push) {
   const Offset before = this->replica.HeldOffset();
   this->exchange.OnPush(context, from, push);
-  this->readiness.OnExchange(from);
+  this->readiness.OnPush(context, push);
   const EntrySource source = this->SourceOf(context, from);
   // A reader in a zone without the log gets entries from other regions and serves its own.
   const bool for_region = source == EntrySource::kOtherZone && this->role.Active();
@@ -130,12 +140,22 @@
 
 void Distribution::Parts::HandleHeartbeat(const Context& context, const membership::NodeId& from,
                                           const ReaderHeartbeat& heartbeat) {
+  this->links.NoteHeld(context, from, heartbeat.held);
   this->role.OnHeartbeat(context, from, heartbeat, this->replica.HeldOffset());
   if (heartbeat.held > this->replica.HeldOffset()) {
     this->exchange.AskOnce(context, from);
   }
 }
 
+void Distribution::Parts::HandleChunk(const Context& context, const membership::NodeId& from,
+                                      const SnapshotChunk& chunk) {
+  if (this->links.Get(context, from).distrusted) {
+    return;
+  }
+  this->links.NoteHeld(context, from, chunk.offset);
+  this->snapshot_receiver.OnChunk(context, from, chunk);
+}
+
 void Distribution::Parts::AnswerHeldQuery(const Context& context, const membership::NodeId& from) {
   HeldReply reply;
   reply.held = this->replica.HeldOffset();
@@ -179,14 +199,13 @@
   } else if (const auto* request = std::get_if<EntriesRequest>(&event.message)) {
     this->exchange.OnRequest(context, from, *request);
   } else if (const auto* chunk = std::get_if<SnapshotChunk>(&event.message)) {
-    if (!this->links.Get(context, from).distrusted) {
-      this->snapshot_receiver.OnChunk(context, from, *chunk);
-    }
+    this->HandleChunk(context, from, *chunk);
   } else if (const auto* later = std::get_if<SnapshotRetryLater>(&event.message)) {
     this->snapshot_receiver.OnRetryLater(context, from, *later);
   } else if (const auto* heartbeat = std::get_if<ReaderHeartbeat>(&event.message)) {
     this->HandleHeartbeat(context, from, *heartbeat);
   } else if (const auto* reply = std::get_if<HeldReply>(&event.message)) {
+    this->links.NoteHeld(context, from, reply->held);
     this->readiness.OnHeldReply(from, *reply);
   }
 }
@@ -227,8 +246,7 @@
   if (this->replica.InForceOffset() >= held) {
     return;
   }
-  const Offset known =
-      *needed == 0 ? held : this->links.HeldByAtLeast(context, this->topology, *needed);
+  const Offset known = *needed == 0 ? held : this->links.HeldByAtLeast(*needed);
   const Offset witnessed = std::max(known, this->exchange.ReportedWitnessed());
   for (acceptance::Verdict& verdict : this->replica.PutInForce(witnessed)) {
     context.effects.emplace_back(VerdictInForce{std::move(verdict)});
@@ -312,15 +330,23 @@
   Parts& all = *this->parts;
   const Context context{.now = now, .members = members, .effects = effects};
   all.topology.Refresh(members);
-  if (all.pruned_generation != members.Generation()) {
-    all.pruned_generation = members.Generation();
-    all.links.Prune(context);
+  if (all.links_generation != members.Generation()) {
+    all.links_generation = members.Generation();
+    all.links.Refresh(context);
   }
   all.CheckPause(context);
   all.Handle(context, event);
   all.RunTimers(context);
-  all.ReportReadiness(context);
   all.next_wake = all.FindNextWake();
+  // What one part does can make an earlier one due.
+  for (int round = 1; round < kMaxRounds && all.next_wake && *all.next_wake <= now; ++round) {
+    all.RunTimers(context);
+    all.next_wake = all.FindNextWake();
+  }
+  if (all.next_wake) {
+    all.next_wake = std::max(*all.next_wake, now + kMinSleep);
+  }
+  all.ReportReadiness(context);
   all.begun = true;
   return effects;
 }
--- a/libs/distribution/src/peer_links.h
+++ b/libs/distribution/src/peer_links.h
@@ -10,12 +10,12 @@
 #include "amaranthlatch/membership/member.h"
 #include "amaranthlatch/utils/time.h"
 #include "context.h"
-#include "topology.h"
 
 namespace amaranthlatch::distribution::details {
 
 struct PeerLink {
   std::uint64_t boot_id = 0;
+  bool in_own_zone = false;
   // The peer's present process is known to hold entries up to here.
   Offset held = 0;
   // The peer had another state at an offset that both know: no state is taken from it.
@@ -36,6 +36,9 @@
   // that one holds nothing.
   PeerLink& Get(const Context& context, const membership::NodeId& id);
 
+  // The peer has shown that it holds entries up to `held`.
+  void NoteHeld(const Context& context, const membership::NodeId& id, Offset held);
+
   // Forgets what the peer holds: its process has just started.
   void ForgetHeld(const membership::NodeId& id);
   void ForgetAllHeld();
@@ -44,19 +47,20 @@
   void MarkUnreachable(const Context& context, const membership::NodeId& id);
   bool IsReachable(const membership::NodeId& id, utils::Timestamp now) const;
 
-  // Zone peers other than `except` that are known to hold `offset`.
-  std::uint32_t CountHolders(const Context& context, Topology& topology, Offset offset,
-                             const membership::NodeId& except);
+  // Zone peers other than `except` that are known to hold `offset`, counted up to the largest
+  // number of witnesses.
+  std::uint32_t CountHolders(Offset offset, const membership::NodeId& except) const;
 
   // Highest offset that at least `count` zone peers hold.
-  Offset HeldByAtLeast(const Context& context, Topology& topology, std::size_t count);
+  Offset HeldByAtLeast(std::size_t count) const;
 
   // Gives up pushes past their deadline; returns how many.
   std::size_t ExpirePushes(utils::Timestamp now);
   std::optional<utils::Timestamp> NextDeadline() const;
 
-  // Drops links to nodes that are no members any more.
-  void Prune(const Context& context);
+  // Takes over changes of the members: drops links to nodes that are none any more, and starts
+  // those with another process afresh.
+  void Refresh(const Context& context);
 
  private:
   std::map<membership::NodeId, PeerLink> links;
