Run the whole path: demo of three zones with publishes, calls and a clean stop

Cause: daemon and command line disagreed about fields of /status and /audit, and the measuring tool about names of metrics.

--- a/libs/runtime/src/admin_interface.cc
+++ b/libs/runtime/src/admin_interface.cc
@@ -96,8 +96,8 @@
                {"ready", status.ready},
                {"reason", status.reason},
                {"holding", status.holding},
-               {"held", status.held},
-               {"in_force", status.in_force},
+               {"held_offset", status.held},
+               {"in_force_offset", status.in_force},
                {"log_head", status.log_head},
                {"stopped_at", status.stopped_at ? json(*status.stopped_at) : json()},
                {"services", services},
@@ -117,14 +117,14 @@
 std::string AuditJson(const acceptance::State& state, const AuditTrail& trail,
                       std::string_view service) {
   if (service.empty()) {
-    return Text({{"entries", trail.ToJson({})}});
+    return Text({{"verdicts", trail.ToJson({})}});
   }
   // The state's history also holds verdicts from before this process started.
   json entries = json::array();
   for (const acceptance::Verdict& verdict : state.History(service)) {
     entries.push_back(runtime::ToJson(AuditEntry{verdict, trail.InForceAt(verdict.offset)}));
   }
-  return Text({{"service", service}, {"entries", entries}});
+  return Text({{"service", service}, {"verdicts", entries}});
 }
 
 void AdminInterface::OnRequest(std::uint64_t request, calls::HttpRequest content) {
--- a/libs/runtime/src/audit.cc
+++ b/libs/runtime/src/audit.cc
@@ -5,39 +5,14 @@
 #include <algorithm>
 #include <utility>
 
-namespace amaranthlatch::runtime {
-
-namespace {
-
-const char* OutcomeName(acceptance::Outcome outcome) {
-  switch (outcome) {
-    case acceptance::Outcome::kAccepted:
-      return "accepted";
-    case acceptance::Outcome::kDuplicate:
-      return "duplicate";
-    case acceptance::Outcome::kRefused:
-      break;
-  }
-  return "refused";
-}
+#include "amaranthlatch/acceptance/verdict_json.h"
 
-}  // namespace
+namespace amaranthlatch::runtime {
 
 nlohmann::json ToJson(const AuditEntry& entry) {
-  const acceptance::Verdict& verdict = entry.verdict;
-  return {{"offset", verdict.offset},
-          {"service", verdict.service},
-          {"publish_id", verdict.publish_id},
-          {"author", verdict.author},
-          {"published_at", verdict.published_at},
-          {"action", verdict.action == acceptance::Action::kPut ? "put" : "remove"},
-          {"outcome", OutcomeName(verdict.outcome)},
-          {"code", utils::ToNumber(verdict.code)},
-          {"name", utils::ToString(verdict.code)},
-          {"pointer", verdict.pointer},
-          {"message", verdict.message},
-          {"replaced", verdict.replaced},
-          {"in_force_at", entry.in_force_at}};
+  nlohmann::json value = acceptance::ToJson(entry.verdict);
+  value["in_force_at"] = entry.in_force_at;
+  return value;
 }
 
 void AuditTrail::Add(AuditEntry entry) {
--- a/tools/measure/convergence.cc
+++ b/tools/measure/convergence.cc
@@ -15,8 +15,6 @@
 constexpr std::chrono::milliseconds kChangeTimeout{9'000};
 constexpr double kBytesPerKilobyte = 1000.0;
 constexpr double kBytesPerMegabyte = 1e6;
-constexpr char kControlBytes[] = "amaranthlatch_control_bytes_sent_total";
-constexpr char kCrossRegionBytes[] = "amaranthlatch_control_bytes_sent_cross_region_total";
 
 // Sums over all nodes at one moment.
 struct Totals {
@@ -29,8 +27,8 @@
 
 Totals TakeTotals(Deployment& deployment) {
   Totals totals;
-  totals.control_bytes = deployment.SumMetric(kControlBytes);
-  totals.cross_region_bytes = deployment.SumMetric(kCrossRegionBytes);
+  totals.control_bytes = deployment.ControlBytes(false);
+  totals.cross_region_bytes = deployment.ControlBytes(true);
   for (const NodeProcess& node : deployment.Nodes()) {
     const ProcessUsage usage = node.node->Usage();
     totals.cpu_seconds += std::chrono::duration<double>(usage.cpu).count();
--- a/tools/measure/demo.cc
+++ b/tools/measure/demo.cc
@@ -19,7 +19,6 @@
 constexpr std::chrono::milliseconds kCommandTimeout{20'000};
 constexpr std::chrono::milliseconds kStopTimeout{10'000};
 constexpr double kCallsPerSecond = 200;
-constexpr char kControlBytes[] = "amaranthlatch_control_bytes_sent_total";
 
 // Writes the document to a file and publishes it with the operators' command line.
 class Publisher {
@@ -27,7 +26,7 @@
   Publisher(const ScenarioOptions& options, Deployment& deployment)
       : options(options), deployment(deployment) {}
 
-  bool Publish(const nlohmann::json& document) {
+  bool Publish(const nlohmann::json& document, std::uint64_t base_version) {
     const std::string file = this->options.work_directory + "/document.json";
     std::ofstream(file) << document.dump(2) << '\n';
     std::vector<std::string> command = {
@@ -36,7 +35,10 @@
         file,
         "--log=" + this->deployment.LogAddress(),
         "--author=demo",
-        "--wait=9"};
+        "--wait=9000"};
+    if (base_version > 0) {
+      command.push_back("--base=" + std::to_string(base_version));
+    }
     for (const NodeProcess& node : this->deployment.Nodes()) {
       command.push_back("--node=" + node.AdminAddress());
     }
@@ -97,7 +99,7 @@
   Publisher publisher(options, deployment);
   for (const ServiceOptions& service : services) {
     std::cout << "publishing " << service.name << '\n';
-    if (!publisher.Publish(MakeDocument(service, 1))) {
+    if (!publisher.Publish(MakeDocument(service, 1), 0)) {
       return utils::Fail(utils::ErrorCode::kPublishOutcomeUnknown, "the first publish failed");
     }
   }
@@ -111,16 +113,16 @@
   std::cout << "publishing a second version under load\n";
   Load load(PlanLoad(deployment, CallKind::kRead, "during"));
   std::this_thread::sleep_for(part);
-  const double bytes_before = deployment.SumMetric(kControlBytes);
+  const double bytes_before = deployment.ControlBytes(false);
   const auto start = std::chrono::steady_clock::now();
-  if (!publisher.Publish(MakeDocument(services.front(), 2))) {
+  if (!publisher.Publish(MakeDocument(services.front(), 2), 1)) {
     report.AddViolation("the second version was not in force everywhere within 9 s");
   }
   const auto elapsed = std::chrono::steady_clock::now() - start;
   report.Add("convergence of the second version, with the command line",
              std::chrono::duration<double, std::milli>(elapsed).count(), "ms");
-  report.Add("control bytes meanwhile, all nodes",
-             deployment.SumMetric(kControlBytes) - bytes_before, "B");
+  report.Add("control bytes meanwhile, all nodes", deployment.ControlBytes(false) - bytes_before,
+             "B");
   ReportCalls("reads during the publish", load.Stop(), deployment, CallKind::kRead, report);
   std::cout << "stopping\n";
   deployment.Stop(kStopTimeout);
--- a/tools/measure/recovery.cc
+++ b/tools/measure/recovery.cc
@@ -13,7 +13,6 @@
 constexpr std::chrono::milliseconds kConvergenceTarget{9'000};
 constexpr std::chrono::milliseconds kStopTimeout{5'000};
 constexpr std::uint32_t kHistory = 50;
-constexpr char kControlBytes[] = "amaranthlatch_control_bytes_sent_total";
 
 double MillisecondsSince(std::chrono::steady_clock::time_point start) {
   return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - start)
@@ -62,7 +61,7 @@
   for (NodeProcess* node : killed) {
     node->node->Kill();
   }
-  const double bytes_before = deployment.SumMetric(kControlBytes);
+  const double bytes_before = deployment.ControlBytes(false);
   const auto start = std::chrono::steady_clock::now();
   for (NodeProcess* node : killed) {
     if (auto restarted = deployment.StartNode(*node); !restarted) {
@@ -75,10 +74,9 @@
   report.Add("nodes", static_cast<double>(deployment.Nodes().size()), "");
   report.Add("nodes killed and started together", static_cast<double>(killed.size()), "");
   report.Add("time until all are ready and in force", MillisecondsSince(start), "ms");
-  report.Add(
-      "control bytes per returning node",
-      (deployment.SumMetric(kControlBytes) - bytes_before) / static_cast<double>(killed.size()),
-      "B");
+  report.Add("control bytes per returning node",
+             (deployment.ControlBytes(false) - bytes_before) / static_cast<double>(killed.size()),
+             "B");
   if (!deployment.WaitMembers(deployment.Nodes().size(), kReturnTimeout)) {
     report.AddViolation("not all nodes list all members 30 s after the return");
   }
--- a/tools/support/deployment.cc
+++ b/tools/support/deployment.cc
@@ -31,6 +31,9 @@
 constexpr std::chrono::milliseconds kStatusTimeout{500};
 constexpr std::chrono::milliseconds kPollInterval{5};
 constexpr std::chrono::milliseconds kStartTimeout{5000};
+constexpr char kControlBytes[] =
+    "amaranthlatch_message_bytes_by_region_total{direction=\"sent\",traffic=\"control\"";
+constexpr char kUnknownRegion[] = "key=\"unknown\"";
 constexpr char kSecret[] = "loopback-only-secret-for-tests-0123456789";
 
 // Networks of 127/8 differ between concurrent runs, so that their ports do not collide.
@@ -259,15 +262,20 @@
   return true;
 }
 
-double Deployment::SumMetric(const std::string& name) const {
+double Deployment::ControlBytes(bool cross_region) const {
   double sum = 0;
   for (const NodeProcess& node : this->nodes) {
     const HttpReply reply =
         Fetch({.url = "http://" + node.AdminAddress() + "/metrics", .timeout = kStatusTimeout});
+    const std::string own_region = "key=\"" + node.region + "\"";
     std::istringstream lines(reply.body);
     for (std::string line; std::getline(lines, line);) {
-      const bool matches = line.starts_with(name + " ") || line.starts_with(name + "{");
-      if (matches) {
+      if (!line.starts_with(kControlBytes)) {
+        continue;
+      }
+      const bool crosses = line.find(own_region) == std::string::npos &&
+                           line.find(kUnknownRegion) == std::string::npos;
+      if (crosses || !cross_region) {
         sum += std::stod(line.substr(line.rfind(' ') + 1));
       }
     }
--- a/tools/support/deployment.h
+++ b/tools/support/deployment.h
@@ -87,8 +87,9 @@
   // True once every running node lists `members` members that are ready.
   bool WaitMembers(std::size_t members, std::chrono::milliseconds timeout);
 
-  // Sum of a counter of /metrics over the running nodes; names with labels are summed.
-  double SumMetric(const std::string& name) const;
+  // Bytes of control messages that the running nodes have sent; `cross_region` counts only those to
+  // nodes of other regions.
+  double ControlBytes(bool cross_region) const;
 
   // Runs of each request key over all backend servers, read from their files.
   std::map<std::string, std::uint32_t> Runs() const;
