Count direct calls and nodes without backend servers in the measuring tool

Cause: direct answers lack the fields of the mesh and were not counted; nodes without a backend server never become ready. Change: a flag for direct loads, members that are joining count where there are no backend servers, result codes in violation texts.

--- a/tools/measure/latency.cc
+++ b/tools/measure/latency.cc
@@ -15,6 +15,7 @@
 constexpr std::uint32_t kThreads = 4;
 constexpr std::uint32_t kDepths[] = {1, 3, 9};
 constexpr double kTargetAddedP99Ms = 1.8;
+constexpr char kDirectPrefix[] = "direct";
 constexpr char kHost[] = "service-1.example";
 
 // The list of hops that the backend servers follow after the first one.
@@ -34,6 +35,7 @@
   load.threads = kThreads;
   load.calls_per_second = kCallsPerSecond / depth;
   load.key_prefix = prefix + std::to_string(depth);
+  load.direct = prefix == kDirectPrefix;
   if (depth > 1) {
     load.headers = {"X-Chain: " + Chain(addresses, depth), std::string("X-Chain-Host: ") + kHost};
   }
@@ -57,7 +59,7 @@
              "ms, target " + std::to_string(kTargetAddedP99Ms));
   if (mesh.answered < mesh.Total()) {
     report.AddViolation(std::to_string(mesh.Total() - mesh.answered) + " calls not answered" +
-                        suffix);
+                        suffix + ": " + mesh.CodesText());
   }
 }
 
@@ -103,7 +105,7 @@
   }
   const auto duration = options.duration / (2 * static_cast<int>(std::size(kDepths)));
   for (const std::uint32_t depth : kDepths) {
-    const LoadResult direct_result = Load::RunFor(PlanLoad(direct, depth, "direct"), duration);
+    const LoadResult direct_result = Load::RunFor(PlanLoad(direct, depth, kDirectPrefix), duration);
     const LoadResult mesh_result = Load::RunFor(PlanLoad(mesh, depth, "mesh"), duration);
     ReportDepth(depth, direct_result, mesh_result, report);
   }
--- a/tools/measure/load.cc
+++ b/tools/measure/load.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kResendPause{20};
+constexpr int kStatusOk = 200;
 constexpr std::size_t kMaxViolationTexts = 5;
 
 std::string KindName(CallKind kind) {
@@ -120,7 +121,8 @@
   }
 
   void Sort(const std::string& key, const HttpCall& call, const HttpReply& reply) {
-    const std::string kind = reply.Header("amaranthlatch-result");
+    const bool direct_success = this->options.direct && reply.status == kStatusOk;
+    const std::string kind = direct_success ? "answered" : reply.Header("amaranthlatch-result");
     if (reply.status == 0) {
       this->result.lost += 1;
       this->result.codes["no-answer"] += 1;
@@ -174,6 +176,14 @@
 
 }  // namespace
 
+std::string LoadResult::CodesText() const {
+  std::string text;
+  for (const auto& [code, count] : this->codes) {
+    text += (text.empty() ? "" : ", ") + code + ": " + std::to_string(count);
+  }
+  return text;
+}
+
 Load::Load(LoadOptions options)
     : options(std::move(options)),
       started(std::chrono::steady_clock::now()),
--- a/tools/measure/load.h
+++ b/tools/measure/load.h
@@ -34,6 +34,8 @@
   std::string key_prefix;
   std::chrono::milliseconds timeout{5000};
   std::vector<std::string> headers;
+  // The addresses are backend servers, whose answers lack the fields of the mesh.
+  bool direct = false;
   // Times that a kRecord call is sent again with its permit.
   std::uint32_t resends = 3;
 };
@@ -56,6 +58,8 @@
   std::vector<std::string> not_run_keys;
   double seconds = 0;
 
+  // "0: 17, 5003: 2".
+  std::string CodesText() const;
   std::uint64_t Total() const {
     return this->answered + this->not_run + this->unknown + this->lost;
   }
--- a/tools/measure/policies.cc
+++ b/tools/measure/policies.cc
@@ -87,7 +87,6 @@
   }
   const auto time_to_last = last_new_work - start;
   std::this_thread::sleep_for(options.duration / 4);
-  // The node beside it leaves too: a graceful shutdown while it is an entry node for callers.
   const LoadResult result = load.Stop();
   report.Add("time to last new work",
              std::chrono::duration<double, std::milli>(time_to_last).count(), "ms, limit 3000");
@@ -99,7 +98,7 @@
     report.AddViolation("new work later than 3 s after the leave");
   }
   if (result.unknown + result.lost > 0) {
-    report.AddViolation("a graceful shutdown cut calls");
+    report.AddViolation("a graceful shutdown cut calls, codes " + result.CodesText());
   }
   AddViolations(CheckRuns(result, deployment.Runs(), CallKind::kOnce), report);
   deployment.Stop(kStopTimeout);
--- a/tools/support/deployment.cc
+++ b/tools/support/deployment.cc
@@ -250,7 +250,13 @@
     while (node.node && node.node->Running()) {
       const json status = Status(node);
       const json counts = status.is_object() ? status.value("members", json::object()) : json();
-      if (counts.is_object() && counts.value("ready", std::size_t{0}) >= members) {
+      // A node without a backend server stays joining: it takes calls but is no gate.
+      const std::size_t listed =
+          counts.is_object()
+              ? counts.value("ready", std::size_t{0}) +
+                    (this->options.backend_servers ? 0 : counts.value("joining", std::size_t{0}))
+              : 0;
+      if (listed >= members) {
         break;
       }
       if (std::chrono::steady_clock::now() > end) {
--- a/tools/support/deployment.h
+++ b/tools/support/deployment.h
@@ -84,7 +84,8 @@
   // True once every running node is ready and in force at `offset` or later, within the time.
   bool WaitInForce(std::uint64_t offset, std::chrono::milliseconds timeout);
 
-  // True once every running node lists `members` members that are ready.
+  // True once every running node lists `members` members that are ready, or
+  // joining where there are no backend servers.
   bool WaitMembers(std::size_t members, std::chrono::milliseconds timeout);
 
   // Bytes of control messages that the running nodes have sent; `cross_region` counts only those to
