Keep the node running when its backend server leaves

Cause: DELETE /backend-server began the drain of the whole node, which then ended; callers that used it as their entry lost their connections. Ruled out: the stand-in (it finished what it had). Change: the leave closes the gate, drops queued calls as not run, lets calls in flight finish, and tells the nodes that lately sent calls; the node goes on as an entry. Conclusion: P7 and P8 hold for a leaving backend server; the scenario stays as the test.

--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -83,6 +83,8 @@
   void Handle(const BackendServerAnnounced& event);
   void Handle(const BackendServerLost& event);
   void Handle(const DrainRequested& event);
+  // Sends this node's changed record to the nodes that lately sent it calls.
+  void TellCallers();
   void Handle(const calls::CallReceived& event);
   template <typename T>
   void Handle(const T& event);
@@ -207,11 +209,16 @@
     this->backend.available = false;
     this->queue.emplace_back(calls::Event(this->backend));
   }
+  this->TellCallers();
 }
 
 void Node::Parts::Handle(const DrainRequested& /*event*/) {
   this->queue.emplace_back(membership::Event(membership::DrainStarted{}));
   this->queue.emplace_back(calls::Event(calls::DrainStarted{}));
+  this->TellCallers();
+}
+
+void Node::Parts::TellCallers() {
   this->Settle();
   // Promise P7: the nodes that send calls here must know before the update has spread.
   const membership::MemberUpdates update{{this->membership.View().Self()}, 0};
--- a/libs/runtime/src/host.cc
+++ b/libs/runtime/src/host.cc
@@ -171,8 +171,9 @@
 
   void BackendServerLeaves() override {
     LogLine("backend-server-leaves").Info();
+    // Calls in flight there finish; the node goes on as an entry for callers.
     this->backend_server->Leave();
-    this->BeginDrain();
+    this->Apply(node::BackendServerLost{});
   }
 
  private:
