Measure a leaving node and count refused connections apart

Cause: the drain scenario ended no node, and a refused connection counted as a cut call. Change: one node is terminated while callers use it as their entry. Conclusion: the scenario covers both graceful shutdowns.

--- a/tools/measure/latency.cc
+++ b/tools/measure/latency.cc
@@ -53,6 +53,8 @@
   report.Add("direct p99" + suffix, direct_p99, "ms");
   report.Add("mesh p50" + suffix, mesh_p50, "ms");
   report.Add("mesh p99" + suffix, mesh_p99, "ms");
+  report.Add("direct slowest" + suffix, Percentile(direct.latencies_ms, 1), "ms");
+  report.Add("mesh slowest" + suffix, Percentile(mesh.latencies_ms, 1), "ms");
   report.Add("added p50" + suffix, mesh_p50 - direct_p50, "ms");
   report.Add("added p99" + suffix, mesh_p99 - direct_p99, "ms");
   report.Add("added p99 per level" + suffix, (mesh_p99 - direct_p99) / depth,
@@ -109,6 +111,10 @@
     const LoadResult mesh_result = Load::RunFor(PlanLoad(mesh, depth, "mesh"), duration);
     ReportDepth(depth, direct_result, mesh_result, report);
   }
+  report.Add("retries", deployment.SumMetric("amaranthlatch_call_retries_total"), "");
+  report.Add("fences", deployment.SumMetric("amaranthlatch_call_fences_total"), "");
+  report.Add("messages not sent", deployment.SumMetric("amaranthlatch_messages_not_sent_total"),
+             "");
   ReportThroughput(mesh, deployment, duration, report);
   deployment.Stop(std::chrono::milliseconds(5'000));
   return {};
--- a/tools/measure/load.cc
+++ b/tools/measure/load.cc
@@ -124,8 +124,8 @@
     const bool direct_success = this->options.direct && reply.status == kStatusOk;
     const std::string kind = direct_success ? "answered" : reply.Header("amaranthlatch-result");
     if (reply.status == 0) {
-      this->result.lost += 1;
-      this->result.codes["no-answer"] += 1;
+      (reply.refused ? this->result.refused : this->result.lost) += 1;
+      this->result.codes[reply.refused ? "no-connection" : "no-answer"] += 1;
       return;
     }
     this->result.codes[reply.Header("amaranthlatch-code")] += 1;
@@ -163,6 +163,7 @@
   target.answered += part.answered;
   target.not_run += part.not_run;
   target.unknown += part.unknown;
+  target.refused += part.refused;
   target.lost += part.lost;
   target.mismatched += part.mismatched;
   for (const auto& [code, count] : part.codes) {
--- a/tools/measure/load.h
+++ b/tools/measure/load.h
@@ -45,7 +45,9 @@
   std::uint64_t answered = 0;
   std::uint64_t not_run = 0;
   std::uint64_t unknown = 0;
-  // No HTTP answer at all: the entry node is gone.
+  // No connection to the entry node.
+  std::uint64_t refused = 0;
+  // A connection, but no whole HTTP answer.
   std::uint64_t lost = 0;
   // Answers that were not the echo of their request.
   std::uint64_t mismatched = 0;
@@ -61,7 +63,7 @@
   // "0: 17, 5003: 2".
   std::string CodesText() const;
   std::uint64_t Total() const {
-    return this->answered + this->not_run + this->unknown + this->lost;
+    return this->answered + this->not_run + this->unknown + this->refused + this->lost;
   }
 };
 
--- a/tools/measure/policies.cc
+++ b/tools/measure/policies.cc
@@ -68,7 +68,10 @@
     return tl::unexpected(started.error());
   }
   Deployment& deployment = **started;
-  Load load(PlanLoad(deployment, CallKind::kOnce, 400, "drain"));
+  LoadOptions plan = PlanLoad(deployment, CallKind::kOnce, 400, "drain");
+  // Two callers for each node, so that each node is an entry while it leaves.
+  plan.threads = static_cast<std::uint32_t>(deployment.Nodes().size()) * 2;
+  Load load(std::move(plan));
   std::this_thread::sleep_for(options.duration / 4);
 
   NodeProcess& leaving = FirstServer(deployment);
@@ -86,12 +89,18 @@
     std::this_thread::sleep_for(kSampleInterval);
   }
   const auto time_to_last = last_new_work - start;
+  // A node that is an entry for callers leaves as well.
+  deployment.Nodes().back().node->Terminate();
+  if (!deployment.Nodes().back().node->WaitFor(kStopTimeout)) {
+    report.AddViolation("a node did not end its drain");
+  }
   std::this_thread::sleep_for(options.duration / 4);
   const LoadResult result = load.Stop();
   report.Add("time to last new work",
              std::chrono::duration<double, std::milli>(time_to_last).count(), "ms, limit 3000");
   report.Add("calls answered", static_cast<double>(result.answered), "calls");
   report.Add("calls not run", static_cast<double>(result.not_run), "calls");
+  report.Add("connections refused by the ended node", static_cast<double>(result.refused), "calls");
   report.Add("calls cut (unknown or no answer)", static_cast<double>(result.unknown + result.lost),
              "calls, limit 0");
   if (time_to_last > kDrainLimit) {
--- a/tools/support/deployment.cc
+++ b/tools/support/deployment.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <map>
 #include <optional>
 #include <sstream>
@@ -41,6 +42,18 @@
 
 std::string Address(const std::string& ip, int port) { return ip + ":" + std::to_string(port); }
 
+void ForEachMetric(const NodeProcess& node, const std::string& prefix,
+                   const std::function<void(const std::string&, double)>& visit) {
+  const HttpReply reply =
+      Fetch({.url = "http://" + node.AdminAddress() + "/metrics", .timeout = kStatusTimeout});
+  std::istringstream lines(reply.body);
+  for (std::string line; std::getline(lines, line);) {
+    if (line.starts_with(prefix)) {
+      visit(line, std::stod(line.substr(line.rfind(' ') + 1)));
+    }
+  }
+}
+
 json ProtectionOf(const ServiceOptions& service) {
   return {{"slots", service.slots}, {"connections", service.connections}, {"queue_length", 100},
           {"queue_ms", 500},        {"retry_budget_percent", 10},         {"max_attempts", 3},
@@ -271,20 +284,20 @@
 double Deployment::ControlBytes(bool cross_region) const {
   double sum = 0;
   for (const NodeProcess& node : this->nodes) {
-    const HttpReply reply =
-        Fetch({.url = "http://" + node.AdminAddress() + "/metrics", .timeout = kStatusTimeout});
     const std::string own_region = "key=\"" + node.region + "\"";
-    std::istringstream lines(reply.body);
-    for (std::string line; std::getline(lines, line);) {
-      if (!line.starts_with(kControlBytes)) {
-        continue;
-      }
+    ForEachMetric(node, kControlBytes, [&](const std::string& line, double value) {
       const bool crosses = line.find(own_region) == std::string::npos &&
                            line.find(kUnknownRegion) == std::string::npos;
-      if (crosses || !cross_region) {
-        sum += std::stod(line.substr(line.rfind(' ') + 1));
-      }
-    }
+      sum += crosses || !cross_region ? value : 0;
+    });
+  }
+  return sum;
+}
+
+double Deployment::SumMetric(const std::string& prefix) const {
+  double sum = 0;
+  for (const NodeProcess& node : this->nodes) {
+    ForEachMetric(node, prefix, [&sum](const std::string&, double value) { sum += value; });
   }
   return sum;
 }
--- a/tools/support/deployment.h
+++ b/tools/support/deployment.h
@@ -92,6 +92,9 @@
   // nodes of other regions.
   double ControlBytes(bool cross_region) const;
 
+  // Sum over the running nodes of the lines of /metrics that start with `prefix`.
+  double SumMetric(const std::string& prefix) const;
+
   // Runs of each request key over all backend servers, read from their files.
   std::map<std::string, std::uint32_t> Runs() const;
 
--- a/tools/support/http.cc
+++ b/tools/support/http.cc
@@ -105,6 +105,7 @@
   const CURLcode code = curl_easy_perform(curl);
   reply.elapsed = std::chrono::duration_cast<std::chrono::microseconds>(
       std::chrono::steady_clock::now() - start);
+  reply.refused = code == CURLE_COULDNT_CONNECT;
   if (code == CURLE_OK) {
     long status = 0;  // NOLINT(google-runtime-int): libcurl takes long.
     curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
--- a/tools/support/http.h
+++ b/tools/support/http.h
@@ -13,6 +13,8 @@
 struct HttpReply {
   // 0 where no whole answer came.
   int status = 0;
+  // No connection could be made: the request has not left the caller.
+  bool refused = false;
   // Names in lower case.
   std::vector<std::pair<std::string, std::string>> headers;
   std::string body;
