Judge the concurrency limit by throughput, not by latency alone

Cause: the first limit took a mean latency three times its lowest for overload. Calls of unequal length (5 ms, a tenth of them 50 ms) raise it as well. Change: refusals (503) still lower the limit at once; latency only starts a trial that stays if the completions a second stay within 5%, and increases stay only if they gain. Latencies of servers without recent calls fade, so that a server that was slow is tried again.

--- a/libs/calls/include/amaranthlatch/calls/options.h
+++ b/libs/calls/include/amaranthlatch/calls/options.h
@@ -76,6 +76,8 @@
 struct BalanceOptions {
   // Time after which half of an observed refusal or failure is forgotten.
   utils::Duration half_life = utils::Seconds(2);
+  // Age at which a server's latency counts half.
+  utils::Duration latency_half_life = utils::Seconds(10);
   // Age at which the load that a gate reported no longer counts.
   utils::Duration load_hint_time = utils::Seconds(1);
   // Members of which observations are kept.
--- a/libs/calls/src/balancer.cc
+++ b/libs/calls/src/balancer.cc
@@ -41,6 +41,11 @@
   return member.zone == self.zone ? 1 : 2;
 }
 
+// Share that is left of an observation of this age.
+double Decay(utils::Duration age, utils::Duration half_life) {
+  return std::exp2(-static_cast<double>(age.count()) / static_cast<double>(half_life.count()));
+}
+
 double LoadOf(const std::vector<Candidate>& level) {
   double used = 0.0;
   double slots = 0.0;
@@ -137,12 +142,14 @@
     peer.ready_incarnation = member.incarnation;
     peer.ready_at = now;
   }
+  const BalanceOptions& options = this->shared.options.balance;
   Candidate candidate;
   candidate.member = &member;
   candidate.in_flight = peer.in_flight;
-  candidate.latency_us = peer.latency_us;
+  // An old latency counts less and less, so that a server that was slow is tried again.
+  candidate.latency_us = peer.latency_us * Decay(now - peer.latency_at, options.latency_half_life);
   candidate.faults = this->DecayedFaults(peer, now);
-  if (now - peer.load_at < this->shared.options.balance.load_hint_time) {
+  if (now - peer.load_at < options.load_hint_time) {
     candidate.reported_load = peer.load;
   }
   const utils::Duration age = now - peer.ready_at;
@@ -174,9 +181,10 @@
 }
 
 double Balancer::DecayedFaults(const Peer& peer, utils::Timestamp now) const {
-  const auto half_life = static_cast<double>(this->shared.options.balance.half_life.count());
-  const auto age = static_cast<double>((now - peer.faults_at).count());
-  return peer.faults == 0.0 ? 0.0 : peer.faults * std::exp2(-age / half_life);
+  if (peer.faults == 0.0) {
+    return 0.0;
+  }
+  return peer.faults * Decay(now - peer.faults_at, this->shared.options.balance.half_life);
 }
 
 Balancer::Peer& Balancer::Get(const NodeId& id) {
@@ -195,6 +203,7 @@
   --peer.in_flight;
   if (outcome == AttemptOutcome::kAnswered) {
     const auto sample = static_cast<double>(latency.count()) + 1.0;
+    peer.latency_at = now;
     peer.latency_us = peer.latency_us == 0.0
                           ? sample
                           : peer.latency_us + kLatencyWeight * (sample - peer.latency_us);
--- a/libs/calls/src/balancer.h
+++ b/libs/calls/src/balancer.h
@@ -42,6 +42,7 @@
   struct Peer {
     std::uint32_t in_flight = 0;
     double latency_us = 0.0;
+    utils::Timestamp latency_at{};
     double faults = 0.0;
     utils::Timestamp faults_at{};
     std::uint32_t load = 0;
--- a/libs/calls/src/concurrency_limit.h
+++ b/libs/calls/src/concurrency_limit.h
@@ -8,7 +8,10 @@
 
 namespace amaranthlatch::calls::details {
 
-// Additive increase and multiplicative decrease between 1 and the slots.
+// Additive increase and multiplicative decrease between 1 and the slots. Refusals lower the limit
+// at once. Rising latency only starts a trial: calls of unequal length raise it as well, so a lower
+// limit stays only if the backend server completes about as many calls with it, and a higher one
+// only if it completes more.
 class ConcurrencyLimit {
  public:
   explicit ConcurrencyLimit(bool adaptive) : adaptive(adaptive) {}
@@ -26,18 +29,43 @@
   utils::Duration MeanLatency() const;
 
  private:
-  bool Decrease(double floor, utils::Timestamp now);
-  void UpdateBaseline(utils::Timestamp now);
+  enum class Trial : std::uint8_t { kNone, kLower, kHigher };
+
+  void UpdateMean(utils::Duration latency, utils::Timestamp now);
+  bool IsLatencyRaised() const;
+  // Ends a measuring period: judges the trial under way or starts one.
+  void EndPeriod(double rate, bool busy, utils::Timestamp now);
+  // True if the limit of the trial stays.
+  bool JudgeTrial(double rate, utils::Timestamp now);
+  void StartTrial(double rate, utils::Timestamp now);
+  void StartPeriod(utils::Timestamp now);
+  void Set(double value);
 
   bool adaptive;
   std::uint32_t slots = 0;
   double limit = 0.0;
+
   double mean_us = 0.0;
   // Lowest means of the window under way and of the one before; 0 for none.
   double window_us = 0.0;
   double last_window_us = 0.0;
   utils::Timestamp window_end{};
-  utils::Timestamp decreased_at{};
+
+  // The measuring period under way.
+  utils::Timestamp period_start{};
+  std::uint32_t completed = 0;
+  std::uint32_t completed_busy = 0;
+
+  // The limit and the completions a second before the trial under way.
+  Trial trial = Trial::kNone;
+  double limit_before = 0.0;
+  double rate_before = 0.0;
+  // Waits until the next trials; each failure doubles the one of its kind.
+  utils::Duration lower_wait{};
+  utils::Duration higher_wait{};
+  utils::Timestamp next_lower{};
+  utils::Timestamp next_higher{};
+  utils::Timestamp shed_at{};
 };
 
 }  // namespace amaranthlatch::calls::details
--- a/libs/calls/tests/balancer_test.cc
+++ b/libs/calls/tests/balancer_test.cc
@@ -132,6 +132,12 @@
   this->now += Seconds(20);
   drawn = this->Draw(1'200);
   CHECK_TRUE(drawn["c"] > drawn["b"]);
+  // The slow server gets calls again that show whether it still is.
+  this->now += Seconds(40);
+  for (const char* id : {"b", "c", "d"}) {
+    end(id, AttemptOutcome::kAnswered, Milliseconds(5));
+  }
+  CHECK_TRUE(this->Draw(1'200)["a"] > 0);
 }
 
 // Guards against a cold server that gets its full share at once.
--- a/libs/calls/tests/mesh.cc
+++ b/libs/calls/tests/mesh.cc
@@ -17,6 +17,7 @@
 
 constexpr int kUnavailable = 503;
 constexpr int kOkStatus = 200;
+constexpr int kHeavyFactor = 10;
 constexpr char kService[] = "fleet";
 
 bool Later(Timestamp left_at, std::uint64_t left, Timestamp right_at, std::uint64_t right) {
@@ -316,6 +317,9 @@
     return;
   }
   Duration time = backend.service_time / 2 + this->random.Jitter(backend.service_time);
+  if (this->random.Chance(backend.heavy_share)) {
+    time *= kHeavyFactor;
+  }
   if (backend.comfortable != 0 && backend.running.size() > backend.comfortable) {
     const auto running = static_cast<Duration::rep>(backend.running.size());
     const auto best = static_cast<Duration::rep>(backend.comfortable);
--- a/libs/calls/tests/mesh.h
+++ b/libs/calls/tests/mesh.h
@@ -79,6 +79,8 @@
   // Concurrent requests above which the time grows with their square, so that twice as many
   // halve the throughput; 0 for no effect.
   std::uint32_t comfortable = 0;
+  // Share of the calls that take ten times as long.
+  double heavy_share = 0.0;
   std::uint32_t slots = 4;
   std::map<std::uint64_t, std::string> running;
 };
--- a/libs/calls/tests/parts_test.cc
+++ b/libs/calls/tests/parts_test.cc
@@ -9,6 +9,7 @@
 #include "amaranthlatch/calls/calls.h"
 #include "amaranthlatch/calls/message_codec.h"
 #include "attempt_memory.h"
+#include "concurrency_limit.h"
 #include "permit_ledger.h"
 #include "priority_queue.h"
 
@@ -187,6 +188,39 @@
   CHECK_TRUE(holds);
 }
 
+namespace {
+// Runs a limit for a while with all slots in use. Throughput follows the limit up to `best` and
+// falls above it; `mean` gives the latency of the next call.
+template <typename Mean>
+std::uint32_t RunLimit(double best, Mean mean) {
+  details::ConcurrencyLimit limit(true);
+  limit.SetSlots(20);
+  Timestamp now{Seconds(1)};
+  for (int i = 0; i < 40'000; ++i) {
+    const double in_flight = limit.Get();
+    const double rate = in_flight <= best ? in_flight * 100.0 : best * best * 100.0 / in_flight;
+    now += utils::Duration(static_cast<utils::Duration::rep>(1e6 / rate));
+    limit.OnCompleted(mean(i, in_flight / rate), true, now);
+  }
+  return limit.Get();
+}
+utils::Duration FromSeconds(double seconds) {
+  return utils::Duration(static_cast<utils::Duration::rep>(seconds * 1e6));
+}
+}  // namespace
+
+// Guards against a limit that falls because some calls are longer than others, and against one that
+// stays where the backend server loses throughput.
+TEST(Parts, LimitFollowsThroughputNotLatencyAlone) {
+  const std::uint32_t unequal = RunLimit(20.0, [](int i, double usual) {
+    return FromSeconds((i / 500) % 2 == 0 ? usual : usual * 10.0);
+  });
+  CHECK_TRUE(unequal >= 18);
+  const std::uint32_t overloaded = RunLimit(
+      6.0, [](int i, double usual) { return FromSeconds(i < 100 ? usual / 10.0 : usual); });
+  CHECK_TRUE(overloaded >= 4 && overloaded <= 9);
+}
+
 // Guards against answers of permits that take more memory than allowed, and against a full ledger
 // that issues permits it cannot follow.
 TEST(Parts, LedgerIsBounded) {
--- a/tools/calls_benchmark/main.cc
+++ b/tools/calls_benchmark/main.cc
@@ -13,9 +13,13 @@
   namespace benchmark = amaranthlatch::calls::benchmark;
   using Measurement = nlohmann::json (*)();
   const std::vector<std::pair<std::string, Measurement>> measurements = {
-      {"goodput", benchmark::MeasureGoodput},       {"outage", benchmark::MeasureOutage},
-      {"starvation", benchmark::MeasureStarvation}, {"crashes", benchmark::MeasureCrashes},
-      {"balance", benchmark::MeasureBalance},       {"costs", benchmark::MeasureCosts}};
+      {"goodput", benchmark::MeasureGoodput},
+      {"outage", benchmark::MeasureOutage},
+      {"starvation", benchmark::MeasureStarvation},
+      {"mixed", benchmark::MeasureMixed},
+      {"crashes", benchmark::MeasureCrashes},
+      {"balance", benchmark::MeasureBalance},
+      {"costs", benchmark::MeasureCosts}};
   const std::vector<std::string> wanted(argv + 1, argv + argc);
   nlohmann::json report;
   for (const auto& [name, measure] : measurements) {
--- a/tools/calls_benchmark/scenarios.cc
+++ b/tools/calls_benchmark/scenarios.cc
@@ -204,6 +204,37 @@
   return rows;
 }
 
+json MeasureMixed() {
+  // Calls of 5 ms, a tenth of them of 50 ms, on servers that use all of their 12 slots well: mean
+  // 9.5 ms, 1,263 calls a second and server.
+  json rows = json::array();
+  for (const bool adaptive : {true, false}) {
+    for (const double load : {0.7, 0.9, 1.5}) {
+      Options options;
+      options.gate.adaptive_limit = adaptive;
+      Mesh mesh(kNodes, 1, options);
+      document::ServiceDocument document = FleetDocument();
+      document.protection.slots = 12;
+      mesh.routes.Set(document);
+      for (std::size_t i = 0; i < kNodes; ++i) {
+        mesh.nodes[i].backend.slots = 12;
+        mesh.nodes[i].backend.heavy_share = 0.1;
+        mesh.Publish(i, membership::MemberState::kReady);
+        mesh.Deliver(i, BackendServerChanged{"fleet", 12, true});
+      }
+      Offer(mesh, load * 1'263.0 * kNodes, "/read", "r");
+      mesh.RunFor(kRun + kSettle);
+      const Tally tally = Count(mesh);
+      rows.push_back({{"adaptive_limit", adaptive},
+                      {"load", load},
+                      {"goodput_of_offered", static_cast<double>(tally.good) / tally.calls},
+                      {"p50_ms", Percentile(tally.latencies_ms, 0.5)},
+                      {"p99_ms", Percentile(tally.latencies_ms, 0.99)}});
+    }
+  }
+  return rows;
+}
+
 json MeasureCrashes() {
   json rows = json::array();
   for (const bool quarantine : {true, false}) {
--- a/tools/calls_benchmark/scenarios.h
+++ b/tools/calls_benchmark/scenarios.h
@@ -12,6 +12,8 @@
 nlohmann::json MeasureOutage();
 // Answers and longest wait of batch calls beside a full load of interactive ones.
 nlohmann::json MeasureStarvation();
+// What the adaptive limit costs where it is not needed: calls of unequal length.
+nlohmann::json MeasureMixed();
 // Deaths that one poisoned request causes when it is sent 40 times.
 nlohmann::json MeasureCrashes();
 // Spread of calls and latency with one slow server, for both balance policies.
