--- a/libs/calls/include/amaranthlatch/calls/message.h
+++ b/libs/calls/include/amaranthlatch/calls/message.h
@@ -55,8 +55,8 @@
   bool operator==(const CallReply&) const = default;
 };
 
-// Fences an attempt: a request that arrives after it is refused. A running one is cancelled if
-// `abort` is set, that is when the caller is gone or the deadline has passed.
+// Fences an attempt: a request that arrives after it is refused. A waiting one is dropped and a
+// running one cancelled if `abort` is set, that is when the call has ended or its caller is gone.
 struct CallCancel {
   AttemptId id;
   // Only the process that may have received the attempt can answer for it.
@@ -65,7 +65,7 @@
   bool operator==(const CallCancel&) const = default;
 };
 
-// `ran` is false only if the attempt did not run and never will.
+// `ran` is false only if the attempt did not run and never will; a waiting one may still run.
 struct CallCancelReply {
   AttemptId id;
   bool ran = false;
--- a/libs/calls/include/amaranthlatch/calls/options.h
+++ b/libs/calls/include/amaranthlatch/calls/options.h
@@ -16,6 +16,8 @@
 struct EntryOptions {
   // Calls of callers that are open at once; further ones are refused.
   std::uint32_t max_open_calls = 20'000;
+  // Bytes of their requests, which are kept for retries.
+  std::uint64_t max_open_bytes = 64ULL * 1024 * 1024;
   // No call lives longer, whatever its route or caller states.
   utils::Duration longest_deadline = utils::Seconds(60);
   // A fence without an answer is repeated after each interval and given up after the timeout.
--- a/libs/calls/src/entry.cc
+++ b/libs/calls/src/entry.cc
@@ -13,6 +13,14 @@
 using utils::ErrorCode;
 using utils::Timestamp;
 
+std::uint64_t SizeOf(const HttpRequest& request) {
+  std::uint64_t bytes = request.target.size() + request.host.size() + request.body.size();
+  for (const auto& [name, value] : request.headers) {
+    bytes += name.size() + value.size();
+  }
+  return bytes;
+}
+
 bool HasOpenAttempt(const OpenCall& call) {
   return std::any_of(call.attempts.begin(), call.attempts.end(),
                      [](const Attempt& a) { return a.stage == AttemptStage::kOpen; });
@@ -34,6 +42,7 @@
   OpenCall call;
   call.call = received.call;
   call.request = received.request;
+  call.request_bytes = SizeOf(received.request);
   call.token = received.permit;
   if (!received.permit.empty()) {
     call.permit = this->codec.Decode(received.permit);
@@ -62,7 +71,9 @@
   if (!this->open) {
     return ErrorCode::kNodeNotReady;
   }
-  if (this->calls.size() >= this->shared.options.entry.max_open_calls) {
+  const EntryOptions& options = this->shared.options.entry;
+  if (this->calls.size() >= options.max_open_calls ||
+      this->open_bytes + call.request_bytes > options.max_open_bytes) {
     return ErrorCode::kTooManyConnections;
   }
   if (received.remaining && received.remaining->count() <= 0) {
@@ -94,6 +105,7 @@
   OpenCall& call = *owned;
   const ErrorCode code = this->Check(received, call);
   this->calls.emplace(received.call, std::move(owned));
+  this->open_bytes += call.request_bytes;
   this->timers.emplace(call.wake, call.call);
   if (code != ErrorCode::kOk) {
     call.failure = NotRun(code);
@@ -242,7 +254,6 @@
     this->Settle(context, *call, *attempt, AttemptStage::kNotRun, NotRun(code));
     return;
   }
-  attempt->ran = true;
   attempt->next_fence.reset();
   if (reply.running) {
     attempt->give_up_at.reset();
@@ -306,6 +317,7 @@
                                           : counters.unknown);
   const std::uint64_t number = call.call;
   context.effects.emplace_back(AnswerCaller{number, std::move(answer)});
+  this->open_bytes -= call.request_bytes;
   this->timers.erase({call.wake, number});
   this->calls.erase(number);
 }
--- a/libs/calls/src/entry.h
+++ b/libs/calls/src/entry.h
@@ -37,8 +37,6 @@
   utils::Timestamp overdue_at{};
   // A fence is repeated at this time until the gate answers it.
   std::optional<utils::Timestamp> next_fence;
-  // The gate has said that it ran or runs: another fence would tell nothing new.
-  bool ran = false;
   // The attempt is given up as unknown at this time.
   std::optional<utils::Timestamp> give_up_at;
 };
@@ -49,6 +47,7 @@
   // Token as presented, and what it names.
   std::string token;
   std::optional<Permit> permit;
+  std::uint64_t request_bytes = 0;
   // Empty only for a call with a permit whose route has gone.
   std::optional<document::RouteMatch> match;
   std::string budget_service;
@@ -135,6 +134,8 @@
   bool open = false;
   bool draining = false;
   std::unordered_map<std::uint64_t, std::unique_ptr<OpenCall>> calls;
+  // Sum of the sizes of their requests.
+  std::uint64_t open_bytes = 0;
   // One timer for each open call.
   std::set<std::pair<utils::Timestamp, std::uint64_t>> timers;
 };
--- a/libs/calls/src/entry_retry.cc
+++ b/libs/calls/src/entry_retry.cc
@@ -53,7 +53,6 @@
       if (attempt.stage == AttemptStage::kOpen && attempt.gate == id && !attempt.give_up_at) {
         attempt.give_up_at = context.now + this->shared.options.entry.fence_timeout;
         attempt.overdue_at = context.now;
-        attempt.ran = false;
         changed = true;
       }
     }
--- a/libs/calls/src/gate.cc
+++ b/libs/calls/src/gate.cc
@@ -290,11 +290,12 @@
   if (!state) {
     this->memory.Refuse(key);
     ++this->shared.counters.fenced;
+  } else if (*state == AttemptState::kQueued && cancel.abort) {
+    this->Drop(context, *this->queue.Remove(key), ErrorCode::kDeadlineExceeded);
   } else if (*state == AttemptState::kQueued) {
-    if (std::optional<AdmittedCall> call = this->queue.Remove(key)) {
-      const ErrorCode code = cancel.abort ? ErrorCode::kDeadlineExceeded : ErrorCode::kFenced;
-      this->Drop(context, *call, code);
-    }
+    // It keeps its place: the entry node only asks whether the request has arrived.
+    reply.ran = true;
+    reply.running = true;
   } else if (*state == AttemptState::kRunning) {
     reply.ran = true;
     reply.running = true;
--- a/libs/calls/tests/entry_test.cc
+++ b/libs/calls/tests/entry_test.cc
@@ -210,6 +210,23 @@
   CHECK_EQUAL(4, this->EntryCounters().not_run);
 }
 
+// Guards against requests that fill the node's memory while their answers are awaited.
+TEST(Entry, BytesOfOpenCallsAreBounded) {
+  Options options;
+  options.entry.max_open_bytes = 20'000;
+  Mesh small(1, 1, options);
+  small.nodes[0].backend.mode = BackendMode::kSilent;
+  for (int i = 0; i < 4; ++i) {
+    small.Call(0, "/write", std::string(3'000, static_cast<char>('a' + i)));
+  }
+  CHECK_EQUAL(1, small.nodes[0].calls->GetCounters().not_run);
+  small.RunFor(Seconds(4));
+  small.nodes[0].backend.mode = BackendMode::kNormal;
+  const std::uint64_t call = small.Call(0, "/write", std::string(3'000, 'z'));
+  small.RunFor(Seconds(1));
+  CHECK_TRUE(small.MustAnswer(call).kind == ResultKind::kAnswered);
+}
+
 // Guards against an entry node that forgets the caller's own deadline.
 TEST(Entry, CallersDeadlineEndsTheCall) {
   this->mesh.nodes[1].backend.mode = BackendMode::kSilent;
--- a/libs/calls/tests/gate_test.cc
+++ b/libs/calls/tests/gate_test.cc
@@ -196,6 +196,9 @@
   this->SendNew();
   const CallRequest waits = this->SendNew();
   const CallRequest given_up = this->SendNew();
+  this->Send(CallCancel{given_up.id, given_up.gate_boot, false});
+  CHECK_TRUE(this->cancel_replies.back().ran && this->cancel_replies.back().running);
+  CHECK_EQUAL(2, this->Load().queued);
   this->Send(CallCancel{given_up.id, given_up.gate_boot, true});
   CHECK_FALSE(this->cancel_replies.back().ran);
   this->mesh.RunFor(Milliseconds(600));
