--- a/libs/calls/tests/gate_test.cc
+++ b/libs/calls/tests/gate_test.cc
@@ -52,7 +52,7 @@
     this->mesh.Deliver(kGate, PeerMessage{this->mesh.NodeName(1), message});
   }
   CallRequest SendNew(document::Priority priority = document::Priority::kNormal) {
-    const CallRequest request = this->Make(priority);
+    CallRequest request = this->Make(priority);
     this->Send(request);
     return request;
   }
@@ -196,6 +196,9 @@
   this->SendNew();
   const CallRequest waits = this->SendNew();
   const CallRequest given_up = this->SendNew();
+  this->Send(CallCancel{given_up.id, given_up.gate_boot, false});
+  CHECK_TRUE(this->cancel_replies.back().ran && this->cancel_replies.back().running);
+  CHECK_EQUAL(2, this->Load().queued);
   this->Send(CallCancel{given_up.id, given_up.gate_boot, true});
   CHECK_FALSE(this->cancel_replies.back().ran);
   this->mesh.RunFor(Milliseconds(600));
@@ -263,13 +266,16 @@
     this->Respond(run, {503, {{"amaranthlatch-not-run", "true"}}, ""});
   }
   CHECK_EQUAL(1, this->Load().concurrency_limit);
-  for (std::uint64_t run = 21; run <= 60; ++run) {
-    this->SendNew();
-    this->SendNew();
-    this->SendNew();
-    this->SendNew();
-    this->mesh.RunFor(Milliseconds(1));
-    this->Respond(run, {200, {}, "x"});
+  // All slots are in use again, and each call takes the same time however many there are.
+  std::uint64_t run = 21;
+  for (int i = 0; i < 2'000; ++i) {
+    while (this->Load().in_flight < this->Load().concurrency_limit || this->Load().queued < 4) {
+      this->SendNew();
+    }
+    this->mesh.RunFor(Milliseconds(5));
+    for (std::uint32_t slots = this->Load().in_flight; slots > 0; --slots) {
+      this->Respond(run++, {200, {}, "x"});
+    }
   }
   CHECK_EQUAL(4, this->Load().concurrency_limit);
 }
