--- a/libs/distribution/src/distribution.cc
+++ b/libs/distribution/src/distribution.cc
@@ -46,7 +46,6 @@
                        const ReaderHeartbeat& heartbeat);
   void HandleChunk(const Context& context, const membership::NodeId& from,
                    const SnapshotChunk& chunk);
-  void AnswerHeldQuery(const Context& context, const membership::NodeId& from);
   void CheckPause(const Context& context);
   void Spread(const Context& context, EntrySource source, Offset before);
   EntrySource SourceOf(const Context& context, const membership::NodeId& from);
@@ -82,7 +81,7 @@
   details::SnapshotStream snapshot_stream{this->options, this->replica,  this->log,
                                           this->numbers, this->counters, this->random};
   bool reported_ready = false;
-  std::optional<std::uint64_t> pruned_generation;
+  std::optional<std::uint64_t> links_generation;
   // Nothing before the first event.
   std::optional<utils::Timestamp> next_wake;
   bool begun = false;
@@ -156,21 +155,10 @@
   this->snapshot_receiver.OnChunk(context, from, chunk);
 }
 
-void Distribution::Parts::AnswerHeldQuery(const Context& context, const membership::NodeId& from) {
-  HeldReply reply;
-  reply.held = this->replica.HeldOffset();
-  reply.ready = this->readiness.Ready();
-  const membership::MemberList zone = context.members.OfZone(this->topology.Zone());
-  for (const membership::Member& member : *zone) {
-    reply.zone_members.push_back(member.id);
-  }
-  context.Send(from, std::move(reply));
-}
-
 void Distribution::Parts::HandleMessage(const Context& context, const PeerMessage& event) {
-  if (std::holds_alternative<HeldQuery>(event.message)) {
+  if (const auto* query = std::get_if<HeldQuery>(&event.message)) {
     this->links.ForgetHeld(event.from);
-    this->AnswerHeldQuery(context, event.from);
+    this->readiness.AnswerHeldQuery(context, event.from, *query);
     return;
   }
   if (const auto* request = std::get_if<SnapshotRequest>(&event.message)) {
@@ -246,8 +234,7 @@
   if (this->replica.InForceOffset() >= held) {
     return;
   }
-  const Offset known =
-      *needed == 0 ? held : this->links.HeldByAtLeast(context, this->topology, *needed);
+  const Offset known = *needed == 0 ? held : this->links.HeldByAtLeast(*needed);
   const Offset witnessed = std::max(known, this->exchange.ReportedWitnessed());
   for (acceptance::Verdict& verdict : this->replica.PutInForce(witnessed)) {
     context.effects.emplace_back(VerdictInForce{std::move(verdict)});
@@ -331,9 +318,9 @@
   Parts& all = *this->parts;
   const Context context{.now = now, .members = members, .effects = effects};
   all.topology.Refresh(members);
-  if (all.pruned_generation != members.Generation()) {
-    all.pruned_generation = members.Generation();
-    all.links.Prune(context);
+  if (all.links_generation != members.Generation()) {
+    all.links_generation = members.Generation();
+    all.links.Refresh(context);
   }
   all.CheckPause(context);
   all.Handle(context, event);
