Measure the fold's cost in processor time and against its size

Change: the test takes processor time and requires that a change at 1,200 services costs less than 4 times that at 12; the limit of 1 ms stays for builds without sanitizer. Conclusion: the check no longer depends on other processes.

--- a/libs/acceptance/tests/state_size_test.cc
+++ b/libs/acceptance/tests/state_size_test.cc
@@ -2,7 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
-#include <chrono>
+#include <ctime>
 #include <string>
 
 #include "amaranthlatch/acceptance/state.h"
@@ -32,35 +32,52 @@
   return document;
 }
 
-State FullState() {
+State FullState(int services) {
   State state;
-  for (int i = 0; i < kServices; ++i) {
+  for (int i = 0; i < services; ++i) {
     state.Apply(state.HeadOffset() + 1,
                 PutRecord("first-" + std::to_string(i), LargeDocument(i), 0));
   }
   return state;
 }
 
-}  // namespace
-
-TEST_GROUP(StateSize){};
+// Processor time of this process, which other processes on the machine do not disturb.
+double ProcessorMicroseconds() {
+  return static_cast<double>(std::clock()) * 1e6 / static_cast<double>(CLOCKS_PER_SEC);
+}
 
-// Guards against a fold that copies all documents or indexes for each record, and a lookup that
-// scans them. 1 ms is the limit; a copy of all documents takes above 10 ms.
-TEST(StateSize, ApplyAndMatchAreFastAtTheTargetSize) {
-  State state = FullState();
-  CHECK_EQUAL(kServices, state.Services().size());
+// Mean time of a copy, a change and a lookup in a state of that many services.
+double MicrosecondsOfChange(int services) {
   constexpr int kChanges = 1000;
-  const auto start = std::chrono::steady_clock::now();
+  State state = FullState(services);
+  CHECK_EQUAL(services, state.Services().size());
+  const double start = ProcessorMicroseconds();
   for (int i = 0; i < kChanges; ++i) {
     const State copy = state;
-    const document::Version base = state.FindAccepted(ServiceName(i))->version;
-    const auto verdict = state.Apply(
-        state.HeadOffset() + 1, PutRecord("second-" + std::to_string(i), LargeDocument(i), base));
+    const int index = i % services;
+    const document::Version base = state.FindAccepted(ServiceName(index))->version;
+    const auto record = PutRecord("second-" + std::to_string(i), LargeDocument(index), base);
+    const auto verdict = state.Apply(state.HeadOffset() + 1, record);
     CHECK_TRUE(verdict->outcome == Outcome::kAccepted);
-    CHECK_TRUE(state.Match(ServiceName(i) + ".example", "/work", "GET").has_value());
+    CHECK_TRUE(state.Match(ServiceName(index) + ".example", "/work", "GET").has_value());
   }
-  CHECK_TRUE(std::chrono::steady_clock::now() - start < std::chrono::milliseconds(kChanges));
+  return (ProcessorMicroseconds() - start) / kChanges;
+}
+
+}  // namespace
+
+TEST_GROUP(StateSize){};
+
+// Guards against a fold that copies all documents or indexes for each record, and a lookup that
+// scans them: at 100 times the services the cost may grow by the depth of the maps only.
+TEST(StateSize, ApplyAndMatchAreFastAtTheTargetSize) {
+  const double small = MicrosecondsOfChange(kServices / 100);
+  const double large = MicrosecondsOfChange(kServices);
+  CHECK_TRUE(large < 4 * small);
+#ifndef __SANITIZE_ADDRESS__
+  // The limit of 1 ms is for the program as it is deployed.
+  CHECK_TRUE(large < 1000);
+#endif
 }
 
 // Guards against histories and publish ids that grow without bound, and a repeat that is forgotten
