--- a/apps/amaranthlatch/src/node_client.cc
+++ b/apps/amaranthlatch/src/node_client.cc
@@ -73,7 +73,7 @@
   if (!body) {
     return tl::unexpected(body.error());
   }
-  if (!body->is_object() || !body->contains("in_force")) {
+  if (!body->is_object() || !body->contains("in_force_offset")) {
     return utils::Fail(ErrorCode::kHttpFailed, "node " + address + " gave no status");
   }
   NodeStatus status;
@@ -83,8 +83,8 @@
   status.state = TextOf(*body, "state");
   status.ready = body->value("ready", json()) == true;
   status.reason = TextOf(*body, "reason");
-  status.held_offset = NumberOf(*body, "held");
-  status.in_force_offset = NumberOf(*body, "in_force");
+  status.held_offset = NumberOf(*body, "held_offset");
+  status.in_force_offset = NumberOf(*body, "in_force_offset");
   status.log_head = NumberOf(*body, "log_head");
   status.stopped_at = NumberOf(*body, "stopped_at");
   status.services = ServicesOf(*body);
@@ -97,12 +97,12 @@
   if (!body) {
     return tl::unexpected(body.error());
   }
-  const auto entries = body->find("entries");
-  if (!body->is_object() || entries == body->end() || !entries->is_array()) {
+  const auto verdicts = body->find("verdicts");
+  if (!body->is_object() || verdicts == body->end() || !verdicts->is_array()) {
     return utils::Fail(ErrorCode::kHttpFailed, "node " + address + " gave no audit history");
   }
   std::vector<acceptance::Verdict> history;
-  for (const json& item : *entries) {
+  for (const json& item : *verdicts) {
     auto verdict = acceptance::VerdictFromJson(item);
     if (!verdict) {
       return utils::Fail(ErrorCode::kHttpFailed, "node " + address + " gave no audit history");
--- a/apps/amaranthlatch/src/publish_command.cc
+++ b/apps/amaranthlatch/src/publish_command.cc
@@ -48,8 +48,9 @@
     result.error_lines.push_back("lagging: " + node.address + " has offset " +
                                  std::to_string(node.in_force_offset) + " of " +
                                  std::to_string(offset) + " in force (" + node.reason + ")");
-    result.value["lagging"].push_back(
-        {{"node", node.address}, {"in_force", node.in_force_offset}, {"reason", node.reason}});
+    result.value["lagging"].push_back({{"node", node.address},
+                                       {"in_force_offset", node.in_force_offset},
+                                       {"reason", node.reason}});
   }
   if (!lagging.empty()) {
     result.exit_code = kExitLagging;
--- a/apps/amaranthlatch/src/status_command.cc
+++ b/apps/amaranthlatch/src/status_command.cc
@@ -71,8 +71,8 @@
                                    {"state", status.state},
                                    {"ready", status.ready},
                                    {"reason", status.reason},
-                                   {"held", status.held_offset},
-                                   {"in_force", status.in_force_offset},
+                                   {"held_offset", status.held_offset},
+                                   {"in_force_offset", status.in_force_offset},
                                    {"stopped_at", status.stopped_at},
                                    {"lag", lag},
                                    {"services", services}});
--- a/apps/amaranthlatch/tests/fake_world.cc
+++ b/apps/amaranthlatch/tests/fake_world.cc
@@ -105,7 +105,7 @@
     for (const auto& verdict : state.History(path.substr(path.find('=') + 1))) {
       verdicts.push_back(acceptance::ToJson(verdict));
     }
-    return {200, json{{"service", "s"}, {"entries", verdicts}}.dump()};
+    return {200, json{{"service", "s"}, {"verdicts", verdicts}}.dump()};
   }
   json services = json::object();
   for (const std::string& service : state.Services()) {
@@ -117,8 +117,8 @@
                     {"state", "ready"},
                     {"ready", true},
                     {"reason", ""},
-                    {"held", in_force},
-                    {"in_force", in_force},
+                    {"held_offset", in_force},
+                    {"in_force_offset", in_force},
                     {"log_head", in_force},
                     {"stopped_at", nullptr},
                     {"services", services}}
