--- a/libs/calls/include/amaranthlatch/calls/event.h
+++ b/libs/calls/include/amaranthlatch/calls/event.h
@@ -48,7 +48,8 @@
   bool operator==(const PeerMessage&) const = default;
 };
 
-// The transport refused the message: it has not left this process.
+// The transport refused the CallRequest of this attempt: it has not left this process. Given for no
+// other kind of message.
 struct AttemptNotSent {
   AttemptId id;
   bool operator==(const AttemptNotSent&) const = default;
--- a/libs/calls/tests/balancer_test.cc
+++ b/libs/calls/tests/balancer_test.cc
@@ -108,6 +108,21 @@
   CHECK_TRUE(drawn["new"] > 140 && drawn["new"] < 260);
 }
 
+// Guards against a split to another service that stays at the document's own.
+TEST(Balancer, SplitToAnotherService) {
+  document::ServiceDocument other = FleetDocument();
+  other.service = "dispatch";
+  this->routes.Set(other);
+  FindRoute(this->document, "read")->split = {{"dispatch", "all", 1}};
+  this->Add("own", "r1", "z1");
+  STRCMP_EQUAL("", this->Choose().c_str());
+  Member member = *this->members.Find("own");
+  member.id = "theirs";
+  member.service = "dispatch";
+  this->members.Set(member);
+  STRCMP_EQUAL("theirs", this->Choose().c_str());
+}
+
 // Guards against load on servers that are slow, busy or failing by this node's own account.
 TEST(Balancer, ObservationsDecideWithinALevel) {
   for (const char* id : {"a", "b", "c", "d"}) {
--- a/libs/calls/tests/mesh.cc
+++ b/libs/calls/tests/mesh.cc
@@ -226,6 +226,9 @@
     this->EndRun(node, this->nodes[node].boot, cancel->run,
                  BackendServerFailed{cancel->run, BackendFailure::kCancelled, false});
   } else {
+    if (std::holds_alternative<DrainFinished>(effect)) {
+      this->drained.insert(node);
+    }
     this->other_effects.push_back(std::move(effect));
   }
 }
@@ -348,6 +351,7 @@
   Node& node = this->nodes[index];
   node.calls.reset();
   node.wake.reset();
+  this->drained.erase(index);
   node.boot = 0;
   node.backend.running.clear();
   for (auto& [call, outcome] : this->outcomes) {
--- a/libs/calls/tests/mesh.h
+++ b/libs/calls/tests/mesh.h
@@ -147,6 +147,8 @@
   // Called for every message before it enters the network; false drops it.
   std::function<bool(std::size_t from, std::size_t to, const Message&)> filter;
   std::vector<Effect> other_effects;
+  // Nodes whose drain has ended.
+  std::set<std::size_t> drained;
   int deaths = 0;
 
  private:
--- a/libs/calls/tests/random_faults_test.cc
+++ b/libs/calls/tests/random_faults_test.cc
@@ -34,6 +34,7 @@
   kSlow,
   kPartition,
   kNotAdmitting,
+  kDrain,
   kCount,
 };
 
@@ -166,12 +167,31 @@
         this->mesh.Deliver(node, AdmissionChanged{false});
         this->mesh.At(length, [this, node] { this->mesh.Deliver(node, AdmissionChanged{true}); });
         break;
+      case FaultKind::kDrain:
+        this->mesh.Publish(node, membership::MemberState::kDraining, false);
+        this->mesh.Deliver(node, DrainStarted{});
+        this->RestartWhenDrained(node);
+        break;
       case FaultKind::kCount:
         break;
     }
     this->mesh.At(length, [this] { this->HealNetwork(); });
   }
 
+  // A drained node goes down without an open call or a run, and comes back.
+  void RestartWhenDrained(std::size_t node) {
+    if (!this->mesh.drained.contains(node)) {
+      this->mesh.At(Milliseconds(5), [this, node] { this->RestartWhenDrained(node); });
+      return;
+    }
+    const Gauges gauges = this->mesh.nodes[node].calls->GetGauges();
+    if (gauges.open_calls + gauges.in_flight + gauges.queued != 0) {
+      this->drain_fault = "a drain ended with work left";
+    }
+    this->mesh.KillNode(node);
+    this->mesh.StartNode(node);
+  }
+
   void HealNetwork() {
     this->mesh.network = Network{};
     for (Node& node : this->mesh.nodes) {
@@ -194,6 +214,9 @@
     if (!this->mesh.Fault().empty()) {
       return this->mesh.Fault();
     }
+    if (!this->drain_fault.empty()) {
+      return this->drain_fault;
+    }
     for (const auto& [call, outcome] : this->mesh.Outcomes()) {
       const int runs = this->mesh.RunsOf(outcome.body);
       if (!outcome.answer && !outcome.lost) {
@@ -218,6 +241,7 @@
   utils::Random random;
   Mesh mesh;
   utils::Duration service_time{};
+  std::string drain_fault;
   int requests = 0;
 };
 }  // namespace
