Refuse requests and answers that no message can carry

The receiver's codec refuses headers above 64 KiB or 256 fields and similar; such a request ended as unknown and such an answer was lost.

--- a/libs/calls/include/amaranthlatch/calls/message_codec.h
+++ b/libs/calls/include/amaranthlatch/calls/message_codec.h
@@ -14,4 +14,8 @@
 // Fails with kMessageMalformed on a wrong shape and kMessageTooLarge above a limit.
 utils::Result<Message> MessageFromJson(const nlohmann::json& json);
 
+// Whether a message can carry it: receivers refuse messages above the limits of the codec.
+bool FitsMessage(const HttpRequest& request);
+bool FitsMessage(const HttpResponse& response);
+
 }  // namespace amaranthlatch::calls
--- a/libs/calls/src/entry.cc
+++ b/libs/calls/src/entry.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "amaranthlatch/calls/message_codec.h"
 #include "quarantine.h"
 
 namespace amaranthlatch::calls::details {
@@ -79,6 +80,9 @@
   if (received.remaining && received.remaining->count() <= 0) {
     return ErrorCode::kDeadlineExceeded;
   }
+  if (!FitsMessage(received.request)) {
+    return ErrorCode::kRequestTooLarge;
+  }
   if (!received.permit.empty()) {
     // Whatever the routes say now, only the permit's gate knows whether its request has run.
     return call.permit ? ErrorCode::kOk : ErrorCode::kPermitInvalid;
--- a/libs/calls/src/gate.cc
+++ b/libs/calls/src/gate.cc
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <vector>
 
+#include "amaranthlatch/calls/message_codec.h"
+
 namespace amaranthlatch::calls::details {
 
 namespace {
@@ -340,7 +342,7 @@
   const bool refused = IsTruthfulRefusal(response);
   if (refused) {
     answer = NotRun(ErrorCode::kQueueFull);
-  } else if (response.body.size() > run->max_response_bytes) {
+  } else if (response.body.size() > run->max_response_bytes || !FitsMessage(response)) {
     answer = Unknown(ErrorCode::kAnswerTooLarge);
   } else {
     answer.kind = ResultKind::kAnswered;
--- a/libs/calls/src/message_codec.cc
+++ b/libs/calls/src/message_codec.cc
@@ -37,6 +37,8 @@
 constexpr std::size_t kMaxFingerprints = 4'096;
 constexpr std::int64_t kMaxRemainingUs = 3'600'000'000;
 constexpr int kMaxStatus = 999;
+// Length in front of a header name or value.
+constexpr std::size_t kPrefixBytes = 2;
 
 // Takes fields off an array in order. After the first fault all further fields are empty.
 class Reader {
@@ -161,16 +163,15 @@
   }
 
   std::string Prefixed(const std::string& bytes, std::size_t& at) {
-    constexpr std::size_t kPrefix = 2;
     constexpr unsigned kByteBits = 8;
-    if (this->fault || bytes.size() - at < kPrefix) {
+    if (this->fault || bytes.size() - at < kPrefixBytes) {
       this->FailWith(ErrorCode::kMessageMalformed);
       return {};
     }
     const auto low = static_cast<unsigned char>(bytes[at]);
     const auto high = static_cast<unsigned char>(bytes[at + 1]);
     const std::size_t size = low | (static_cast<std::size_t>(high) << kByteBits);
-    at += kPrefix;
+    at += kPrefixBytes;
     if (bytes.size() - at < size) {
       this->FailWith(ErrorCode::kMessageMalformed);
       return {};
@@ -185,6 +186,14 @@
   std::optional<ErrorCode> fault;
 };
 
+bool HeadersFit(const Headers& headers) {
+  std::size_t bytes = 0;
+  for (const auto& [name, value] : headers) {
+    bytes += name.size() + value.size() + 2 * kPrefixBytes;
+  }
+  return headers.size() <= kMaxHeaderFields && bytes <= kMaxHeaderBytes;
+}
+
 json Binary(const std::string& bytes) {
   return json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
 }
@@ -192,7 +201,7 @@
 void AppendPrefixed(std::vector<std::uint8_t>& out, const std::string& text) {
   constexpr std::uint8_t kByteMask = 0xff;
   constexpr unsigned kByteBits = 8;
-  // The host bounds header fields far below 64 KiB; the rest of a longer one is cut.
+  // FitsMessage bounds header fields below this; the rest of a longer one is cut.
   const std::size_t size = std::min<std::size_t>(text.size(), UINT16_MAX);
   out.push_back(static_cast<std::uint8_t>(size & kByteMask));
   out.push_back(static_cast<std::uint8_t>(size >> kByteBits));
@@ -408,6 +417,17 @@
 }
 }  // namespace
 
+bool FitsMessage(const HttpRequest& request) {
+  return request.method.size() <= kMaxName && request.target.size() <= kMaxTarget &&
+         request.host.size() <= kMaxText && HeadersFit(request.headers) &&
+         request.body.size() <= kMaxBody;
+}
+
+bool FitsMessage(const HttpResponse& response) {
+  return response.status >= 0 && response.status <= kMaxStatus && HeadersFit(response.headers) &&
+         response.body.size() <= kMaxBody;
+}
+
 json ToJson(const Message& message) {
   return std::visit([](const auto& m) { return Encode(m); }, message);
 }
--- a/libs/calls/tests/parts_test.cc
+++ b/libs/calls/tests/parts_test.cc
@@ -127,6 +127,24 @@
   CHECK_FALSE(MessageFromJson(reply).has_value());
 }
 
+// Guards against requests and answers that are sent although their receiver will refuse the
+// message.
+TEST(Parts, FittingValuesDecodeAndOthersDoNot) {
+  for (const std::size_t bytes : {65'000UL, 65'532UL, 65'533UL, 70'000UL}) {
+    CallRequest request;
+    request.request.headers = {{"", std::string(bytes, 'x')}};
+    CallReply reply;
+    reply.answer.response.headers = request.request.headers;
+    const bool fits = FitsMessage(request.request);
+    CHECK_EQUAL(bytes <= 65'532, fits);
+    CHECK_EQUAL(fits, FitsMessage(reply.answer.response));
+    if (fits) {
+      CHECK_TRUE(MessageFromJson(ToJson(request)).has_value());
+      CHECK_TRUE(MessageFromJson(ToJson(reply)).has_value());
+    }
+  }
+}
+
 // Guards against a memory that forgets a refused or finished attempt before its time.
 TEST(Parts, AttemptMemoryForgetsNothingEarly) {
   const utils::Duration keep = Seconds(10);
