--- a/libs/calls/tests/quarantine_test.cc
+++ b/libs/calls/tests/quarantine_test.cc
@@ -54,6 +54,18 @@
   CHECK_TRUE(this->mesh.MustAnswer(innocent).kind == ResultKind::kAnswered);
 }
 
+// Guards against copies that run at several gates, or side by side at one, once the first death is
+// known.
+TEST(Quarantine, CopiesSentAtOnceRunOneAtATimeAtHome) {
+  this->SendPoison(1, "/write");
+  for (std::size_t i = 0; i < 24; ++i) {
+    this->mesh.Call(i % this->mesh.nodes.size(), "/write", "poison");
+  }
+  this->mesh.RunFor(Seconds(5));
+  CHECK_EQUAL(2, this->mesh.deaths);
+  CHECK_EQUAL(2, this->mesh.RunsOf("poison"));
+}
+
 // Guards against retries of the system itself that spread the crash.
 TEST(Quarantine, RetriesOfAPoisonedReadStopAtTwo) {
   this->SendPoison(10, "/read");
