--- a/libs/distribution/tests/exchange_test.cc
+++ b/libs/distribution/tests/exchange_test.cc
@@ -333,4 +333,20 @@
   }
 }
 
+// Guards against pushes without end to a peer that cannot use them, as one that has stopped at an
+// unknown format.
+TEST(Exchange, PeerWithoutProgressIsLeftAlone) {
+  Single node(4);
+  node.Fill(2);
+  const membership::NodeId& peer = node.members[2].id;
+  const Digest digest{0, acceptance::State().Hash()};
+  node.Receive(peer, EntriesAck{0});
+  const auto first = node.Receive(peer, digest);
+  LONGS_EQUAL(1, CountSent<EntriesPush>(first, peer));
+  node.Receive(peer, EntriesAck{0});
+  LONGS_EQUAL(0, CountSent<EntriesPush>(node.Receive(peer, digest), peer));
+  node.now += utils::Milliseconds(1'100);
+  LONGS_EQUAL(1, CountSent<EntriesPush>(node.Receive(peer, digest), peer));
+}
+
 }  // namespace amaranthlatch::distribution::testing
