--- a/apps/amaranthlatch/src/node_client.cc
+++ b/apps/amaranthlatch/src/node_client.cc
@@ -97,12 +97,12 @@
   if (!body) {
     return tl::unexpected(body.error());
   }
-  const json verdicts = body->is_object() ? body->value("verdicts", json()) : *body;
-  if (!verdicts.is_array()) {
+  const auto verdicts = body->find("verdicts");
+  if (!body->is_object() || verdicts == body->end() || !verdicts->is_array()) {
     return utils::Fail(ErrorCode::kHttpFailed, "node " + address + " gave no audit history");
   }
   std::vector<acceptance::Verdict> history;
-  for (const json& item : verdicts) {
+  for (const json& item : *verdicts) {
     auto verdict = acceptance::VerdictFromJson(item);
     if (!verdict) {
       return utils::Fail(ErrorCode::kHttpFailed, "node " + address + " gave no audit history");
--- a/apps/amaranthlatch/tests/fake_world.cc
+++ b/apps/amaranthlatch/tests/fake_world.cc
@@ -105,7 +105,7 @@
     for (const auto& verdict : state.History(path.substr(path.find('=') + 1))) {
       verdicts.push_back(acceptance::ToJson(verdict));
     }
-    return {200, verdicts.dump()};
+    return {200, json{{"service", "s"}, {"verdicts", verdicts}}.dump()};
   }
   json services = json::object();
   for (const std::string& service : state.Services()) {
--- a/libs/calls/src/gate.cc
+++ b/libs/calls/src/gate.cc
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <vector>
 
+#include "amaranthlatch/calls/message_codec.h"
+
 namespace amaranthlatch::calls::details {
 
 namespace {
@@ -290,11 +292,12 @@
   if (!state) {
     this->memory.Refuse(key);
     ++this->shared.counters.fenced;
+  } else if (*state == AttemptState::kQueued && cancel.abort) {
+    this->Drop(context, *this->queue.Remove(key), ErrorCode::kDeadlineExceeded);
   } else if (*state == AttemptState::kQueued) {
-    if (std::optional<AdmittedCall> call = this->queue.Remove(key)) {
-      const ErrorCode code = cancel.abort ? ErrorCode::kDeadlineExceeded : ErrorCode::kFenced;
-      this->Drop(context, *call, code);
-    }
+    // It keeps its place: the entry node only asks whether the request has arrived.
+    reply.ran = true;
+    reply.running = true;
   } else if (*state == AttemptState::kRunning) {
     reply.ran = true;
     reply.running = true;
@@ -339,7 +342,7 @@
   const bool refused = IsTruthfulRefusal(response);
   if (refused) {
     answer = NotRun(ErrorCode::kQueueFull);
-  } else if (response.body.size() > run->max_response_bytes) {
+  } else if (response.body.size() > run->max_response_bytes || !FitsMessage(response)) {
     answer = Unknown(ErrorCode::kAnswerTooLarge);
   } else {
     answer.kind = ResultKind::kAnswered;
--- a/libs/calls/tests/balancer_test.cc
+++ b/libs/calls/tests/balancer_test.cc
@@ -108,6 +108,21 @@
   CHECK_TRUE(drawn["new"] > 140 && drawn["new"] < 260);
 }
 
+// Guards against a split to another service that stays at the document's own.
+TEST(Balancer, SplitToAnotherService) {
+  document::ServiceDocument other = FleetDocument();
+  other.service = "dispatch";
+  this->routes.Set(other);
+  FindRoute(this->document, "read")->split = {{"dispatch", "all", 1}};
+  this->Add("own", "r1", "z1");
+  STRCMP_EQUAL("", this->Choose().c_str());
+  Member member = *this->members.Find("own");
+  member.id = "theirs";
+  member.service = "dispatch";
+  this->members.Set(member);
+  STRCMP_EQUAL("theirs", this->Choose().c_str());
+}
+
 // Guards against load on servers that are slow, busy or failing by this node's own account.
 TEST(Balancer, ObservationsDecideWithinALevel) {
   for (const char* id : {"a", "b", "c", "d"}) {
@@ -132,6 +147,12 @@
   this->now += Seconds(20);
   drawn = this->Draw(1'200);
   CHECK_TRUE(drawn["c"] > drawn["b"]);
+  // The slow server gets calls again that show whether it still is.
+  this->now += Seconds(40);
+  for (const char* id : {"b", "c", "d"}) {
+    end(id, AttemptOutcome::kAnswered, Milliseconds(5));
+  }
+  CHECK_TRUE(this->Draw(1'200)["a"] > 0);
 }
 
 // Guards against a cold server that gets its full share at once.
--- a/libs/calls/tests/mesh.cc
+++ b/libs/calls/tests/mesh.cc
@@ -17,6 +17,7 @@
 
 constexpr int kUnavailable = 503;
 constexpr int kOkStatus = 200;
+constexpr int kHeavyFactor = 10;
 constexpr char kService[] = "fleet";
 
 bool Later(Timestamp left_at, std::uint64_t left, Timestamp right_at, std::uint64_t right) {
@@ -225,6 +226,9 @@
     this->EndRun(node, this->nodes[node].boot, cancel->run,
                  BackendServerFailed{cancel->run, BackendFailure::kCancelled, false});
   } else {
+    if (std::holds_alternative<DrainFinished>(effect)) {
+      this->drained.insert(node);
+    }
     this->other_effects.push_back(std::move(effect));
   }
 }
@@ -316,6 +320,9 @@
     return;
   }
   Duration time = backend.service_time / 2 + this->random.Jitter(backend.service_time);
+  if (this->random.Chance(backend.heavy_share)) {
+    time *= kHeavyFactor;
+  }
   if (backend.comfortable != 0 && backend.running.size() > backend.comfortable) {
     const auto running = static_cast<Duration::rep>(backend.running.size());
     const auto best = static_cast<Duration::rep>(backend.comfortable);
@@ -344,6 +351,7 @@
   Node& node = this->nodes[index];
   node.calls.reset();
   node.wake.reset();
+  this->drained.erase(index);
   node.boot = 0;
   node.backend.running.clear();
   for (auto& [call, outcome] : this->outcomes) {
--- a/libs/calls/tests/mesh.h
+++ b/libs/calls/tests/mesh.h
@@ -79,6 +79,8 @@
   // Concurrent requests above which the time grows with their square, so that twice as many
   // halve the throughput; 0 for no effect.
   std::uint32_t comfortable = 0;
+  // Share of the calls that take ten times as long.
+  double heavy_share = 0.0;
   std::uint32_t slots = 4;
   std::map<std::uint64_t, std::string> running;
 };
@@ -145,6 +147,8 @@
   // Called for every message before it enters the network; false drops it.
   std::function<bool(std::size_t from, std::size_t to, const Message&)> filter;
   std::vector<Effect> other_effects;
+  // Nodes whose drain has ended.
+  std::set<std::size_t> drained;
   int deaths = 0;
 
  private:
--- a/libs/calls/tests/parts_test.cc
+++ b/libs/calls/tests/parts_test.cc
@@ -9,6 +9,7 @@
 #include "amaranthlatch/calls/calls.h"
 #include "amaranthlatch/calls/message_codec.h"
 #include "attempt_memory.h"
+#include "concurrency_limit.h"
 #include "permit_ledger.h"
 #include "priority_queue.h"
 
@@ -126,6 +127,24 @@
   CHECK_FALSE(MessageFromJson(reply).has_value());
 }
 
+// Guards against requests and answers that are sent although their receiver will refuse the
+// message.
+TEST(Parts, FittingValuesDecodeAndOthersDoNot) {
+  for (const std::size_t bytes : {65'000UL, 65'532UL, 65'533UL, 70'000UL}) {
+    CallRequest request;
+    request.request.headers = {{"", std::string(bytes, 'x')}};
+    CallReply reply;
+    reply.answer.response.headers = request.request.headers;
+    const bool fits = FitsMessage(request.request);
+    CHECK_EQUAL(bytes <= 65'532, fits);
+    CHECK_EQUAL(fits, FitsMessage(reply.answer.response));
+    if (fits) {
+      CHECK_TRUE(MessageFromJson(ToJson(request)).has_value());
+      CHECK_TRUE(MessageFromJson(ToJson(reply)).has_value());
+    }
+  }
+}
+
 // Guards against a memory that forgets a refused or finished attempt before its time.
 TEST(Parts, AttemptMemoryForgetsNothingEarly) {
   const utils::Duration keep = Seconds(10);
@@ -187,6 +206,39 @@
   CHECK_TRUE(holds);
 }
 
+namespace {
+// Runs a limit for a while with all slots in use. Throughput follows the limit up to `best` and
+// falls above it; `mean` gives the latency of the next call.
+template <typename Mean>
+std::uint32_t RunLimit(double best, Mean mean) {
+  details::ConcurrencyLimit limit(true);
+  limit.SetSlots(20);
+  Timestamp now{Seconds(1)};
+  for (int i = 0; i < 40'000; ++i) {
+    const double in_flight = limit.Get();
+    const double rate = in_flight <= best ? in_flight * 100.0 : best * best * 100.0 / in_flight;
+    now += utils::Duration(static_cast<utils::Duration::rep>(1e6 / rate));
+    limit.OnCompleted(mean(i, in_flight / rate), true, now);
+  }
+  return limit.Get();
+}
+utils::Duration FromSeconds(double seconds) {
+  return utils::Duration(static_cast<utils::Duration::rep>(seconds * 1e6));
+}
+}  // namespace
+
+// Guards against a limit that falls because some calls are longer than others, and against one that
+// stays where the backend server loses throughput.
+TEST(Parts, LimitFollowsThroughputNotLatencyAlone) {
+  const std::uint32_t unequal = RunLimit(20.0, [](int i, double usual) {
+    return FromSeconds((i / 500) % 2 == 0 ? usual : usual * 10.0);
+  });
+  CHECK_TRUE(unequal >= 18);
+  const std::uint32_t overloaded = RunLimit(
+      6.0, [](int i, double usual) { return FromSeconds(i < 100 ? usual / 10.0 : usual); });
+  CHECK_TRUE(overloaded >= 4 && overloaded <= 9);
+}
+
 // Guards against answers of permits that take more memory than allowed, and against a full ledger
 // that issues permits it cannot follow.
 TEST(Parts, LedgerIsBounded) {
--- a/tools/support/deployment.cc
+++ b/tools/support/deployment.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <map>
 #include <optional>
 #include <sstream>
@@ -31,6 +32,9 @@
 constexpr std::chrono::milliseconds kStatusTimeout{500};
 constexpr std::chrono::milliseconds kPollInterval{5};
 constexpr std::chrono::milliseconds kStartTimeout{5000};
+constexpr char kControlBytes[] =
+    "amaranthlatch_message_bytes_by_region_total{direction=\"sent\",traffic=\"control\"";
+constexpr char kUnknownRegion[] = "key=\"unknown\"";
 constexpr char kSecret[] = "loopback-only-secret-for-tests-0123456789";
 
 // Networks of 127/8 differ between concurrent runs, so that their ports do not collide.
@@ -38,6 +42,18 @@
 
 std::string Address(const std::string& ip, int port) { return ip + ":" + std::to_string(port); }
 
+void ForEachMetric(const NodeProcess& node, const std::string& prefix,
+                   const std::function<void(const std::string&, double)>& visit) {
+  const HttpReply reply =
+      Fetch({.url = "http://" + node.AdminAddress() + "/metrics", .timeout = kStatusTimeout});
+  std::istringstream lines(reply.body);
+  for (std::string line; std::getline(lines, line);) {
+    if (line.starts_with(prefix)) {
+      visit(line, std::stod(line.substr(line.rfind(' ') + 1)));
+    }
+  }
+}
+
 json ProtectionOf(const ServiceOptions& service) {
   return {{"slots", service.slots}, {"connections", service.connections}, {"queue_length", 100},
           {"queue_ms", 500},        {"retry_budget_percent", 10},         {"max_attempts", 3},
@@ -247,7 +263,13 @@
     while (node.node && node.node->Running()) {
       const json status = Status(node);
       const json counts = status.is_object() ? status.value("members", json::object()) : json();
-      if (counts.is_object() && counts.value("ready", std::size_t{0}) >= members) {
+      // A node without a backend server stays joining: it takes calls but is no gate.
+      const std::size_t listed =
+          counts.is_object()
+              ? counts.value("ready", std::size_t{0}) +
+                    (this->options.backend_servers ? 0 : counts.value("joining", std::size_t{0}))
+              : 0;
+      if (listed >= members) {
         break;
       }
       if (std::chrono::steady_clock::now() > end) {
@@ -259,18 +281,23 @@
   return true;
 }
 
-double Deployment::SumMetric(const std::string& name) const {
+double Deployment::ControlBytes(bool cross_region) const {
   double sum = 0;
   for (const NodeProcess& node : this->nodes) {
-    const HttpReply reply =
-        Fetch({.url = "http://" + node.AdminAddress() + "/metrics", .timeout = kStatusTimeout});
-    std::istringstream lines(reply.body);
-    for (std::string line; std::getline(lines, line);) {
-      const bool matches = line.starts_with(name + " ") || line.starts_with(name + "{");
-      if (matches) {
-        sum += std::stod(line.substr(line.rfind(' ') + 1));
-      }
-    }
+    const std::string own_region = "key=\"" + node.region + "\"";
+    ForEachMetric(node, kControlBytes, [&](const std::string& line, double value) {
+      const bool crosses = line.find(own_region) == std::string::npos &&
+                           line.find(kUnknownRegion) == std::string::npos;
+      sum += crosses || !cross_region ? value : 0;
+    });
+  }
+  return sum;
+}
+
+double Deployment::SumMetric(const std::string& prefix) const {
+  double sum = 0;
+  for (const NodeProcess& node : this->nodes) {
+    ForEachMetric(node, prefix, [&sum](const std::string&, double value) { sum += value; });
   }
   return sum;
 }
--- a/tools/support/deployment.h
+++ b/tools/support/deployment.h
@@ -84,11 +84,16 @@
   // True once every running node is ready and in force at `offset` or later, within the time.
   bool WaitInForce(std::uint64_t offset, std::chrono::milliseconds timeout);
 
-  // True once every running node lists `members` members that are ready.
+  // True once every running node lists `members` members that are ready, or
+  // joining where there are no backend servers.
   bool WaitMembers(std::size_t members, std::chrono::milliseconds timeout);
 
-  // Sum of a counter of /metrics over the running nodes; names with labels are summed.
-  double SumMetric(const std::string& name) const;
+  // Bytes of control messages that the running nodes have sent; `cross_region` counts only those to
+  // nodes of other regions.
+  double ControlBytes(bool cross_region) const;
+
+  // Sum over the running nodes of the lines of /metrics that start with `prefix`.
+  double SumMetric(const std::string& prefix) const;
 
   // Runs of each request key over all backend servers, read from their files.
   std::map<std::string, std::uint32_t> Runs() const;
