Count reads of the log in the convergence scenario

Cause: control bytes do not include what nodes read from the platform's log. Change: reads while idle, reads and bytes per change from the counters of the log stand-in. Conclusion: the poll baseline can now be compared whole.

--- a/libs/runtime/tests/settings_test.cc
+++ b/libs/runtime/tests/settings_test.cc
@@ -130,8 +130,7 @@
 // Guards against example files that no longer load or that name one address twice.
 TEST(SettingsTest, ExamplesLoad) {
   for (const char* deployment : {"oshana", "blue-mahoe"}) {
-    const std::string directory =
-        std::string("examples/") + deployment + "/settings";
+    const std::string directory = std::string("examples/") + deployment + "/settings";
     std::set<std::string> addresses;
     std::size_t count = 0;
     for (const auto& file : std::filesystem::directory_iterator(directory)) {
--- a/tools/measure/convergence.cc
+++ b/tools/measure/convergence.cc
@@ -26,6 +26,8 @@
   double cross_region_bytes = 0;
   double cpu_seconds = 0;
   double resident_bytes = 0;
+  double log_reads = 0;
+  double log_bytes = 0;
   std::chrono::steady_clock::time_point at;
 };
 
@@ -38,6 +40,10 @@
     totals.cpu_seconds += std::chrono::duration<double>(usage.cpu).count();
     totals.resident_bytes += static_cast<double>(usage.resident_bytes);
   }
+  const auto log = nlohmann::json::parse(
+      Fetch({.url = "http://" + deployment.LogAddress() + "/counters"}).body, nullptr, false);
+  totals.log_reads = log.is_object() ? log.value("reads", 0.0) : 0;
+  totals.log_bytes = log.is_object() ? log.value("bytes_read", 0.0) : 0;
   totals.at = std::chrono::steady_clock::now();
   return totals;
 }
@@ -54,6 +60,8 @@
   report.Add("idle cross-region bytes, all nodes",
              (after.cross_region_bytes - before.cross_region_bytes) / seconds / kBytesPerKilobyte,
              "KB/s");
+  report.Add("idle reads of the log, all nodes", (after.log_reads - before.log_reads) / seconds,
+             "1/s");
   report.Add("idle processor time per node",
              (after.cpu_seconds - before.cpu_seconds) / nodes / seconds * 100.0, "% of a core");
   report.Add("resident memory per node", after.resident_bytes / nodes / kBytesPerMegabyte, "MB");
@@ -137,6 +145,9 @@
              "B");
   report.Add("cross-region bytes per change",
              (after.cross_region_bytes - before.cross_region_bytes) / kChanges, "B");
+  report.Add("reads of the log per change", (after.log_reads - before.log_reads) / kChanges, "");
+  report.Add("bytes read from the log per change", (after.log_bytes - before.log_bytes) / kChanges,
+             "B");
   deployment.Stop(std::chrono::milliseconds(5'000));
   return {};
 }
