--- a/libs/runtime/tests/host_test.cc
+++ b/libs/runtime/tests/host_test.cc
@@ -5,8 +5,12 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <regex>
+#include <set>
+#include <string>
 
 #include "amaranthlatch/runtime/backend_server_link.h"
 #include "amaranthlatch/runtime/endpoint.h"
@@ -53,6 +57,14 @@
   std::unique_ptr<Host> host;
 };
 
+std::set<std::string> NamesIn(const std::string& text, const std::regex& pattern) {
+  std::set<std::string> names;
+  for (std::sregex_iterator it(text.begin(), text.end(), pattern), end; it != end; ++it) {
+    names.insert((*it)[1].str());
+  }
+  return names;
+}
+
 }  // namespace
 
 TEST_GROUP(HostTest) {
@@ -133,6 +145,31 @@
   LONGS_EQUAL(3, backend.requests);
 }
 
+// Guards against metrics that operators cannot look up, and against rows about metrics that are
+// gone.
+TEST(HostTest, DocumentsEveryMetric) {
+  TestHost node(*context, log_address, FreeAddress());
+  // Counters by kind appear with the first message, which goes to the seed.
+  Expect(node.settings.admin_address, "GET", "/metrics", "", "message_bytes_by_region_total");
+  const std::string text = Ask(node.settings.admin_address, "GET", "/metrics", "");
+  const std::set<std::string> given =
+      NamesIn(text, std::regex("# TYPE amaranthlatch_([a-z_]+) [a-z]+"));
+  std::ifstream page("docs/metrics.md");
+  std::set<std::string> documented;
+  for (std::string line; std::getline(page, line);) {
+    if (line.starts_with("| `")) {
+      documented.merge(NamesIn(line.substr(0, line.find(" | ")), std::regex("`([a-z_]+)`")));
+    }
+  }
+  CHECK_FALSE(given.empty());
+  for (const std::string& name : given) {
+    CHECK_TEXT(documented.contains(name), ("not in docs/metrics.md: " + name).c_str());
+  }
+  for (const std::string& name : documented) {
+    CHECK_TEXT(given.contains(name), ("no such metric: " + name).c_str());
+  }
+}
+
 // Guards against an announcement that is half understood.
 TEST(HostTest, RefusesMalformedAnnouncements) {
   const std::string valid = R"({"service":"s","address":"127.0.0.1:1","labels":{"a":"b"},"slots":1,
