--- a/libs/acceptance/tests/state_size_test.cc
+++ b/libs/acceptance/tests/state_size_test.cc
@@ -50,7 +50,7 @@
 double MicrosecondsOfChange(int services) {
   constexpr int kChanges = 1000;
   State state = FullState(services);
-  CHECK_EQUAL(services, state.Services().size());
+  CHECK_EQUAL(static_cast<std::size_t>(services), state.Services().size());
   const double start = ProcessorMicroseconds();
   for (int i = 0; i < kChanges; ++i) {
     const State copy = state;
