--- a/libs/runtime/tests/host_test.cc
+++ b/libs/runtime/tests/host_test.cc
@@ -148,7 +148,8 @@
 // Guards against metrics that operators cannot look up, and against rows about metrics that are
 // gone.
 TEST(HostTest, DocumentsEveryMetric) {
-  TestHost node(*context, log_address, FreeAddress());
+  TestHost seed(*context, log_address, FreeAddress());
+  TestHost node(*context, log_address, seed.settings.node_address);
   // Counters by kind appear with the first message, which goes to the seed.
   Expect(node.settings.admin_address, "GET", "/metrics", "", "message_bytes_by_region_total");
   const std::string text = Ask(node.settings.admin_address, "GET", "/metrics", "");
