--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -10,10 +10,10 @@
   target_include_directories(amaranthlatch_${name} PUBLIC include PRIVATE src)
   target_link_libraries(amaranthlatch_${name} PUBLIC ${ARG_DEPENDS})
   file(GLOB test_sources CONFIGURE_DEPENDS tests/*.cc)
-  if(test_sources)
+  if(test_sources AND AMARANTHLATCH_TESTS)
     amaranthlatch_test(${name}_test SOURCES ${test_sources} DEPENDS amaranthlatch_${name}
                        ${ARG_TEST_DEPENDS})
-    target_include_directories(${name}_test PRIVATE src tests)
+    target_include_directories(${name}_test PRIVATE src tests ${CMAKE_SOURCE_DIR}/cmake)
   endif()
 endfunction()
 
--- a/libs/calls/include/amaranthlatch/calls/balance_policy.h
+++ b/libs/calls/include/amaranthlatch/calls/balance_policy.h
@@ -8,9 +8,13 @@
 
 #include "amaranthlatch/membership/member.h"
 #include "amaranthlatch/utils/random.h"
+#include "amaranthlatch/utils/time.h"
 
 namespace amaranthlatch::calls {
 
+// How far a backend server is from this node.
+enum class Distance : std::uint8_t { kZone, kRegion, kOtherRegion };
+
 // What this node knows of a backend server by its own calls.
 struct Candidate {
   const membership::Member* member = nullptr;
@@ -23,12 +27,16 @@
   double warmth = 1.0;
   // Calls in its slots and queues as it last reported.
   std::uint32_t reported_load = 0;
+  Distance distance = Distance::kZone;
 };
 
 class BalancePolicy {
  public:
   virtual ~BalancePolicy() = default;
 
+  // Whether the policy weighs the distance itself and takes all levels at once.
+  virtual bool WeighsDistance() const { return false; }
+
   // Index of the chosen candidate; `candidates` is not empty.
   virtual std::size_t Choose(std::span<const Candidate> candidates, utils::Random& random) = 0;
 };
@@ -39,6 +47,29 @@
   std::size_t Choose(std::span<const Candidate> candidates, utils::Random& random) override;
 };
 
+// Lowest expected time to an answer, where crossing a zone or a region counts as time: a call leaves
+// its zone only when it would wait longer there than the transfer is worth.
+class ExpectedTimePolicy : public BalancePolicy {
+ public:
+  struct Weights {
+    // Time that the transfer of one call is worth.
+    utils::Duration zone_crossing = utils::Milliseconds(20);
+    utils::Duration region_crossing = utils::Milliseconds(150);
+    // Time that a recent fault is worth.
+    utils::Duration fault = utils::Milliseconds(150);
+  };
+
+  explicit ExpectedTimePolicy(const Weights& weights) : weights(weights) {}
+
+  bool WeighsDistance() const override { return true; }
+  std::size_t Choose(std::span<const Candidate> candidates, utils::Random& random) override;
+
+ private:
+  double ExpectedUs(const Candidate& candidate) const;
+
+  const Weights weights;
+};
+
 // Any candidate; the baseline for measurements.
 class RandomPolicy : public BalancePolicy {
  public:
--- a/libs/calls/include/amaranthlatch/calls/options.h
+++ b/libs/calls/include/amaranthlatch/calls/options.h
@@ -33,6 +33,9 @@
   // Retries that a service may make before its calls have filled its budget.
   double retry_burst = 10.0;
   bool retry_budget = true;
+  // Attempts of a call that reached no backend server and are repeated elsewhere at once, without
+  // counting as attempts or retries. 0 treats them like all others.
+  std::uint32_t free_moves = 0;
   // Redirections of a suspect request to its home gate, for each call.
   std::uint32_t max_redirects = 2;
   utils::Duration permit_reply_timeout = utils::Milliseconds(300);
@@ -53,6 +56,9 @@
   // Refuses work that would wait beyond its deadline and drops it at its deadline.
   bool bound_queue_by_deadline = true;
   bool adaptive_limit = true;
+  // Whether a message may arrive twice, also at the next process of an address. Without repeats a
+  // request for the previous process is refused as not run.
+  bool transport_repeats = true;
 };
 
 struct PermitOptions {
@@ -82,6 +88,8 @@
   utils::Duration latency_half_life = utils::Seconds(10);
   // Age at which the load that a gate reported no longer counts.
   utils::Duration load_hint_time = utils::Seconds(1);
+  // Each such time without any reply from a gate with open calls counts as one fault.
+  utils::Duration silence = utils::Milliseconds(400);
   // Members of which observations are kept.
   std::uint32_t capacity = 20'000;
 };
--- a/libs/calls/src/balancer.cc
+++ b/libs/calls/src/balancer.cc
@@ -41,6 +41,13 @@
   return member.zone == self.zone ? 1 : 2;
 }
 
+Distance DistanceOf(const Member& self, const Member& member) {
+  if (member.region != self.region) {
+    return Distance::kOtherRegion;
+  }
+  return member.zone == self.zone ? Distance::kZone : Distance::kRegion;
+}
+
 // Share that is left of an observation of this age.
 double Decay(utils::Duration age, utils::Duration half_life) {
   return std::exp2(-static_cast<double>(age.count()) / static_cast<double>(half_life.count()));
@@ -62,13 +69,36 @@
     : shared(shared), policy(std::move(policy)) {}
 
 const Member* Balancer::Choose(const Context& context, const document::Route& route,
-                               const std::vector<NodeId>& tried) {
+                               const std::vector<NodeId>& tried,
+                               std::optional<std::size_t>& target) {
+  if (!target) {
+    target = this->DrawTarget(route);
+  }
+  if (!target) {
+    return nullptr;
+  }
+  // A target without a ready server leaves its share to the next ones, unless the split is strict.
+  const std::size_t count = route.strict_split ? 1 : route.split.size();
+  for (std::size_t i = 0; i < count; ++i) {
+    const std::size_t index = (*target + i) % route.split.size();
+    if (route.split[index].weight == 0) {
+      continue;
+    }
+    if (const Member* member = this->ChooseTarget(context, route.split[index], tried)) {
+      target = index;
+      return member;
+    }
+  }
+  return nullptr;
+}
+
+std::optional<std::size_t> Balancer::DrawTarget(const document::Route& route) {
   std::uint64_t total = 0;
   for (const document::SplitTarget& target : route.split) {
     total += target.weight;
   }
   if (total == 0) {
-    return nullptr;
+    return std::nullopt;
   }
   std::uint64_t draw = this->shared.random.Below(total);
   std::size_t index = 0;
@@ -76,17 +106,7 @@
     draw -= route.split[index].weight;
     ++index;
   }
-  // A target without a ready server leaves its share to the next ones.
-  for (std::size_t i = 0; i < route.split.size(); ++i) {
-    const document::SplitTarget& target = route.split[(index + i) % route.split.size()];
-    if (target.weight == 0) {
-      continue;
-    }
-    if (const Member* member = this->ChooseTarget(context, target, tried)) {
-      return member;
-    }
-  }
-  return nullptr;
+  return index;
 }
 
 const Member* Balancer::ChooseTarget(const Context& context, const document::SplitTarget& target,
@@ -126,14 +146,20 @@
     if (peer.gone_boot != 0 && peer.gone_boot == member.boot_id) {
       continue;
     }
-    const std::size_t level = LevelOf(self, member, document.locality.prefer);
-    this->levels[level].push_back(
-        this->Observe(member, document.protection.slow_start, context.now));
+    const std::size_t level = this->LevelFor(self, member, document.locality.prefer);
+    Candidate candidate = this->Observe(member, document.protection.slow_start, context.now);
+    candidate.distance = DistanceOf(self, member);
+    this->levels[level].push_back(candidate);
     found = true;
   }
   return found;
 }
 
+std::size_t Balancer::LevelFor(const Member& self, const Member& member,
+                               LocalityPreference prefer) const {
+  return this->policy->WeighsDistance() ? 0 : LevelOf(self, member, prefer);
+}
+
 Candidate Balancer::Observe(const Member& member, utils::Duration slow_start,
                             utils::Timestamp now) {
   Peer& peer = this->Get(member.id);
@@ -149,6 +175,9 @@
   // An old latency counts less and less, so that a server that was slow is tried again.
   candidate.latency_us = peer.latency_us * Decay(now - peer.latency_at, options.latency_half_life);
   candidate.faults = this->DecayedFaults(peer, now);
+  if (peer.unheard && now - peer.unheard_since > options.silence) {
+    candidate.faults += static_cast<double>((now - peer.unheard_since) / options.silence);
+  }
   if (now - peer.load_at < options.load_hint_time) {
     candidate.reported_load = peer.load;
   }
@@ -194,13 +223,21 @@
   return this->peers[id];
 }
 
-void Balancer::OnSent(const NodeId& gate) { ++this->Get(gate).in_flight; }
+void Balancer::OnSent(const NodeId& gate, utils::Timestamp now) {
+  Peer& peer = this->Get(gate);
+  ++peer.in_flight;
+  if (!peer.unheard) {
+    peer.unheard = true;
+    peer.unheard_since = now;
+  }
+}
 
 void Balancer::OnEnded(const NodeId& gate, AttemptOutcome outcome, utils::Duration latency,
                        utils::Timestamp now) {
   Peer& peer = this->Get(gate);
   this->shared.Require(peer.in_flight > 0, "balancer: an attempt ended that was not sent");
   --peer.in_flight;
+  peer.unheard = peer.unheard && peer.in_flight > 0;
   if (outcome == AttemptOutcome::kAnswered) {
     const auto sample = static_cast<double>(latency.count()) + 1.0;
     peer.latency_at = now;
@@ -217,6 +254,9 @@
   Peer& peer = this->Get(gate);
   peer.load = load;
   peer.load_at = now;
+  // The calls that are still open are waited for from now on.
+  peer.unheard = peer.in_flight > 1;
+  peer.unheard_since = now;
 }
 
 void Balancer::OnForeignProcess(const NodeId& gate, std::uint64_t boot) {
--- a/libs/calls/src/balancer.h
+++ b/libs/calls/src/balancer.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -27,11 +28,16 @@
  public:
   Balancer(Shared& shared, std::unique_ptr<BalancePolicy> policy);
 
-  // A ready member of the route's split; null without one. Members in `tried` come last.
+  // A ready member of the route's split; null without one. Members in `tried` come last. `target`
+  // is the position in the split: drawn by weight if empty, and kept for further attempts.
   const membership::Member* Choose(const Context& context, const document::Route& route,
-                                   const std::vector<membership::NodeId>& tried);
+                                   const std::vector<membership::NodeId>& tried,
+                                   std::optional<std::size_t>& target);
 
-  void OnSent(const membership::NodeId& gate);
+  // Draws by weight; none if all weights are 0.
+  std::optional<std::size_t> DrawTarget(const document::Route& route);
+
+  void OnSent(const membership::NodeId& gate, utils::Timestamp now);
   void OnEnded(const membership::NodeId& gate, AttemptOutcome outcome, utils::Duration latency,
                utils::Timestamp now);
   void OnLoad(const membership::NodeId& gate, std::uint32_t load, utils::Timestamp now);
@@ -45,6 +51,9 @@
     utils::Timestamp latency_at{};
     double faults = 0.0;
     utils::Timestamp faults_at{};
+    // When the first of the attempts that are open was sent, if nothing was heard since.
+    utils::Timestamp unheard_since{};
+    bool unheard = false;
     std::uint32_t load = 0;
     utils::Timestamp load_at{};
     // Process that was first seen ready at `ready_at`.
@@ -64,6 +73,8 @@
   bool Collect(const Context& context, const document::ServiceDocument& document,
                const document::VersionSelector& selector,
                const std::vector<membership::NodeId>& tried);
+  std::size_t LevelFor(const membership::Member& self, const membership::Member& member,
+                       document::LocalityPreference prefer) const;
   Candidate Observe(const membership::Member& member, utils::Duration slow_start,
                     utils::Timestamp now);
   std::size_t ChooseLevel(const document::Locality& locality) const;
--- a/libs/calls/src/entry.cc
+++ b/libs/calls/src/entry.cc
@@ -55,7 +55,9 @@
     const document::Protection& protection = call.match->document->protection;
     remaining = std::min(remaining, call.match->route->deadline);
     call.idempotent = call.match->route->idempotent;
-    call.max_attempts = std::max<std::uint32_t>(1, protection.max_attempts);
+    const std::uint32_t of_route = call.match->route->max_attempts;
+    call.max_attempts =
+        std::max<std::uint32_t>(1, of_route != 0 ? of_route : protection.max_attempts);
     call.budget_service = call.match->document->service;
   }
   if (received.remaining) {
@@ -116,6 +118,12 @@
     this->Fail(context, call);
     return;
   }
+  if (call.match && call.match->route->strict_split) {
+    // The share of a target is refused with it, so retries are paid by the service that runs them.
+    call.target = this->balancer.DrawTarget(*call.match->route);
+    call.budget_service =
+        call.target ? call.match->route->split[*call.target].service : call.budget_service;
+  }
   if (call.match) {
     this->budget.OnCall(call.budget_service, call.match->document->protection.retry_budget_percent);
   }
@@ -144,7 +152,7 @@
   for (const Attempt& attempt : call.attempts) {
     tried.push_back(attempt.gate);
   }
-  return this->balancer.Choose(context, *call.match->route, tried);
+  return this->balancer.Choose(context, *call.match->route, tried, call.target);
 }
 
 Duration Entry::AttemptTime(const Context& context, const OpenCall& call) const {
@@ -175,7 +183,7 @@
   attempt.sent = context.now;
   attempt.overdue_at = context.now + this->AttemptTime(context, call);
   ++this->shared.counters.attempts;
-  this->balancer.OnSent(gate->id);
+  this->balancer.OnSent(gate->id, context.now);
   context.Send(gate->id, this->MakeRequest(context, call, attempt, *gate));
   call.attempts.push_back(std::move(attempt));
   this->Schedule(call);
--- a/libs/calls/src/entry.h
+++ b/libs/calls/src/entry.h
@@ -32,6 +32,8 @@
   membership::NodeId gate;
   std::uint64_t gate_boot = 0;
   utils::Timestamp sent{};
+  // The backend server has seen the request, or may have.
+  bool arrived = false;
   AttemptStage stage = AttemptStage::kOpen;
   // When an answer is overdue.
   utils::Timestamp overdue_at{};
@@ -57,6 +59,8 @@
   bool idempotent = false;
   std::uint32_t max_attempts = 1;
   std::uint32_t redirects = 0;
+  // Position in the route's split that this call was given.
+  std::optional<std::size_t> target;
   std::vector<Attempt> attempts;
   // Where the next attempt must go; empty for the balancer's choice.
   membership::NodeId redirect;
--- a/libs/calls/src/entry_retry.cc
+++ b/libs/calls/src/entry_retry.cc
@@ -13,6 +13,14 @@
 
 constexpr std::uint32_t kMaxDoublings = 16;
 
+// Attempts that reached no backend server.
+std::uint32_t CountMoves(const OpenCall& call) {
+  return static_cast<std::uint32_t>(
+      std::count_if(call.attempts.begin(), call.attempts.end(), [](const Attempt& attempt) {
+        return attempt.stage == AttemptStage::kNotRun && !attempt.arrived;
+      }));
+}
+
 // Failures that another attempt would only repeat.
 bool IsFinal(ErrorCode code) {
   switch (code) {
@@ -150,6 +158,7 @@
 void Entry::Settle(const Context& context, OpenCall& call, Attempt& attempt, AttemptStage stage,
                    const Answer& failure) {
   attempt.stage = stage;
+  attempt.arrived = stage == AttemptStage::kUnknown || failure.code == ErrorCode::kBackendShed;
   this->balancer.OnEnded(attempt.gate, AttemptOutcome::kFault, {}, context.now);
   // At the end the caller learns of the deadline, not of what an attempt met on the way.
   if (!call.closing_until) {
@@ -190,11 +199,19 @@
     this->Schedule(call);
     return true;
   }
-  if (call.failure.no_retry || IsFinal(call.failure.code) ||
-      made >= call.max_attempts + call.redirects) {
+  const EntryOptions& options = this->shared.options.entry;
+  const std::uint32_t moves = options.free_moves == 0 ? 0 : CountMoves(call);
+  if (call.failure.no_retry || IsFinal(call.failure.code) || moves > options.free_moves ||
+      made >= call.max_attempts + call.redirects + moves) {
     return false;
   }
-  const EntryOptions& options = this->shared.options.entry;
+  // No backend server has seen the request: the next attempt is no repetition.
+  const bool is_move = moves == made && moves > 0;
+  if (is_move && moves == 1) {
+    call.retry_at = context.now;
+    this->Schedule(call);
+    return true;
+  }
   const std::uint32_t doublings =
       std::clamp<std::uint32_t>(made - call.redirects, 1, kMaxDoublings) - 1;
   const Duration longest =
@@ -203,7 +220,7 @@
   if (context.now + delay >= call.deadline) {
     return false;
   }
-  if (!this->budget.TrySpend(call.budget_service)) {
+  if (!is_move && !this->budget.TrySpend(call.budget_service)) {
     ++this->shared.counters.retries_over_budget;
     return false;
   }
--- a/libs/calls/src/gate.cc
+++ b/libs/calls/src/gate.cc
@@ -55,9 +55,13 @@
   if (request.gate_boot != self.boot_id) {
     // The process that the entry node meant may have run a copy before it ended.
     ++this->shared.counters.foreign_process;
-    const ErrorCode code =
-        request.permit.empty() ? ErrorCode::kGateUnreachable : ErrorCode::kPermitHolderGone;
-    this->Reply(context, request.id, Unknown(code));
+    if (!request.permit.empty()) {
+      this->Reply(context, request.id, Unknown(ErrorCode::kPermitHolderGone));
+    } else if (this->shared.options.gate.transport_repeats) {
+      this->Reply(context, request.id, Unknown(ErrorCode::kGateUnreachable));
+    } else {
+      this->Reply(context, request.id, NotRun(ErrorCode::kGateUnreachable));
+    }
     return;
   }
   AdmittedCall call;
@@ -341,7 +345,7 @@
   Answer answer;
   const bool refused = IsTruthfulRefusal(response);
   if (refused) {
-    answer = NotRun(ErrorCode::kQueueFull);
+    answer = NotRun(ErrorCode::kBackendShed);
   } else if (response.body.size() > run->max_response_bytes || !FitsMessage(response)) {
     answer = Unknown(ErrorCode::kAnswerTooLarge);
   } else {
--- a/libs/calls/src/permit_client.cc
+++ b/libs/calls/src/permit_client.cc
@@ -29,7 +29,8 @@
 void PermitClient::AskGate(const Context& context, Ask ask, ErrorCode last_failure) {
   const membership::Member* gate = nullptr;
   if (ask.gates.size() < this->shared.options.entry.permit_attempts) {
-    gate = this->balancer.Choose(context, *ask.match.route, ask.gates);
+    std::optional<std::size_t> target;
+    gate = this->balancer.Choose(context, *ask.match.route, ask.gates, target);
   }
   if (gate == nullptr) {
     this->Answer(context, ask.request, last_failure);
--- a/libs/calls/tests/balancer_test.cc
+++ b/libs/calls/tests/balancer_test.cc
@@ -47,8 +47,9 @@
   std::string Choose(const std::vector<std::string>& tried = {}) {
     const details::Context context{this->now, this->members, this->routes, this->effects,
                                    this->local};
+    std::optional<std::size_t> target;
     const Member* chosen =
-        this->balancer.Choose(context, *FindRoute(this->document, "read"), tried);
+        this->balancer.Choose(context, *FindRoute(this->document, "read"), tried, target);
     return chosen == nullptr ? "" : chosen->id;
   }
   std::map<std::string, int> Draw(int count) {
@@ -60,7 +61,7 @@
   }
   void Load(const std::string& id, int calls) {
     for (int i = 0; i < calls; ++i) {
-      this->balancer.OnSent(id);
+      this->balancer.OnSent(id, this->now);
     }
   }
 };
@@ -129,7 +130,7 @@
     this->Add(id, "r1", "z1");
   }
   const auto end = [this](const std::string& id, AttemptOutcome outcome, utils::Duration latency) {
-    this->balancer.OnSent(id);
+    this->balancer.OnSent(id, this->now);
     this->balancer.OnEnded(id, outcome, latency, this->now);
   };
   for (const char* id : {"a", "b", "c", "d"}) {
--- a/libs/document/include/amaranthlatch/document/service_document.h
+++ b/libs/document/include/amaranthlatch/document/service_document.h
@@ -46,6 +46,10 @@
   std::vector<SplitTarget> split;
   bool idempotent = false;
   bool permit_required = false;
+  // A share of the split without room is refused instead of moved to the other targets.
+  bool strict_split = false;
+  // Backend servers that one call may reach; 0 for the limit of the document's protection.
+  std::uint32_t max_attempts = 0;
   Priority priority = Priority::kNormal;
   utils::Duration deadline{};
   std::uint64_t max_request_bytes = 0;
--- a/libs/membership/src/context.h
+++ b/libs/membership/src/context.h
@@ -12,7 +12,7 @@
 #include "amaranthlatch/membership/membership.h"
 #include "amaranthlatch/membership/options.h"
 #include "amaranthlatch/utils/random.h"
-#include "member_table.h"
+#include "amaranthlatch/membership/member_table.h"
 
 namespace amaranthlatch::membership::details {
 
--- a/libs/membership/src/member_table.cc
+++ b/libs/membership/src/member_table.cc
@@ -1,6 +1,6 @@
 // The table of member records.
 
-#include "member_table.h"
+#include "amaranthlatch/membership/member_table.h"
 
 #include "amaranthlatch/utils/hash.h"
 
--- /dev/null
+++ b/libs/runtime/include/amaranthlatch/runtime/adapter.h
@@ -0,0 +1,80 @@
+// What an adapter to a platform provides: translation between its protocols and the product's
+// values. Decisions and state stay on this side.
+
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "amaranthlatch/calls/effect.h"
+#include "amaranthlatch/calls/event.h"
+#include "amaranthlatch/directory/effect.h"
+#include "amaranthlatch/directory/event.h"
+#include "amaranthlatch/runtime/announcement.h"
+#include "amaranthlatch/runtime/backend_server_link.h"
+#include "amaranthlatch/runtime/http_client.h"
+#include "amaranthlatch/runtime/http_server.h"
+#include "amaranthlatch/utils/result.h"
+
+namespace amaranthlatch::runtime {
+
+// How callers speak to this node.
+class CallerDialect {
+ public:
+  virtual ~CallerDialect() = default;
+
+  // Takes what concerns the mesh out of the request and adds what the backend server expects of it.
+  // A failure is answered as not run with its code.
+  virtual utils::Result<calls::CallReceived> ReadCall(std::uint64_t call,
+                                                      calls::HttpRequest request) const = 0;
+
+  virtual calls::HttpResponse WriteAnswer(calls::Answer answer) const = 0;
+
+  // The caller's own name of a request, for log lines.
+  virtual std::string_view NameOf(const calls::HttpRequest& request) const = 0;
+};
+
+// Reads and writes records of a register. Every effect is answered by one event, later.
+class RegisterClient {
+ public:
+  using Report = std::function<void(const directory::Event&)>;
+
+  virtual ~RegisterClient() = default;
+
+  virtual void Read(const directory::ReadStream& read) = 0;
+  virtual void Write(const directory::WriteMember& write) = 0;
+};
+
+// What the backend server and the platform may ask of the node.
+class NodeGate {
+ public:
+  virtual ~NodeGate() = default;
+
+  virtual bool Ready() const = 0;
+  // Fails with kAnnouncementMalformed for an announcement that is not of this node's backend server
+  // or not the newest one.
+  virtual utils::Result<void> Announce(Announcement announcement) = 0;
+  // The backend server of this name leaves; unknown names are no fault.
+  virtual utils::Result<void> Leave(std::string_view process) = 0;
+};
+
+// When a caller whose call has not run should send it again.
+utils::Duration RetryAdvice(utils::ErrorCode code);
+
+class Adapter {
+ public:
+  virtual ~Adapter() = default;
+
+  virtual const CallerDialect& Callers() const = 0;
+  virtual const BackendDialect& BackendServers() const = 0;
+  // `client` outlives the result. `defaults` hold for configurations that the client decodes.
+  virtual std::unique_ptr<RegisterClient> MakeRegisterClient(
+      HttpClient& client, const directory::ServiceDefaults& defaults,
+      RegisterClient::Report report) = 0;
+  // Answers a request of the backend server or of the platform.
+  virtual calls::HttpResponse Control(NodeGate& node, const calls::HttpRequest& request) const = 0;
+};
+
+}  // namespace amaranthlatch::runtime
--- a/libs/runtime/include/amaranthlatch/runtime/backend_server_link.h
+++ b/libs/runtime/include/amaranthlatch/runtime/backend_server_link.h
@@ -22,6 +22,8 @@
 
 // Body of POST /backend-server.
 struct BackendServer {
+  // Name of its process, where the backend server has one.
+  std::string process;
   std::string service;
   // "ip:port" where it takes requests.
   std::string address;
@@ -39,12 +41,33 @@
 // in microseconds. The entry node removes it and counts what the mesh added.
 inline constexpr const char* kBackendTimeField = "amaranthlatch-backend-us";
 
+// How requests are put to a backend server, and what its answers mean.
+class BackendDialect {
+ public:
+  virtual ~BackendDialect() = default;
+
+  virtual HttpExchange WriteExchange(const BackendServer& server,
+                                     const calls::RunOnBackendServer& run) const = 0;
+
+  // Fails where the answer is not the backend server's whole own one.
+  virtual utils::Result<calls::HttpResponse> ReadResponse(calls::HttpResponse response) const = 0;
+};
+
+// The product's own protocol (docs/design.md section 7).
+class OwnBackendDialect final : public BackendDialect {
+ public:
+  HttpExchange WriteExchange(const BackendServer& server,
+                             const calls::RunOnBackendServer& run) const override;
+  utils::Result<calls::HttpResponse> ReadResponse(calls::HttpResponse response) const override;
+};
+
 class BackendServerLink {
  public:
   using Report = std::function<void(const node::Event&)>;
 
+  // `client` and `dialect` must outlive the link.
   BackendServerLink(asio::io_context& context, const utils::Clock& clock, HttpClient& client,
-                    utils::Duration silent_after, Report report);
+                    const BackendDialect& dialect, utils::Duration silent_after, Report report);
   ~BackendServerLink();
 
   // Reports BackendServerAnnounced. Announcements are repeated every second.
@@ -58,6 +81,8 @@
 
   const std::optional<BackendServer>& Server() const { return this->server; }
   const DurationHistogram& RunTimes() const { return this->run_times; }
+  // Answers that the dialect did not take.
+  std::uint64_t BadAnswers() const { return this->bad_answers; }
 
  private:
   void ScheduleCheck();
@@ -68,6 +93,7 @@
   asio::io_context& context;
   const utils::Clock& clock;
   HttpClient& client;
+  const BackendDialect& dialect;
   const utils::Duration silent_after;
   const Report report;
   asio::steady_timer check_timer;
@@ -76,6 +102,7 @@
   // Set while announcements are expected.
   bool watching = false;
   DurationHistogram run_times;
+  std::uint64_t bad_answers = 0;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/libs/runtime/include/amaranthlatch/runtime/http_client.h
+++ b/libs/runtime/include/amaranthlatch/runtime/http_client.h
@@ -26,6 +26,14 @@
   // A repeatable exchange ends as soon as its connection is found silent. Any other one is waited
   // for until the time limit, because its answer may still come and nobody may run it again.
   bool repeatable = false;
+  // Field of the answer that must repeat a value of the request; empty name for none. An answer
+  // with another value belongs to another request: the exchange fails and its connection is closed.
+  std::string echo_name;
+  std::string echo_value;
+  // An answer without length or chunks is complete when its connection ends in order.
+  bool ends_with_connection = false;
+  // Longest idle time of a connection that is used again.
+  utils::Duration max_idle = utils::Seconds(4);
 };
 
 struct HttpFailure {
--- a/libs/runtime/include/amaranthlatch/runtime/http_server.h
+++ b/libs/runtime/include/amaranthlatch/runtime/http_server.h
@@ -50,6 +50,9 @@
   // No effect for a request whose caller is gone.
   virtual void Respond(std::uint64_t request, ServerResponse response) = 0;
 
+  // Asks callers to close their connections after the next answer; takes new ones still.
+  virtual void AskToClose() = 0;
+
   // Takes no new connections; open ones are closed after their next answer.
   virtual void BeginShutdown() = 0;
 
--- /dev/null
+++ b/libs/runtime/include/amaranthlatch/runtime/register_settings.h
@@ -0,0 +1,50 @@
+// The settings of a node in register mode (docs/platform.md): strict JSON, one table of keys.
+
+#pragma once
+
+#include <cstddef>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "amaranthlatch/runtime/settings.h"
+#include "amaranthlatch/utils/result.h"
+#include "amaranthlatch/utils/time.h"
+
+namespace amaranthlatch::runtime {
+
+struct RegisterSettings {
+  // Addresses are "ip:port".
+  std::string node_address;
+  std::string data_address;
+  std::string ready_address;
+  std::string control_address;
+  std::string admin_address;
+  std::string register_address;
+  std::string region;
+  std::string zone;
+  // The backend server beside this node: announcements of any other are refused.
+  std::string backend_service;
+  std::string backend_address;
+  std::string secret;
+  LogLevel log_level = LogLevel::kInfo;
+  // Backend arrivals beyond the first of each request: a share of the requests and, over all nodes
+  // and for each budget window, this many more.
+  double retry_ratio = 0.0;
+  double retry_slack = 0.0;
+  // Time from the start of a drain to the end of the process, at the latest.
+  utils::Duration shutdown_limit{};
+  std::size_t max_connections = 0;
+  std::size_t max_header_bytes = 0;
+  std::size_t max_body_bytes = 0;
+
+  bool operator==(const RegisterSettings&) const = default;
+};
+
+std::span<const SettingSpec> AllRegisterSettings();
+
+// Fails with a code of 6001..6005 and a pointer.
+utils::Result<RegisterSettings> ParseRegisterSettings(std::string_view text);
+utils::Result<RegisterSettings> ReadRegisterSettingsFile(const std::string& path);
+
+}  // namespace amaranthlatch::runtime
--- a/libs/runtime/include/amaranthlatch/runtime/restinio_server.h
+++ b/libs/runtime/include/amaranthlatch/runtime/restinio_server.h
@@ -35,6 +35,7 @@
   ~RestinioServer() override;
 
   void Respond(std::uint64_t request, ServerResponse response) override;
+  void AskToClose() override;
   void BeginShutdown() override;
   std::uint16_t Port() const override;
   const HttpServerCounters& Counters() const override;
--- a/libs/runtime/include/amaranthlatch/runtime/settings.h
+++ b/libs/runtime/include/amaranthlatch/runtime/settings.h
@@ -49,7 +49,17 @@
   bool operator==(const Settings&) const = default;
 };
 
-enum class SettingType : std::uint8_t { kAddress, kAddresses, kName, kText, kChoice, kInteger };
+// kTime is a text of a number and its unit, `ms` or `s`; kNumber any number.
+enum class SettingType : std::uint8_t {
+  kAddress,
+  kAddresses,
+  kName,
+  kText,
+  kChoice,
+  kInteger,
+  kTime,
+  kNumber
+};
 
 // One row of the table; docs/settings.md repeats it and a test compares the two.
 struct SettingSpec {
@@ -60,7 +70,7 @@
   // JSON text of the default; empty where the setting is required or has none.
   std::string_view default_value;
   bool required = false;
-  // Limits of integers, of the length of texts and of the count of lists.
+  // Limits of numbers, of times in ms, of the length of texts and of the count of lists.
   std::int64_t min = 0;
   std::int64_t max = 0;
   // Permitted values of a choice.
--- a/libs/runtime/src/backend_server_link.cc
+++ b/libs/runtime/src/backend_server_link.cc
@@ -103,16 +103,31 @@
   if (!slots || !connections) {
     return tl::unexpected(slots ? connections.error() : slots.error());
   }
-  return BackendServer{(*object)["service"].get<std::string>(), address.get<std::string>(),
+  return BackendServer{{}, (*object)["service"].get<std::string>(), address.get<std::string>(),
                        std::move(*labels), *slots, *connections};
 }
 
+HttpExchange OwnBackendDialect::WriteExchange(const BackendServer& /*server*/,
+                                              const calls::RunOnBackendServer& run) const {
+  HttpExchange exchange;
+  exchange.request = run.request;
+  exchange.request.headers.emplace_back("amaranthlatch-deadline-ms",
+                                        std::to_string(utils::ToMilliseconds(run.remaining)));
+  return exchange;
+}
+
+utils::Result<calls::HttpResponse> OwnBackendDialect::ReadResponse(
+    calls::HttpResponse response) const {
+  return response;
+}
+
 BackendServerLink::BackendServerLink(asio::io_context& context, const utils::Clock& clock,
-                                     HttpClient& client, utils::Duration silent_after,
-                                     Report report)
+                                     HttpClient& client, const BackendDialect& dialect,
+                                     utils::Duration silent_after, Report report)
     : context(context),
       clock(clock),
       client(client),
+      dialect(dialect),
       silent_after(silent_after),
       report(std::move(report)),
       check_timer(context) {}
@@ -179,11 +194,8 @@
     });
     return;
   }
-  HttpExchange exchange;
+  HttpExchange exchange = this->dialect.WriteExchange(*this->server, run);
   exchange.address = this->server->address;
-  exchange.request = run.request;
-  exchange.request.headers.emplace_back("amaranthlatch-deadline-ms",
-                                        std::to_string(utils::ToMilliseconds(run.remaining)));
   exchange.time_limit = run.remaining;
   exchange.max_response_bytes = run.max_response_bytes;
   exchange.silent_after = this->silent_after;
@@ -205,8 +217,15 @@
   }
   const utils::Duration time = this->clock.Now() - begun;
   this->run_times.Add(time);
-  outcome->headers.emplace_back(kBackendTimeField, std::to_string(time.count()));
-  this->report(calls::BackendServerAnswered{run, std::move(*outcome)});
+  auto response = this->dialect.ReadResponse(std::move(*outcome));
+  if (!response) {
+    ++this->bad_answers;
+    this->report(
+        calls::BackendServerFailed{run, calls::BackendFailure::kConnectionLost, false});
+    return;
+  }
+  response->headers.emplace_back(kBackendTimeField, std::to_string(time.count()));
+  this->report(calls::BackendServerAnswered{run, std::move(*response)});
 }
 
 void BackendServerLink::Cancel(std::uint64_t run) { this->client.Cancel(run); }
--- a/libs/runtime/src/curl_multi.cc
+++ b/libs/runtime/src/curl_multi.cc
@@ -2,6 +2,9 @@
 
 #include "curl_multi.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 #include <asio/post.hpp>
 #include <utility>
 
@@ -9,9 +12,23 @@
 
 namespace {
 
-// A connection that idled longer is not used again: the server may be closing it at this moment,
-// and a request lost in that race has an unknown outcome. Common servers close after 5 s.
-constexpr long kMaxIdleSeconds = 4;  // NOLINT(google-runtime-int): libcurl's type.
+// A peer that is cut off neither answers nor resets: probes after an idle second and the limit on
+// unacknowledged data end the connection. Without them a read would wait for its whole time limit.
+constexpr int kKeepAliveIdleSeconds = 1;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+constexpr unsigned kUnacknowledgedLimitMs = 2000;
+
+void ShowSilence(asio::ip::tcp::socket& socket) {
+  const int handle = socket.native_handle();
+  const int on = 1;
+  // A socket without these options still works; exchanges then end by their own time limits.
+  setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdleSeconds, sizeof(int));
+  setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveIntervalSeconds, sizeof(int));
+  setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes, sizeof(int));
+  setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedLimitMs, sizeof(unsigned));
+}
 
 bool WantsRead(int wanted) { return wanted == CURL_POLL_IN || wanted == CURL_POLL_INOUT; }
 bool WantsWrite(int wanted) { return wanted == CURL_POLL_OUT || wanted == CURL_POLL_INOUT; }
@@ -38,7 +55,6 @@
   curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &CurlMulti::CloseSocket);
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
-  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
   return curl_multi_add_handle(this->multi, easy) == CURLM_OK;
 }
 
@@ -62,6 +78,7 @@
   if (error) {
     return CURL_SOCKET_BAD;
   }
+  ShowSilence(watched->socket);
   const curl_socket_t handle = watched->socket.native_handle();
   multi->sockets[handle] = std::move(watched);
   return handle;
--- a/libs/runtime/src/curl_transfer.cc
+++ b/libs/runtime/src/curl_transfer.cc
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr long kMillisecondsPerSecond = 1000;  // NOLINT(google-runtime-int)
+constexpr int kStatusOk = 200;
 constexpr int kStatusNoContent = 204;
 constexpr int kStatusNotModified = 304;
 
@@ -44,6 +46,9 @@
   curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, ToCurlMilliseconds(connect_limit));
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, ToCurlMilliseconds(this->exchange.time_limit));
+  // A request that reaches a server in a race with the end of an idle connection may be lost.
+  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
+                   ToCurlMilliseconds(this->exchange.max_idle) / kMillisecondsPerSecond);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &CurlTransfer::BeforeRequest);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &CurlTransfer::OnHeader);
@@ -143,6 +148,9 @@
     return false;
   }
   const std::string_view text = TrimLine(line);
+  if (text.empty()) {
+    return this->IsEchoRight();
+  }
   if (text.starts_with("HTTP/")) {
     // An interim answer (1xx) may have come before.
     this->response.headers.clear();
@@ -157,6 +165,16 @@
   return true;
 }
 
+bool CurlTransfer::IsEchoRight() {
+  long status = 0;  // NOLINT(google-runtime-int): libcurl's type.
+  curl_easy_getinfo(this->easy, CURLINFO_RESPONSE_CODE, &status);
+  const bool is_interim = status < kStatusOk;
+  this->foreign = !is_interim && !this->exchange.echo_name.empty() &&
+                  FindField(this->response.headers, this->exchange.echo_name) !=
+                      this->exchange.echo_value;
+  return !this->foreign;
+}
+
 std::size_t CurlTransfer::OnBody(char* data, std::size_t size, std::size_t count, void* self) {
   auto* const transfer = static_cast<CurlTransfer*>(self);
   const std::size_t bytes = size * count;
@@ -175,7 +193,8 @@
 
 bool CurlTransfer::IsComplete() const {
   // libcurl checks length and last chunk; an answer that ends with its connection shows neither.
-  return this->HasNoBody() || !FindField(this->response.headers, "content-length").empty() ||
+  return this->HasNoBody() || this->exchange.ends_with_connection ||
+         !FindField(this->response.headers, "content-length").empty() ||
          ToLowerCase(FindField(this->response.headers, "transfer-encoding")).ends_with("chunked");
 }
 
@@ -183,6 +202,10 @@
   if (this->too_large) {
     return tl::unexpected(Failure(calls::BackendFailure::kTooLarge, "answer above the limit"));
   }
+  if (this->foreign) {
+    return tl::unexpected(Failure(calls::BackendFailure::kConnectionLost,
+                                  "the answer belongs to another request"));
+  }
   if (result != CURLE_OK) {
     const auto failure = this->MayBeSent() ? calls::BackendFailure::kConnectionLost
                                            : calls::BackendFailure::kNotConnected;
--- a/libs/runtime/src/curl_transfer.h
+++ b/libs/runtime/src/curl_transfer.h
@@ -47,6 +47,8 @@
   void AddHeaders();
   void AddHeader(const std::string& line);
   bool AddHeaderLine(std::string_view line);
+  // Whether the answer repeats what it must; called at the end of a header.
+  bool IsEchoRight();
   bool IsComplete() const;
   bool HasNoBody() const;
 
@@ -60,6 +62,7 @@
   int writes = 0;
   bool first_byte = false;
   bool too_large = false;
+  bool foreign = false;
 };
 
 }  // namespace amaranthlatch::runtime::details
--- a/libs/runtime/src/effect_log.cc
+++ b/libs/runtime/src/effect_log.cc
@@ -38,21 +38,27 @@
 std::string_view EventName(const node::Event& event) { return kEventNames.at(event.index()); }
 
 void LogEffect(const node::InvariantViolated& effect, const node::Event& cause) {
+  LogViolation(effect, EventName(cause));
+}
+
+void LogViolation(const node::InvariantViolated& effect, std::string_view cause) {
   LogLine("invariant-violated")
       .Add("code", utils::ToNumber(utils::ErrorCode::kInvariantViolated))
       .Add("promise", effect.promise)
       .Add("detail", effect.detail)
-      .Add("cause", EventName(cause))
+      .Add("cause", cause)
       .Error();
 }
 
-void LogEffect(const membership::MemberChanged& effect) {
+void LogEffect(const membership::MemberChanged& effect) { LogMember(effect.after); }
+
+void LogMember(const membership::Member& member) {
   LogLine("member-changed")
-      .Add("id", effect.after.id)
-      .Add("zone", effect.after.zone)
-      .Add("service", effect.after.service)
-      .Add("state", ToString(effect.after.state))
-      .Add("incarnation", effect.after.incarnation)
+      .Add("id", member.id)
+      .Add("zone", member.zone)
+      .Add("service", member.service)
+      .Add("state", ToString(member.state))
+      .Add("incarnation", member.incarnation)
       .Debug();
 }
 
--- a/libs/runtime/src/effect_log.h
+++ b/libs/runtime/src/effect_log.h
@@ -12,6 +12,8 @@
 std::string_view EventName(const node::Event& event);
 
 void LogEffect(const node::InvariantViolated& effect, const node::Event& cause);
+void LogViolation(const node::InvariantViolated& effect, std::string_view cause);
+void LogMember(const membership::Member& member);
 void LogEffect(const membership::MemberChanged& effect);
 void LogEffect(const membership::HoldChanged& effect);
 void LogEffect(const distribution::VerdictInForce& effect);
--- a/libs/runtime/src/host.cc
+++ b/libs/runtime/src/host.cc
@@ -188,7 +188,8 @@
     this->backend_client = std::move(*backend);
     this->log_http_client = std::move(*log);
     this->backend_server = std::make_unique<BackendServerLink>(
-        this->context, this->clock, *this->backend_client, this->settings.silent,
+        this->context, this->clock, *this->backend_client, this->backend_dialect,
+        this->settings.silent,
         [this](const node::Event& event) { this->OnBackendEvent(event); });
     this->log_client = std::make_unique<LogClient>(
         *this->log_http_client, this->settings.log_address, [this](const LogClient::Event& event) {
@@ -258,8 +259,7 @@
       this->wake_timer.cancel();
       return;
     }
-    // Both clocks have the epoch of steady_clock.
-    this->wake_timer.expires_at(std::chrono::steady_clock::time_point(next->time_since_epoch()));
+    this->wake_timer.expires_after(*next - this->clock.Now());
     this->wake_timer.async_wait([this](const asio::error_code& error) {
       if (!error) {
         this->scheduled_wake.reset();
@@ -396,6 +396,7 @@
   AdminInterface admin;
   std::unique_ptr<CurlHttpClient> backend_client;
   std::unique_ptr<CurlHttpClient> log_http_client;
+  const OwnBackendDialect backend_dialect;
   std::unique_ptr<BackendServerLink> backend_server;
   std::unique_ptr<LogClient> log_client;
   std::unique_ptr<RestinioServer> admin_server;
--- a/libs/runtime/src/node_metrics.cc
+++ b/libs/runtime/src/node_metrics.cc
@@ -2,6 +2,8 @@
 
 #include "amaranthlatch/runtime/node_metrics.h"
 
+#include "register_metrics.h"
+
 namespace amaranthlatch::runtime {
 
 namespace {
@@ -108,8 +110,36 @@
   text.Gauge("http_connections", static_cast<double>(server.connections), label);
 }
 
+void AppendDirectory(MetricsText& text, const directory::Counters& directory) {
+  text.Counter("register_reads_total", directory.reads);
+  text.Counter("register_reads_failed_total", directory.reads_failed);
+  text.Counter("register_listings_total", directory.listings);
+  text.Counter("register_writes_total", directory.writes);
+  text.Counter("register_writes_failed_total", directory.writes_failed);
+  text.Counter("configurations_in_force_total", directory.configurations);
+  text.Counter("configurations_stale_total", directory.configurations_stale);
+  text.Counter("member_records_changed_total", directory.members_changed);
+  text.Counter("member_records_stale_total", directory.members_stale);
+}
+
 }  // namespace
 
+std::string details::ToPrometheus(const details::RegisterMetrics& metrics) {
+  MetricsText text;
+  text.Gauge("ready", metrics.ready ? 1 : 0);
+  text.Gauge("configuration_version", static_cast<double>(metrics.version));
+  AppendDirectory(text, metrics.directory);
+  AppendCalls(text, metrics.calls, metrics.gauges);
+  AppendTransport(text, metrics.transport, metrics.envelope);
+  AppendServer(text, metrics.data_server, R"(address="data")");
+  text.Counter("backend_answers_not_taken_total", metrics.bad_answers);
+  text.Counter("announcements_refused_total", metrics.announcements_refused);
+  text.Histogram("call_seconds", *metrics.call_times);
+  text.Histogram("call_added_seconds", *metrics.added_times);
+  text.Histogram("backend_run_seconds", *metrics.run_times);
+  return text.Take();
+}
+
 std::string ToPrometheus(const NodeMetrics& metrics) {
   MetricsText text;
   text.Gauge("ready", metrics.ready ? 1 : 0);
--- /dev/null
+++ b/libs/runtime/src/register_metrics.h
@@ -0,0 +1,36 @@
+// The metrics page of a node in register mode.
+
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "amaranthlatch/calls/counters.h"
+#include "amaranthlatch/directory/directory.h"
+#include "amaranthlatch/node/envelope.h"
+#include "amaranthlatch/runtime/http_server.h"
+#include "amaranthlatch/runtime/metrics.h"
+#include "amaranthlatch/runtime/transport.h"
+
+namespace amaranthlatch::runtime::details {
+
+struct RegisterMetrics {
+  directory::Counters directory;
+  calls::Counters calls;
+  calls::Gauges gauges;
+  node::Envelope::Counters envelope;
+  TransportCounters transport;
+  HttpServerCounters data_server;
+  const DurationHistogram* call_times = nullptr;
+  const DurationHistogram* added_times = nullptr;
+  const DurationHistogram* run_times = nullptr;
+  bool ready = false;
+  // Of the configuration in force; 0 for none.
+  std::uint64_t version = 0;
+  std::uint64_t bad_answers = 0;
+  std::uint64_t announcements_refused = 0;
+};
+
+std::string ToPrometheus(const RegisterMetrics& metrics);
+
+}  // namespace amaranthlatch::runtime::details
--- /dev/null
+++ b/libs/runtime/src/register_options.cc
@@ -0,0 +1,98 @@
+// Mapping of the settings of register mode.
+
+#include "register_options.h"
+
+#include "amaranthlatch/runtime/adapter.h"
+
+namespace amaranthlatch::runtime::details {
+
+namespace {
+
+// An attempt that reached no backend server may move this often.
+constexpr std::uint32_t kFreeMoves = 3;
+// Attempts have ids of their own, are sent once and end with their call: a short memory of few of
+// them recognises every repeat that a link can make.
+constexpr utils::Duration kLongestDeadline = utils::Seconds(30);
+constexpr utils::Duration kMemoryMargin = utils::Seconds(2);
+constexpr std::uint32_t kMemoryCapacity = 65'536;
+constexpr std::uint64_t kRefusalFilterBits = 1ULL << 19U;
+// A caller is told the end of its call within a quarter of a second of its deadline.
+constexpr utils::Duration kFenceInterval = utils::Milliseconds(80);
+constexpr utils::Duration kFenceTimeout = utils::Milliseconds(200);
+// Connections between two nodes repeat no messages, and one that is lost loses those under way.
+constexpr bool kTransportRepeats = false;
+// Nodes among which the slack of the retry budget is shared out; twelve servers of a service and
+// as many of another send to each other.
+constexpr double kNodesSharingSlack = 24.0;
+
+// The announced slots of a backend server decide; this is above all of them.
+constexpr std::uint32_t kMaxSlots = 100'000;
+// Far more than a queue of bounded wait can hold.
+constexpr std::uint32_t kQueueLength = 256;
+// Above the usual deadlines: the expected wait decides what is queued.
+constexpr utils::Duration kQueueTime = utils::Seconds(10);
+constexpr std::uint32_t kMaxAttempts = 2;
+// Time in which a backend server that has just started works slower.
+constexpr utils::Duration kSlowStart = utils::Seconds(3);
+// Share of the permitted ratio that is spent on retries; repeated calls may call further services.
+constexpr double kRetryShare = 0.5;
+constexpr double kPercent = 100.0;
+
+// A crowded gate empties within a few answers; anything else takes a record of the register.
+constexpr utils::Duration kCrowdedAdvice = utils::Milliseconds(200);
+constexpr utils::Duration kOtherAdvice = utils::Milliseconds(400);
+
+}  // namespace
+
+directory::ServiceDefaults MakeServiceDefaults(const RegisterSettings& settings) {
+  directory::ServiceDefaults defaults;
+  defaults.protection.slots = kMaxSlots;
+  defaults.protection.queue_length = kQueueLength;
+  defaults.protection.queue_time = kQueueTime;
+  defaults.protection.retry_budget_percent =
+      static_cast<std::uint32_t>(settings.retry_ratio * kRetryShare * kPercent);
+  defaults.protection.max_attempts = kMaxAttempts;
+  defaults.protection.slow_start = kSlowStart;
+  return defaults;
+}
+
+node::RegisterNodeOptions MakeRegisterNodeOptions(const RegisterSettings& settings,
+                                                  std::uint64_t seed, std::uint64_t boot_id) {
+  node::RegisterNodeOptions options;
+  options.secret = settings.secret;
+  options.directory.id = settings.node_address;
+  options.directory.region = settings.region;
+  options.directory.zone = settings.zone;
+  options.directory.data_address = settings.data_address;
+  options.directory.boot_id = boot_id;
+  options.directory.seed = seed;
+
+  calls::Options& calls = options.calls;
+  calls.seed = seed + 1;
+  calls.entry.longest_deadline = kLongestDeadline;
+  calls.entry.free_moves = kFreeMoves;
+  calls.entry.fence_interval = kFenceInterval;
+  calls.entry.fence_timeout = kFenceTimeout;
+  calls.entry.retry_burst = 1.0 + settings.retry_slack / kNodesSharingSlack;
+  calls.gate.memory_margin = kMemoryMargin;
+  calls.gate.memory_capacity = kMemoryCapacity;
+  calls.gate.refusal_filter_bits = kRefusalFilterBits;
+  calls.gate.transport_repeats = kTransportRepeats;
+  return options;
+}
+
+}  // namespace amaranthlatch::runtime::details
+
+namespace amaranthlatch::runtime {
+
+utils::Duration RetryAdvice(utils::ErrorCode code) {
+  switch (code) {
+    case utils::ErrorCode::kQueueFull:
+    case utils::ErrorCode::kBackendShed:
+      return details::kCrowdedAdvice;
+    default:
+      return details::kOtherAdvice;
+  }
+}
+
+}  // namespace amaranthlatch::runtime
--- /dev/null
+++ b/libs/runtime/src/register_settings.cc
@@ -0,0 +1,107 @@
+// The table of settings of register mode.
+
+#include "amaranthlatch/runtime/register_settings.h"
+
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "settings_reader.h"
+
+namespace amaranthlatch::runtime {
+
+namespace {
+
+constexpr std::int64_t kMaxNameLength = 63;
+constexpr std::int64_t kMaxSlack = 1'000'000;
+constexpr std::int64_t kMinShutdownMs = 1000;
+constexpr std::int64_t kMaxShutdownMs = 600'000;
+
+SettingSpec Address(std::string_view key) {
+  return {key, SettingType::kAddress, "ip:port", "", true, 0, 0, {}};
+}
+
+SettingSpec Name(std::string_view key) {
+  return {key, SettingType::kName, "name", "", true, 1, kMaxNameLength, {}};
+}
+
+std::vector<SettingSpec> MakeTable() {
+  return {
+      Address("node_address"),
+      Address("data_address"),
+      Address("ready_address"),
+      Address("control_address"),
+      Address("admin_address"),
+      Address("register_address"),
+      Name("region"),
+      Name("zone"),
+      Name("backend_service"),
+      Address("backend_address"),
+      {"secret", SettingType::kText, "text", "", true, 16, 1024, {}},
+      {"log_level",
+       SettingType::kChoice,
+       "choice",
+       R"("info")",
+       false,
+       0,
+       0,
+       {"error", "warn", "info", "debug"}},
+      {"retry_ratio", SettingType::kNumber, "ratio", "0.1", false, 0, 1, {}},
+      {"retry_slack", SettingType::kNumber, "calls", "20", false, 0, kMaxSlack, {}},
+      {"shutdown_limit",
+       SettingType::kTime,
+       "time",
+       R"("6s")",
+       false,
+       kMinShutdownMs,
+       kMaxShutdownMs,
+       {}},
+      {"max_connections", SettingType::kInteger, "connections", "1024", false, 1, 100'000, {}},
+      {"max_header_bytes", SettingType::kInteger, "bytes", "65536", false, 1024, 1'048'576, {}},
+      {"max_body_bytes", SettingType::kInteger, "bytes", "1048576", false, 1024, 67'108'864, {}},
+  };
+}
+
+}  // namespace
+
+std::span<const SettingSpec> AllRegisterSettings() {
+  static const std::vector<SettingSpec> table = MakeTable();
+  return table;
+}
+
+utils::Result<RegisterSettings> ParseRegisterSettings(std::string_view text) {
+  auto object = details::ReadSettingsObject(text, AllRegisterSettings());
+  if (!object) {
+    return tl::unexpected(object.error());
+  }
+  const auto value = [&object](const char* key) { return (*object)[key].get<std::string>(); };
+  RegisterSettings settings;
+  settings.node_address = value("node_address");
+  settings.data_address = value("data_address");
+  settings.ready_address = value("ready_address");
+  settings.control_address = value("control_address");
+  settings.admin_address = value("admin_address");
+  settings.register_address = value("register_address");
+  settings.region = value("region");
+  settings.zone = value("zone");
+  settings.backend_service = value("backend_service");
+  settings.backend_address = value("backend_address");
+  settings.secret = value("secret");
+  settings.log_level = details::ChoiceOf<LogLevel>(*object, AllRegisterSettings(), "log_level");
+  settings.retry_ratio = (*object)["retry_ratio"].get<double>();
+  settings.retry_slack = (*object)["retry_slack"].get<double>();
+  settings.shutdown_limit = *details::ParseTime(value("shutdown_limit"));
+  settings.max_connections = (*object)["max_connections"].get<std::size_t>();
+  settings.max_header_bytes = (*object)["max_header_bytes"].get<std::size_t>();
+  settings.max_body_bytes = (*object)["max_body_bytes"].get<std::size_t>();
+  return settings;
+}
+
+utils::Result<RegisterSettings> ReadRegisterSettingsFile(const std::string& path) {
+  const auto text = details::ReadSettingsText(path);
+  if (!text) {
+    return tl::unexpected(text.error());
+  }
+  return ParseRegisterSettings(*text);
+}
+
+}  // namespace amaranthlatch::runtime
--- a/libs/runtime/src/restinio_server.cc
+++ b/libs/runtime/src/restinio_server.cc
@@ -248,6 +248,8 @@
     this->Write(request, std::move(answer), state->second.state);
   }
 
+  void AskToClose() { this->shutting_down = true; }
+
   void BeginShutdown() {
     this->shutting_down = true;
     this->server->close_sync();
@@ -464,6 +466,8 @@
   this->impl->Respond(request, std::move(response));
 }
 
+void RestinioServer::AskToClose() { this->impl->AskToClose(); }
+
 void RestinioServer::BeginShutdown() { this->impl->BeginShutdown(); }
 
 std::uint16_t RestinioServer::Port() const { return this->impl->Port(); }
--- a/libs/runtime/src/settings.cc
+++ b/libs/runtime/src/settings.cc
@@ -3,6 +3,7 @@
 #include "amaranthlatch/runtime/settings.h"
 
 #include <algorithm>
+#include <charconv>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -10,6 +11,7 @@
 
 #include "amaranthlatch/document/json_guard.h"
 #include "amaranthlatch/runtime/endpoint.h"
+#include "settings_reader.h"
 
 namespace amaranthlatch::runtime {
 
@@ -20,6 +22,10 @@
 using Check = utils::Result<void>;
 
 constexpr std::size_t kMaxFileBytes = 1 << 20;
+constexpr double kMicrosecondsPerSecond = 1e6;
+constexpr double kMicrosecondsPerMillisecond = 1e3;
+// Keeps the conversion to microseconds from overflowing.
+constexpr double kMaxTime = 1e9;
 
 std::string PointerTo(std::string_view key) { return "/" + document::PointerToken(key); }
 
@@ -115,6 +121,29 @@
   return {};
 }
 
+Check CheckNumber(const SettingSpec& spec, const nlohmann::json& value) {
+  if (!value.is_number()) {
+    return WrongType(spec, "number");
+  }
+  const auto number = value.get<double>();
+  if (!(number >= static_cast<double>(spec.min) && number <= static_cast<double>(spec.max))) {
+    return OutOfRange(PointerTo(spec.key), "must be in " + LimitsOf(spec));
+  }
+  return {};
+}
+
+Check CheckTime(const SettingSpec& spec, const nlohmann::json& value) {
+  const auto time = value.is_string() ? details::ParseTime(value.get_ref<const std::string&>())
+                                      : std::optional<utils::Duration>();
+  if (!time) {
+    return WrongType(spec, "time with its unit, ms or s,");
+  }
+  if (utils::ToMilliseconds(*time) < spec.min || utils::ToMilliseconds(*time) > spec.max) {
+    return OutOfRange(PointerTo(spec.key), "must be in " + LimitsOf(spec) + " ms");
+  }
+  return {};
+}
+
 Check CheckValue(const SettingSpec& spec, const nlohmann::json& value) {
   switch (spec.type) {
     case SettingType::kAddress:
@@ -128,13 +157,16 @@
       return CheckChoice(spec, value);
     case SettingType::kInteger:
       return CheckInteger(spec, value);
+    case SettingType::kTime:
+      return CheckTime(spec, value);
+    case SettingType::kNumber:
+      return CheckNumber(spec, value);
   }
   return {};
 }
 
-Check CheckKeys(const nlohmann::json& object) {
+Check CheckKeys(const nlohmann::json& object, std::span<const SettingSpec> specs) {
   for (const auto& [key, value] : object.items()) {
-    const auto specs = AllSettings();
     const auto spec =
         std::find_if(specs.begin(), specs.end(),
                      [&name = key](const auto& candidate) { return candidate.key == name; });
@@ -149,8 +181,8 @@
 }
 
 // Adds defaults; fails where a required key is absent.
-Check Complete(nlohmann::json& object) {
-  for (const SettingSpec& spec : AllSettings()) {
+Check Complete(nlohmann::json& object, std::span<const SettingSpec> specs) {
+  for (const SettingSpec& spec : specs) {
     if (object.contains(spec.key)) {
       continue;
     }
@@ -164,20 +196,6 @@
   return {};
 }
 
-utils::Result<std::string> ReadFile(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  std::string content(kMaxFileBytes + 1, '\0');
-  file.read(content.data(), static_cast<std::streamsize>(content.size()));
-  if (!file && !file.eof()) {
-    return Fail(ErrorCode::kSettingsUnreadable, "cannot read " + path);
-  }
-  content.resize(static_cast<std::size_t>(file.gcount()));
-  if (content.size() > kMaxFileBytes) {
-    return Fail(ErrorCode::kSettingsUnreadable, path + " is larger than 1 MiB");
-  }
-  return content;
-}
-
 utils::Result<std::string> SecretOf(const nlohmann::json& object) {
   const bool in_file = object.contains("secret_file");
   if (in_file == object.contains("secret")) {
@@ -187,7 +205,7 @@
   if (!in_file) {
     return object["secret"].get<std::string>();
   }
-  auto secret = ReadFile(object["secret_file"].get<std::string>());
+  auto secret = details::ReadSettingsText(object["secret_file"].get<std::string>());
   if (!secret) {
     secret.error().pointer = "/secret_file";
     return secret;
@@ -204,17 +222,6 @@
   return secret;
 }
 
-// Position of the value among the choices of its row, which follow the order of the enumeration.
-template <typename Enum>
-Enum ChoiceOf(const nlohmann::json& object, std::string_view key) {
-  const auto specs = AllSettings();
-  const auto spec = std::find_if(specs.begin(), specs.end(),
-                                 [key](const auto& candidate) { return candidate.key == key; });
-  const auto text = object[std::string(key)].get<std::string>();
-  const auto position = std::find(spec->choices.begin(), spec->choices.end(), text);
-  return static_cast<Enum>(position - spec->choices.begin());
-}
-
 Settings Fill(const nlohmann::json& object, std::string secret) {
   const auto text = [&object](const char* key) { return object[key].get<std::string>(); };
   const auto size = [&object](const char* key) { return object[key].get<std::size_t>(); };
@@ -231,9 +238,9 @@
   settings.log_address = text("log_address");
   settings.log_region = text("log_region");
   settings.secret = std::move(secret);
-  settings.profile = ChoiceOf<distribution::Profile>(object, "profile");
-  settings.spread = ChoiceOf<distribution::SpreadKind>(object, "spread");
-  settings.log_level = ChoiceOf<LogLevel>(object, "log_level");
+  settings.profile = details::ChoiceOf<distribution::Profile>(object, AllSettings(), "profile");
+  settings.spread = details::ChoiceOf<distribution::SpreadKind>(object, AllSettings(), "spread");
+  settings.log_level = details::ChoiceOf<LogLevel>(object, AllSettings(), "log_level");
   settings.probe_interval = time("probe_interval_ms");
   settings.suspect_timeout = time("suspect_timeout_ms");
   settings.reader_takeover = time("reader_takeover_ms");
@@ -252,7 +259,36 @@
 
 }  // namespace
 
-utils::Result<Settings> ParseSettings(std::string_view text) {
+namespace details {
+
+std::optional<utils::Duration> ParseTime(std::string_view text) {
+  double number = 0.0;
+  const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), number);
+  const std::string_view unit(end, static_cast<std::size_t>(text.data() + text.size() - end));
+  if (status != std::errc() || (unit != "ms" && unit != "s") || !(number >= 0.0) ||
+      number > kMaxTime) {
+    return std::nullopt;
+  }
+  const double us = number * (unit == "s" ? kMicrosecondsPerSecond : kMicrosecondsPerMillisecond);
+  return utils::Duration(static_cast<utils::Duration::rep>(us));
+}
+
+utils::Result<std::string> ReadSettingsText(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::string content(kMaxFileBytes + 1, '\0');
+  file.read(content.data(), static_cast<std::streamsize>(content.size()));
+  if (!file && !file.eof()) {
+    return Fail(ErrorCode::kSettingsUnreadable, "cannot read " + path);
+  }
+  content.resize(static_cast<std::size_t>(file.gcount()));
+  if (content.size() > kMaxFileBytes) {
+    return Fail(ErrorCode::kSettingsUnreadable, path + " is larger than 1 MiB");
+  }
+  return content;
+}
+
+utils::Result<nlohmann::json> ReadSettingsObject(std::string_view text,
+                                                 std::span<const SettingSpec> specs) {
   auto object = document::ParseJsonText(text);
   if (!object) {
     return Fail(ErrorCode::kSettingsUnreadable, object.error().message, object.error().pointer);
@@ -260,12 +296,22 @@
   if (!object->is_object()) {
     return Fail(ErrorCode::kSettingsWrongType, "object expected");
   }
-  if (auto checked = CheckKeys(*object); !checked) {
+  if (auto checked = CheckKeys(*object, specs); !checked) {
     return tl::unexpected(checked.error());
   }
-  if (auto completed = Complete(*object); !completed) {
+  if (auto completed = Complete(*object, specs); !completed) {
     return tl::unexpected(completed.error());
   }
+  return std::move(*object);
+}
+
+}  // namespace details
+
+utils::Result<Settings> ParseSettings(std::string_view text) {
+  auto object = details::ReadSettingsObject(text, AllSettings());
+  if (!object) {
+    return tl::unexpected(object.error());
+  }
   auto secret = SecretOf(*object);
   if (!secret) {
     return tl::unexpected(secret.error());
@@ -274,7 +320,7 @@
 }
 
 utils::Result<Settings> ReadSettingsFile(const std::string& path) {
-  const auto text = ReadFile(path);
+  const auto text = details::ReadSettingsText(path);
   if (!text) {
     return tl::unexpected(text.error());
   }
--- a/libs/utils/include/amaranthlatch/utils/clock.h
+++ b/libs/utils/include/amaranthlatch/utils/clock.h
@@ -12,7 +12,7 @@
   virtual Timestamp Now() const = 0;
 };
 
-// Reads std::chrono::steady_clock.
+// Monotonic time that goes on while the instance is suspended.
 class SteadyClock : public Clock {
  public:
   Timestamp Now() const override;
--- a/libs/utils/include/amaranthlatch/utils/error_code.h
+++ b/libs/utils/include/amaranthlatch/utils/error_code.h
@@ -43,6 +43,8 @@
   kPatchMismatch = 3006,
   kOffsetGap = 3007,
   kNotReady = 3008,
+  kConfigurationMalformed = 3009,
+  kAnnouncementMalformed = 3010,
 
   // 4xxx: membership.
   kMemberMalformed = 4001,
@@ -73,6 +75,7 @@
   kNodeNotReady = 5022,
   kBackendServerCrashed = 5023,
   kFenced = 5024,
+  kBackendShed = 5025,
 
   // 6xxx: settings and command line.
   kSettingsUnreadable = 6001,
--- a/libs/utils/src/clock.cc
+++ b/libs/utils/src/clock.cc
@@ -2,11 +2,16 @@
 
 #include "amaranthlatch/utils/clock.h"
 
+#include <ctime>
+
 namespace amaranthlatch::utils {
 
 Timestamp SteadyClock::Now() const {
-  const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
-  return Timestamp(std::chrono::duration_cast<Duration>(since_start));
+  // std::chrono::steady_clock stands still while the instance is suspended; deadlines do not.
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return Timestamp(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) +
+                                                        std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 }  // namespace amaranthlatch::utils
