Refuse calls that a queue cannot answer in time; keep slots fixed against random sheds

The adaptive limit took each shed for overload and fell to one call at a time; queues then filled with calls that were late before they ran, and their callers' repeats kept it so after the fault had ended.

--- a/libs/calls/include/amaranthlatch/calls/balance_policy.h
+++ b/libs/calls/include/amaranthlatch/calls/balance_policy.h
@@ -37,6 +37,9 @@
   // Whether the policy weighs the distance itself and takes all levels at once.
   virtual bool WeighsDistance() const { return false; }
 
+  // Time that a call would wait at the candidate before it runs; zero where the policy does not tell.
+  virtual utils::Duration ExpectedWait(const Candidate& /*candidate*/) const { return {}; }
+
   // Index of the chosen candidate; `candidates` is not empty.
   virtual std::size_t Choose(std::span<const Candidate> candidates, utils::Random& random) = 0;
 };
@@ -62,6 +65,7 @@
   explicit ExpectedTimePolicy(const Weights& weights) : weights(weights) {}
 
   bool WeighsDistance() const override { return true; }
+  utils::Duration ExpectedWait(const Candidate& candidate) const override;
   std::size_t Choose(std::span<const Candidate> candidates, utils::Random& random) override;
 
  private:
--- a/libs/calls/include/amaranthlatch/calls/message.h
+++ b/libs/calls/include/amaranthlatch/calls/message.h
@@ -35,6 +35,9 @@
   HttpRequest request;
   // Time left at sending; clocks of nodes are not compared.
   utils::Duration remaining{};
+  // Time left until the answer is late; a queue that would take longer refuses. Zero for no such
+  // time.
+  utils::Duration patience{};
   bool idempotent = false;
   document::Priority priority = document::Priority::kNormal;
   std::uint64_t fingerprint = 0;
--- a/libs/calls/src/balancer.cc
+++ b/libs/calls/src/balancer.cc
@@ -70,7 +70,8 @@
 
 const Member* Balancer::Choose(const Context& context, const document::Route& route,
                                const std::vector<NodeId>& tried,
-                               std::optional<std::size_t>& target) {
+                               std::optional<std::size_t>& target, utils::Duration patience) {
+  this->crowded = false;
   if (!target) {
     target = this->DrawTarget(route);
   }
@@ -84,7 +85,7 @@
     if (route.split[index].weight == 0) {
       continue;
     }
-    if (const Member* member = this->ChooseTarget(context, route.split[index], tried)) {
+    if (const Member* member = this->ChooseTarget(context, route.split[index], tried, patience)) {
       target = index;
       return member;
     }
@@ -110,7 +111,7 @@
 }
 
 const Member* Balancer::ChooseTarget(const Context& context, const document::SplitTarget& target,
-                                     const std::vector<NodeId>& tried) {
+                                     const std::vector<NodeId>& tried, utils::Duration patience) {
   const auto document = context.routes.Find(target.service);
   if (!document) {
     return nullptr;
@@ -124,7 +125,12 @@
     return nullptr;
   }
   const std::vector<Candidate>& level = this->levels[this->ChooseLevel(document->locality)];
-  return level[this->policy->Choose(level, this->shared.random)].member;
+  const Candidate& chosen = level[this->policy->Choose(level, this->shared.random)];
+  if (this->policy->ExpectedWait(chosen) > patience) {
+    this->crowded = true;
+    return nullptr;
+  }
+  return chosen.member;
 }
 
 bool Balancer::Collect(const Context& context, const document::ServiceDocument& document,
--- a/libs/calls/src/balancer.h
+++ b/libs/calls/src/balancer.h
@@ -29,10 +29,14 @@
   Balancer(Shared& shared, std::unique_ptr<BalancePolicy> policy);
 
   // A ready member of the route's split; null without one. Members in `tried` come last. `target`
-  // is the position in the split: drawn by weight if empty, and kept for further attempts.
+  // is the position in the split: drawn by weight if empty, and kept for further attempts. No
+  // server is chosen where the call would wait longer than `patience`.
   const membership::Member* Choose(const Context& context, const document::Route& route,
                                    const std::vector<membership::NodeId>& tried,
-                                   std::optional<std::size_t>& target);
+                                   std::optional<std::size_t>& target,
+                                   utils::Duration patience = utils::Duration::max());
+  // Whether the last choice failed because all servers were crowded.
+  bool WasCrowded() const { return this->crowded; }
 
   // Draws by weight; none if all weights are 0.
   std::optional<std::size_t> DrawTarget(const document::Route& route);
@@ -68,7 +72,8 @@
 
   const membership::Member* ChooseTarget(const Context& context,
                                          const document::SplitTarget& target,
-                                         const std::vector<membership::NodeId>& tried);
+                                         const std::vector<membership::NodeId>& tried,
+                                         utils::Duration patience);
   // Fills the levels; false without a candidate.
   bool Collect(const Context& context, const document::ServiceDocument& document,
                const document::VersionSelector& selector,
@@ -87,6 +92,7 @@
   // Kept between calls for their memory; the candidates point into `listed`.
   Levels levels;
   membership::MemberList listed;
+  bool crowded = false;
 };
 
 }  // namespace amaranthlatch::calls::details
--- a/libs/calls/src/entry.cc
+++ b/libs/calls/src/entry.cc
@@ -14,6 +14,8 @@
 using utils::ErrorCode;
 using utils::Timestamp;
 
+constexpr Duration kLeastPatience = utils::Milliseconds(20);
+
 std::uint64_t SizeOf(const HttpRequest& request) {
   std::uint64_t bytes = request.target.size() + request.host.size() + request.body.size();
   for (const auto& [name, value] : request.headers) {
@@ -59,6 +61,9 @@
     call.max_attempts =
         std::max<std::uint32_t>(1, of_route != 0 ? of_route : protection.max_attempts);
     call.budget_service = call.match->document->service;
+    if (call.match->route->target_latency.count() > 0) {
+      call.in_time = context.now + call.match->route->target_latency;
+    }
   }
   if (received.remaining) {
     remaining = std::min(remaining, *received.remaining);
@@ -152,7 +157,10 @@
   for (const Attempt& attempt : call.attempts) {
     tried.push_back(attempt.gate);
   }
-  return this->balancer.Choose(context, *call.match->route, tried, call.target);
+  const Duration patience = call.in_time == Timestamp::max()
+                                ? Duration::max()
+                                : std::max(call.in_time - context.now, kLeastPatience);
+  return this->balancer.Choose(context, *call.match->route, tried, call.target, patience);
 }
 
 Duration Entry::AttemptTime(const Context& context, const OpenCall& call) const {
@@ -167,7 +175,8 @@
   const membership::Member* gate = this->ChooseGate(context, call);
   if (gate == nullptr) {
     if (!call.permit && call.attempts.empty()) {
-      call.failure = NotRun(ErrorCode::kNoBackendServer);
+      call.failure = NotRun(this->balancer.WasCrowded() ? ErrorCode::kQueueFull
+                                                        : ErrorCode::kNoBackendServer);
     }
     if (HasOpenAttempt(call)) {
       this->Schedule(call);
@@ -199,6 +208,10 @@
   request.service = gate.service;
   request.request = call.request;
   request.remaining = call.deadline - context.now;
+  if (call.in_time != Timestamp::max()) {
+    // A call that is late already still takes a place that is free.
+    request.patience = std::max(call.in_time - context.now, kLeastPatience);
+  }
   request.permit = call.token;
   request.fingerprint = FingerprintOf(gate.service, call.request);
   if (call.match) {
--- a/libs/calls/src/entry.h
+++ b/libs/calls/src/entry.h
@@ -56,6 +56,8 @@
   std::uint64_t fingerprint = 0;
   std::string fingerprint_service;
   utils::Timestamp deadline{};
+  // When the answer is late; the end of time where that makes no difference.
+  utils::Timestamp in_time = utils::Timestamp::max();
   bool idempotent = false;
   std::uint32_t max_attempts = 1;
   std::uint32_t redirects = 0;
--- a/libs/calls/src/gate.cc
+++ b/libs/calls/src/gate.cc
@@ -77,6 +77,9 @@
     return;
   }
   call.deadline = context.now + request.remaining;
+  if (request.patience.count() > 0) {
+    call.in_time = context.now + request.patience;
+  }
   call.request = std::move(request);
   if (!call.request.permit.empty() && !this->CheckPermit(context, call)) {
     return;
@@ -134,7 +137,7 @@
   const utils::Duration mean = this->limit.MeanLatency();
   const auto rounds = static_cast<utils::Duration::rep>(this->queue.Ahead(priority) + 1);
   const utils::Duration wait = mean * rounds / std::max<std::uint32_t>(1, this->limit.Get());
-  return context.now + wait + mean > call.deadline ? ErrorCode::kQueueFull : ErrorCode::kOk;
+  return context.now + wait + mean > std::min(call.deadline, call.in_time) ? ErrorCode::kQueueFull : ErrorCode::kOk;
 }
 
 void Gate::Admit(const Context& context, AdmittedCall call) {
@@ -174,6 +177,10 @@
   } else if (document) {
     call.expiry = std::min(call.deadline, context.now + document->protection.queue_time);
   }
+  if (call.in_time != Timestamp::max()) {
+    // Beyond this it could not be answered in time any more.
+    call.expiry = std::min(call.expiry, call.in_time - this->limit.MeanLatency() / 2);
+  }
   this->queue.Push(std::move(call));
 }
 
--- a/libs/calls/src/message_codec.cc
+++ b/libs/calls/src/message_codec.cc
@@ -249,6 +249,7 @@
   out.Add(Binary(m.request.host)).Add(HeadersToJson(m.request.headers));
   out.Add(Binary(m.request.body));
   out.Add(static_cast<std::uint64_t>(std::max<std::int64_t>(0, m.remaining.count())));
+  out.Add(static_cast<std::uint64_t>(std::max<std::int64_t>(0, m.patience.count())));
   out.Add(m.idempotent).Add(static_cast<std::uint64_t>(m.priority)).Add(m.fingerprint);
   out.Add(m.permit).Add(m.max_response_bytes);
   return out.Take();
@@ -306,6 +307,7 @@
   m.request.headers = in.HeaderFields();
   m.request.body = in.Bytes(kMaxBody);
   m.remaining = utils::Duration(static_cast<std::int64_t>(in.Number(kMaxRemainingUs)));
+  m.patience = utils::Duration(static_cast<std::int64_t>(in.Number(kMaxRemainingUs)));
   m.idempotent = in.Flag();
   m.priority = static_cast<document::Priority>(in.Number(document::kPriorityCount - 1));
   m.fingerprint = in.Number();
--- a/libs/calls/src/priority_queue.h
+++ b/libs/calls/src/priority_queue.h
@@ -23,6 +23,8 @@
   std::uint64_t key = 0;
   CallRequest request;
   utils::Timestamp deadline;
+  // When its answer is late; the end of time where that makes no difference.
+  utils::Timestamp in_time = utils::Timestamp::max();
   // When it leaves the queue without having run: its deadline or the end of its queue time.
   utils::Timestamp expiry;
   // Sequence number of its permit; 0 without one.
--- a/libs/document/include/amaranthlatch/document/service_document.h
+++ b/libs/document/include/amaranthlatch/document/service_document.h
@@ -52,6 +52,8 @@
   std::uint32_t max_attempts = 0;
   Priority priority = Priority::kNormal;
   utils::Duration deadline{};
+  // Time within which an answer is worth most; zero where the route states none.
+  utils::Duration target_latency{};
   std::uint64_t max_request_bytes = 0;
   std::uint64_t max_response_bytes = 0;
 
--- a/libs/runtime/src/register_host.cc
+++ b/libs/runtime/src/register_host.cc
@@ -79,11 +79,11 @@
     if (sodium_init() < 0) {
       return utils::Fail(utils::ErrorCode::kSettingsOutOfRange, "libsodium does not initialise");
     }
-    const std::uint64_t boot_id = RandomNumber();
+    this->boot_id = RandomNumber();
     auto created = node::RegisterNode::Create(
-        details::MakeRegisterNodeOptions(this->settings, RandomNumber(), boot_id));
+        details::MakeRegisterNodeOptions(this->settings, RandomNumber(), this->boot_id));
     auto sealer =
-        node::Envelope::Create(this->settings.node_address, boot_id, this->settings.secret);
+        node::Envelope::Create(this->settings.node_address, this->boot_id, this->settings.secret);
     if (!created || !sealer) {
       return tl::unexpected(created ? sealer.error() : created.error());
     }
@@ -98,6 +98,7 @@
   void Start() {
     LogLine("started")
         .Add("id", this->settings.node_address)
+        .Add("boot", this->boot_id)
         .Add("region", this->settings.region)
         .Add("zone", this->settings.zone)
         .Add("service", this->settings.backend_service)
@@ -412,6 +413,8 @@
   std::unique_ptr<RestinioServer> admin_server;
   std::unique_ptr<RestinioServer> data_server;
   std::unique_ptr<NngTransport> transport;
+  // Random number of this process.
+  std::uint64_t boot_id = 0;
   std::uint64_t announcements_refused = 0;
   bool draining = false;
   bool stopped = false;
--- a/libs/runtime/src/register_options.cc
+++ b/libs/runtime/src/register_options.cc
@@ -19,6 +19,9 @@
 // A caller is told the end of its call within a quarter of a second of its deadline.
 constexpr utils::Duration kFenceInterval = utils::Milliseconds(80);
 constexpr utils::Duration kFenceTimeout = utils::Milliseconds(200);
+// Backend servers here also shed at random while they are healthy. A limit that falls with every
+// refusal then falls to one call at a time and takes minutes to rise again.
+constexpr bool kAdaptiveLimit = false;
 // Connections between two nodes repeat no messages, and one that is lost loses those under way.
 constexpr bool kTransportRepeats = false;
 // Nodes among which the slack of the retry budget is shared out; twelve servers of a service and
@@ -74,6 +77,7 @@
   calls.entry.fence_interval = kFenceInterval;
   calls.entry.fence_timeout = kFenceTimeout;
   calls.entry.retry_burst = 1.0 + settings.retry_slack / kNodesSharingSlack;
+  calls.gate.adaptive_limit = kAdaptiveLimit;
   calls.gate.memory_margin = kMemoryMargin;
   calls.gate.memory_capacity = kMemoryCapacity;
   calls.gate.refusal_filter_bits = kRefusalFilterBits;
