Keep late announcements of a departed server out; let only the network show silent servers

Change: departures of unknown processes are remembered by wall time; the silence probe of the backend link is off in register mode, unacknowledged bytes end a connection after 0.7 s.

--- a/libs/runtime/include/amaranthlatch/runtime/announcement.h
+++ b/libs/runtime/include/amaranthlatch/runtime/announcement.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -35,8 +35,9 @@
   // Fails with kAnnouncementMalformed.
   utils::Result<void> Take(const Announcement& announcement);
 
-  // True if the process is the one that was announced last, or one that was never announced.
-  bool TakeLeave(std::string_view process);
+  // True if no other process than this one was announced last. `wall_ms` is the wall time: where
+  // the start of the process is not known, it began before that.
+  bool TakeLeave(std::string_view process, std::uint64_t wall_ms);
 
   // The newest announcement, none after its process has left.
   const std::optional<Announcement>& Newest() const { return this->newest; }
@@ -47,8 +48,9 @@
   std::optional<Announcement> newest;
   // Start and sequence of the newest announcement that was taken.
   std::tuple<std::uint64_t, std::uint64_t> last{};
-  // Processes that have left with that start time; their later announcements are late ones.
-  std::set<std::string, std::less<>> left;
+  // Processes that have left, with the latest start at which they can have begun: announcements of
+  // theirs with such a start are late ones.
+  std::map<std::string, std::uint64_t, std::less<>> left;
 };
 
 }  // namespace amaranthlatch::runtime
--- a/libs/runtime/include/amaranthlatch/runtime/curl_http_client.h
+++ b/libs/runtime/include/amaranthlatch/runtime/curl_http_client.h
@@ -20,6 +20,8 @@
   std::size_t max_connections = 256;
   std::size_t max_header_bytes = 65536;
   utils::Duration connect_limit = utils::Milliseconds(1000);
+  // A connection whose peer leaves sent bytes unacknowledged for this long is lost.
+  utils::Duration acknowledge_limit = utils::Milliseconds(2000);
 };
 
 class CurlHttpClient final : public HttpClient {
--- a/libs/runtime/src/announcement.cc
+++ b/libs/runtime/src/announcement.cc
@@ -7,6 +7,8 @@
 namespace {
 // Processes that left are few: each start of the backend server adds one.
 constexpr std::size_t kMaxLeft = 64;
+// Wall clocks of a backend server and its node differ by less.
+constexpr std::uint64_t kClockMarginMs = 5000;
 }  // namespace
 
 utils::Result<void> AnnouncementOrder::Take(const Announcement& announcement) {
@@ -22,24 +24,23 @@
   if (order <= this->last) {
     return refuse("a later announcement is known");
   }
-  const bool same_start = announcement.started_at_ms == std::get<0>(this->last);
-  if (same_start && this->left.contains(server.process)) {
+  const auto departure = this->left.find(server.process);
+  if (departure != this->left.end() && announcement.started_at_ms <= departure->second) {
     return refuse("the process has left");
   }
-  if (!same_start) {
-    this->left.clear();
-  }
   this->last = order;
   this->newest = announcement;
   return {};
 }
 
-bool AnnouncementOrder::TakeLeave(std::string_view process) {
-  if (this->newest && this->newest->server.process != process) {
-    return false;
-  }
+bool AnnouncementOrder::TakeLeave(std::string_view process, std::uint64_t wall_ms) {
+  const bool is_newest = this->newest && this->newest->server.process == process;
   if (this->left.size() < kMaxLeft) {
-    this->left.emplace(process);
+    this->left[std::string(process)] =
+        is_newest ? this->newest->started_at_ms : wall_ms + kClockMarginMs;
+  }
+  if (this->newest && !is_newest) {
+    return false;
   }
   this->newest.reset();
   return true;
--- a/libs/runtime/src/curl_http_client.cc
+++ b/libs/runtime/src/curl_http_client.cc
@@ -29,7 +29,7 @@
   Impl(asio::io_context& context, CurlHttpClientOptions options)
       : context(context),
         options(options),
-        multi(context, options.max_connections,
+        multi(context, options.max_connections, options.acknowledge_limit,
               [this](CURL* easy, CURLcode result) { this->OnFinished(easy, result); }) {}
 
   ~Impl() {
--- a/libs/runtime/src/curl_multi.cc
+++ b/libs/runtime/src/curl_multi.cc
@@ -17,9 +17,9 @@
 constexpr int kKeepAliveIdleSeconds = 1;
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
-constexpr unsigned kUnacknowledgedLimitMs = 2000;
 
-void ShowSilence(asio::ip::tcp::socket& socket) {
+void ShowSilence(asio::ip::tcp::socket& socket, utils::Duration acknowledge_limit) {
+  const auto limit_ms = static_cast<unsigned>(utils::ToMilliseconds(acknowledge_limit));
   const int handle = socket.native_handle();
   const int on = 1;
   // A socket without these options still works; exchanges then end by their own time limits.
@@ -27,7 +27,7 @@
   setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdleSeconds, sizeof(int));
   setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveIntervalSeconds, sizeof(int));
   setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes, sizeof(int));
-  setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedLimitMs, sizeof(unsigned));
+  setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof(limit_ms));
 }
 
 bool WantsRead(int wanted) { return wanted == CURL_POLL_IN || wanted == CURL_POLL_INOUT; }
@@ -35,8 +35,11 @@
 
 }  // namespace
 
-CurlMulti::CurlMulti(asio::io_context& context, std::size_t max_connections, Finished finished)
-    : context(context), finished(std::move(finished)), multi(curl_multi_init()), timer(context) {
+CurlMulti::CurlMulti(asio::io_context& context, std::size_t max_connections,
+                     utils::Duration acknowledge_limit, Finished finished)
+    : context(context),
+      acknowledge_limit(acknowledge_limit),
+      finished(std::move(finished)), multi(curl_multi_init()), timer(context) {
   curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, &CurlMulti::SocketCallback);
   curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
   curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, &CurlMulti::TimerCallback);
@@ -78,7 +81,7 @@
   if (error) {
     return CURL_SOCKET_BAD;
   }
-  ShowSilence(watched->socket);
+  ShowSilence(watched->socket, multi->acknowledge_limit);
   const curl_socket_t handle = watched->socket.native_handle();
   multi->sockets[handle] = std::move(watched);
   return handle;
--- a/libs/runtime/src/curl_multi.h
+++ b/libs/runtime/src/curl_multi.h
@@ -11,6 +11,8 @@
 #include <memory>
 #include <unordered_map>
 
+#include "amaranthlatch/utils/time.h"
+
 namespace amaranthlatch::runtime::details {
 
 class CurlMulti {
@@ -18,7 +20,9 @@
   // `finished` is called for each transfer that libcurl reports as done, outside of libcurl.
   using Finished = std::function<void(CURL*, CURLcode)>;
 
-  CurlMulti(asio::io_context& context, std::size_t max_connections, Finished finished);
+  // A connection on which sent bytes stay unacknowledged for `acknowledge_limit` is lost.
+  CurlMulti(asio::io_context& context, std::size_t max_connections,
+            utils::Duration acknowledge_limit, Finished finished);
   ~CurlMulti();
   CurlMulti(const CurlMulti&) = delete;
   CurlMulti& operator=(const CurlMulti&) = delete;
@@ -54,6 +58,7 @@
   void CollectFinished();
 
   asio::io_context& context;
+  const utils::Duration acknowledge_limit;
   Finished finished;
   CURLM* multi;
   asio::steady_timer timer;
--- a/libs/runtime/src/register_host.cc
+++ b/libs/runtime/src/register_host.cc
@@ -18,6 +18,7 @@
 #include "amaranthlatch/runtime/log_line.h"
 #include "amaranthlatch/runtime/nng_transport.h"
 #include "amaranthlatch/runtime/restinio_server.h"
+#include "amaranthlatch/runtime/wall_clock.h"
 #include "control_listener.h"
 #include "dialect_gateway.h"
 #include "effect_log.h"
@@ -38,8 +39,13 @@
 constexpr utils::Duration kDialLimit = utils::Milliseconds(300);
 // Silent after four of these intervals.
 constexpr utils::Duration kKeepAliveInterval = utils::Milliseconds(250);
-// Time without a first byte after which a new connection to the backend server is tried.
-constexpr utils::Duration kSilentBackendServer = utils::Milliseconds(1500);
+// A backend server may think for as long as its request's deadline allows: only the network shows
+// that a connection is silent, by bytes that nobody acknowledges.
+constexpr utils::Duration kNoSilenceLimit = utils::Duration(0);
+// The backend server is on the same instance and acknowledges at once.
+constexpr utils::Duration kBackendAcknowledgeLimit = utils::Milliseconds(700);
+// The register may be in another region, behind a link that loses packets.
+constexpr utils::Duration kRegisterAcknowledgeLimit = utils::Milliseconds(2000);
 constexpr utils::Duration kConnectLimit = utils::Milliseconds(500);
 // Time after the last answer in which it leaves the process.
 constexpr utils::Duration kFlushTime = utils::Milliseconds(100);
@@ -159,7 +165,7 @@
   }
 
   utils::Result<void> Leave(std::string_view process) override {
-    if (!this->announcements.TakeLeave(process)) {
+    if (!this->announcements.TakeLeave(process, WallTimeMilliseconds())) {
       return {};
     }
     LogLine("backend-server-leaves").Add("process", process).Info();
@@ -172,8 +178,10 @@
   utils::Result<void> OpenClients() {
     CurlHttpClientOptions options;
     options.connect_limit = kConnectLimit;
+    options.acknowledge_limit = kBackendAcknowledgeLimit;
     auto backend = CurlHttpClient::Create(this->context, options);
     options.max_connections = kMaxRegisterConnections;
+    options.acknowledge_limit = kRegisterAcknowledgeLimit;
     auto for_register = CurlHttpClient::Create(this->context, options);
     if (!backend || !for_register) {
       return tl::unexpected(backend ? for_register.error() : backend.error());
@@ -182,7 +190,7 @@
     this->register_http_client = std::move(*for_register);
     this->backend_server = std::make_unique<BackendServerLink>(
         this->context, this->clock, *this->backend_client, this->adapter.BackendServers(),
-        kSilentBackendServer, [this](const node::Event& event) { this->OnBackendEvent(event); });
+        kNoSilenceLimit, [this](const node::Event& event) { this->OnBackendEvent(event); });
     this->register_client = this->adapter.MakeRegisterClient(
         *this->register_http_client, details::MakeServiceDefaults(this->settings), [this](const directory::Event& event) {
           std::visit([this](const auto& inner) { this->ApplyDirectory(inner); }, event);
