--- a/libs/calls/tests/balancer_test.cc
+++ b/libs/calls/tests/balancer_test.cc
@@ -175,4 +175,110 @@
   CHECK_TRUE(warm > 120);
 }
 
+// Guards against a part of a strict split that is moved to the other parts when it has no room.
+TEST(Balancer, StrictSplitKeepsItsShares) {
+  this->document.versions = {{"stable", {{{"release", "1"}}}}, {"canary", {{{"release", "2"}}}}};
+  document::Route& route = *FindRoute(this->document, "read");
+  route.split = {{"fleet", "stable", 50}, {"fleet", "canary", 50}};
+  route.strict_split = true;
+  this->routes.Set(this->document);
+  this->Add("old", "r1", "z1", MemberState::kReady, {{"release", "1"}});
+  const auto drawn = this->Draw(1'000);
+  CHECK_TRUE(drawn.at("old") > 400 && drawn.at("old") < 600);
+  CHECK_TRUE(drawn.at("") > 400);
+}
+
+// Guards against a further attempt of a call that goes to another part of its split.
+TEST(Balancer, AttemptsOfACallKeepTheirPart) {
+  this->document.versions = {{"stable", {{{"release", "1"}}}}, {"canary", {{{"release", "2"}}}}};
+  document::Route& route = *FindRoute(this->document, "read");
+  route.split = {{"fleet", "stable", 50}, {"fleet", "canary", 50}};
+  route.strict_split = true;
+  this->routes.Set(this->document);
+  this->Add("old", "r1", "z1", MemberState::kReady, {{"release", "1"}});
+  this->Add("new", "r1", "z1", MemberState::kReady, {{"release", "2"}});
+  const details::Context context{this->now, this->members, this->routes, this->effects,
+                                 this->local};
+  for (int i = 0; i < 50; ++i) {
+    std::optional<std::size_t> target;
+    const Member* first = this->balancer.Choose(context, route, {}, target);
+    const Member* second = this->balancer.Choose(context, route, {first->id}, target);
+    STRCMP_EQUAL(first->id.c_str(), second->id.c_str());
+  }
+}
+
+namespace {
+
+Candidate MakeCandidate(const Member& member, Distance distance, std::uint32_t load,
+                        double faults = 0.0) {
+  Candidate candidate;
+  candidate.member = &member;
+  candidate.distance = distance;
+  candidate.reported_load = load;
+  candidate.latency_us = 100'000.0;
+  candidate.faults = faults;
+  return candidate;
+}
+
+}  // namespace
+
+// Guards against calls that cross a region although they would wait less at home, that wait at home
+// although another region is worth its price, and that stay at a server that fails.
+TEST(Balancer, ExpectedTimeWeighsDistanceAgainstWaiting) {
+  Member member;
+  member.slots = 10;
+  utils::Random random(1);
+  ExpectedTimePolicy policy(ExpectedTimePolicy::Weights{});
+  const auto chosen = [&](std::uint32_t near_load, double near_faults) {
+    const Candidate candidates[] = {
+        MakeCandidate(member, Distance::kOtherRegion, 0),
+        MakeCandidate(member, Distance::kZone, near_load, near_faults)};
+    return candidates[policy.Choose(candidates, random)].distance;
+  };
+  CHECK_TRUE(chosen(0, 0.0) == Distance::kZone);
+  CHECK_TRUE(chosen(9, 0.0) == Distance::kZone);
+  CHECK_TRUE(chosen(20, 0.0) == Distance::kZone);
+  CHECK_TRUE(chosen(30, 0.0) == Distance::kOtherRegion);
+  CHECK_TRUE(chosen(0, 2.0) == Distance::kOtherRegion);
+}
+
+// Guards against calls that are sent to queues in which they could only come too late.
+TEST(Balancer, CrowdedServersAreNotChosen) {
+  details::Balancer weighing{this->shared, std::make_unique<ExpectedTimePolicy>(
+                                               ExpectedTimePolicy::Weights{})};
+  this->Add("zone", "r1", "z1");
+  const details::Context context{this->now, this->members, this->routes, this->effects,
+                                 this->local};
+  for (int i = 0; i < 12; ++i) {
+    weighing.OnSent("zone", this->now);
+  }
+  std::optional<std::size_t> target;
+  const document::Route& route = *FindRoute(this->document, "read");
+  POINTERS_EQUAL(nullptr, weighing.Choose(context, route, {}, target, Milliseconds(100)));
+  CHECK_TRUE(weighing.WasCrowded());
+  CHECK_TRUE(weighing.Choose(context, route, {}, target, Milliseconds(500)) != nullptr);
+  CHECK_FALSE(weighing.WasCrowded());
+}
+
+// Guards against a server that is given more and more calls while it answers none.
+TEST(Balancer, SilenceCountsAsFaults) {
+  details::Balancer weighing{this->shared, std::make_unique<ExpectedTimePolicy>(
+                                               ExpectedTimePolicy::Weights{})};
+  this->Add("zone", "r1", "z1");
+  this->Add("far", "r2", "z9");
+  const document::Route& route = *FindRoute(this->document, "read");
+  const auto choose = [&] {
+    const details::Context context{this->now, this->members, this->routes, this->effects,
+                                   this->local};
+    std::optional<std::size_t> target;
+    return weighing.Choose(context, route, {}, target)->id;
+  };
+  weighing.OnSent("zone", this->now);
+  STRCMP_EQUAL("zone", choose().c_str());
+  this->now += Seconds(1);
+  STRCMP_EQUAL("far", choose().c_str());
+  weighing.OnLoad("zone", 1, this->now);
+  STRCMP_EQUAL("zone", choose().c_str());
+}
+
 }  // namespace amaranthlatch::calls::testing
--- a/libs/calls/tests/entry_test.cc
+++ b/libs/calls/tests/entry_test.cc
@@ -239,4 +239,24 @@
              Milliseconds(700));
 }
 
+// Guards against moves between gates that are paid by the retry budget, and against ones that never
+// end.
+TEST(Entry, MovesBeforeTheHandOverAreFreeAndFew) {
+  Options options;
+  options.entry.free_moves = 3;
+  Mesh own(3, 1, options);
+  own.Publish(0, membership::MemberState::kJoining);
+  own.KillBackend(1);
+  own.KillBackend(2);
+  for (int i = 0; i < 20; ++i) {
+    own.Call(0, "/write", std::to_string(i));
+    own.RunFor(Milliseconds(50));
+  }
+  own.RunFor(Seconds(4));
+  const Counters& counters = own.nodes[0].calls->GetCounters();
+  CHECK_EQUAL(20, counters.not_run);
+  CHECK_EQUAL(80, counters.attempts);
+  CHECK_EQUAL(0, counters.retries);
+}
+
 }  // namespace amaranthlatch::calls::testing
--- a/libs/calls/tests/gate_test.cc
+++ b/libs/calls/tests/gate_test.cc
@@ -295,4 +295,42 @@
   CHECK_EQUAL(0, this->Load().in_flight);
 }
 
+// Guards against queues in which all calls wait until none can be answered in time.
+TEST(Gate, QueueRefusesWhatWouldComeLate) {
+  this->SetProtection(1, 100, Seconds(2));
+  this->mesh.nodes[kGate].backend.service_time = Milliseconds(100);
+  const CallRequest first = this->SendNew();
+  this->mesh.RunFor(Milliseconds(150));
+  CHECK_EQUAL(1, this->replies.size());
+  this->SendNew();
+  CallRequest hasty = this->Make();
+  hasty.patience = Milliseconds(30);
+  this->Send(hasty);
+  CHECK_TRUE(this->LastAnswer().kind == ResultKind::kNotRun);
+  CHECK_TRUE(this->LastAnswer().code == ErrorCode::kQueueFull);
+  CallRequest patient = this->Make();
+  patient.patience = Seconds(1);
+  this->Send(patient);
+  CHECK_EQUAL(1, this->Load().queued);
+  CHECK_EQUAL(0, this->Runs(hasty));
+}
+
+// Guards against a restarted gate behind links without repeats that leaves callers in the dark.
+TEST(Gate, WithoutRepeatsAnotherProcessRefusesTruthfully) {
+  Options options;
+  options.gate.transport_repeats = false;
+  Mesh own(2, 1, options);
+  std::optional<CallReply> reply;
+  own.filter = [&reply](std::size_t, std::size_t, const Message& message) {
+    if (const auto* found = std::get_if<CallReply>(&message)) {
+      reply = *found;
+    }
+    return true;
+  };
+  CallRequest foreign = this->Make();
+  foreign.gate_boot = own.nodes[1].boot + 1;
+  own.Deliver(1, PeerMessage{own.NodeName(0), foreign});
+  CHECK_TRUE(reply && reply->answer.kind == ResultKind::kNotRun);
+}
+
 }  // namespace amaranthlatch::calls::testing
--- a/libs/runtime/tests/http_client_test.cc
+++ b/libs/runtime/tests/http_client_test.cc
@@ -173,4 +173,54 @@
   }));
 }
 
+// Guards against the answer of one request that is given to another: a server that answers twice
+// leaves its second answer where the next one is expected.
+TEST(HttpClientTest, AnswerOfAnotherRequestEndsTheConnection) {
+  ScriptedServer server(context, [](ScriptedServer::Connection& connection, int) {
+    connection.Write("HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 2\r\n\r\nok");
+  });
+  HttpExchange exchange = Exchange(server, "GET", "");
+  exchange.echo_name = "request-id";
+  exchange.echo_value = "1";
+  CHECK_TRUE(Run(exchange).has_value());
+  exchange.echo_value = "2";
+  const HttpOutcome foreign = Run(exchange);
+  CHECK_FALSE(foreign.has_value());
+  CHECK_TRUE(foreign.error().failure == BackendFailure::kConnectionLost);
+  exchange.echo_value = "1";
+  CHECK_TRUE(Run(exchange).has_value());
+  LONGS_EQUAL(2, server.connections);
+}
+
+// Guards against an answer without length that counts as complete where it was reset, or as
+// incomplete where its connection ended in order.
+TEST(HttpClientTest, AnswerThatEndsWithItsConnection) {
+  bool reset = false;
+  ScriptedServer server(context, [&reset](ScriptedServer::Connection& connection, int) {
+    connection.Write("HTTP/1.1 200 OK\r\n\r\nwhole");
+    if (reset) {
+      connection.socket.set_option(asio::socket_base::linger(true, 0));
+    }
+    connection.Close();
+  });
+  HttpExchange exchange = Exchange(server, "GET", "");
+  CHECK_FALSE(Run(exchange).has_value());
+  exchange.ends_with_connection = true;
+  const HttpOutcome whole = Run(exchange);
+  CHECK_TRUE(whole.has_value());
+  STRCMP_EQUAL("whole", whole->body.c_str());
+  reset = true;
+  CHECK_FALSE(Run(exchange).has_value());
+}
+
+// Guards against a request whose path changes on its way.
+TEST(HttpClientTest, KeepsThePathAsItCame) {
+  ScriptedServer server(
+      context, [](ScriptedServer::Connection& connection, int) { connection.Write(kOkAnswer); });
+  HttpExchange exchange = Exchange(server, "GET", "");
+  exchange.request.target = "/a/./b/../c//%2e/?x=/../y";
+  CHECK_TRUE(Run(exchange).has_value());
+  CHECK_TRUE(server.heads.front().starts_with("GET /a/./b/../c//%2e/?x=/../y HTTP/1.1\r\n"));
+}
+
 }  // namespace amaranthlatch::runtime
--- /dev/null
+++ b/libs/runtime/tests/register_settings_test.cc
@@ -0,0 +1,82 @@
+// Tests of the settings of register mode and of their page.
+
+#include "amaranthlatch/runtime/register_settings.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace amaranthlatch::runtime {
+
+using utils::ErrorCode;
+
+namespace {
+
+nlohmann::json Minimal() {
+  return {{"node_address", "10.0.0.1:1"},     {"data_address", "10.0.0.1:2"},
+          {"ready_address", "10.0.0.1:3"},    {"control_address", "10.0.0.1:4"},
+          {"admin_address", "10.0.0.1:5"},    {"register_address", "10.0.0.9:1"},
+          {"region", "north"},                {"zone", "ondangwa"},
+          {"backend_service", "fleet"},       {"backend_address", "10.0.0.1:6"},
+          {"secret", "0123456789abcdef"}};
+}
+
+}  // namespace
+
+TEST_GROUP(RegisterSettings) {
+  static void ExpectFailure(const char* key, const nlohmann::json& value, ErrorCode code) {
+    nlohmann::json object = Minimal();
+    object[key] = value;
+    const auto parsed = ParseRegisterSettings(object.dump());
+    CHECK_FALSE(parsed.has_value());
+    CHECK_EQUAL(utils::ToNumber(code), utils::ToNumber(parsed.error().code));
+    STRCMP_EQUAL((std::string("/") + key).c_str(), parsed.error().pointer.c_str());
+  }
+};
+
+// Guards against defaults and units that are read in another way than the page says.
+TEST(RegisterSettings, ReadsValuesWithUnits) {
+  nlohmann::json object = Minimal();
+  object["shutdown_limit"] = "6.5s";
+  object["retry_ratio"] = 0.2;
+  object["retry_slack"] = 56;
+  const auto settings = ParseRegisterSettings(object.dump());
+  CHECK_TRUE(settings.has_value());
+  CHECK_TRUE(settings->shutdown_limit == utils::Milliseconds(6500));
+  DOUBLES_EQUAL(0.2, settings->retry_ratio, 1e-9);
+  DOUBLES_EQUAL(56.0, settings->retry_slack, 1e-9);
+  object["shutdown_limit"] = "2500ms";
+  CHECK_TRUE(ParseRegisterSettings(object.dump())->shutdown_limit == utils::Milliseconds(2500));
+}
+
+// Guards against settings that start a node with something else than was meant.
+TEST(RegisterSettings, RefusesBadValues) {
+  ExpectFailure("shutdown_limit", "6", ErrorCode::kSettingsWrongType);
+  ExpectFailure("shutdown_limit", "6m", ErrorCode::kSettingsWrongType);
+  ExpectFailure("shutdown_limit", "-1s", ErrorCode::kSettingsWrongType);
+  ExpectFailure("shutdown_limit", 6, ErrorCode::kSettingsWrongType);
+  ExpectFailure("shutdown_limit", "1ms", ErrorCode::kSettingsOutOfRange);
+  ExpectFailure("retry_ratio", "0.2", ErrorCode::kSettingsWrongType);
+  ExpectFailure("retry_ratio", 1.5, ErrorCode::kSettingsOutOfRange);
+  ExpectFailure("zone", "a b", ErrorCode::kSettingsOutOfRange);
+  ExpectFailure("data_address", "10.0.0.1:0", ErrorCode::kSettingsOutOfRange);
+  ExpectFailure("unknown", 1, ErrorCode::kSettingsUnknownKey);
+  nlohmann::json object = Minimal();
+  object.erase("register_address");
+  CHECK_EQUAL(utils::ToNumber(ErrorCode::kSettingsMissingKey),
+              utils::ToNumber(ParseRegisterSettings(object.dump()).error().code));
+}
+
+// Guards against a page that leaves a setting out.
+TEST(RegisterSettings, PageNamesEveryKey) {
+  std::ifstream page("docs/platform.md");
+  const std::string text((std::istreambuf_iterator<char>(page)), std::istreambuf_iterator<char>());
+  for (const SettingSpec& spec : AllRegisterSettings()) {
+    const std::string row = "| `" + std::string(spec.key) + "` |";
+    CHECK_TRUE_TEXT(text.find(row) != std::string::npos, row.c_str());
+  }
+}
+
+}  // namespace amaranthlatch::runtime
--- a/libs/runtime/tests/test_support.h
+++ b/libs/runtime/tests/test_support.h
@@ -114,6 +114,8 @@
 
   int requests = 0;
   int connections = 0;
+  // Request lines with their fields.
+  std::vector<std::string> heads;
   std::vector<std::shared_ptr<Connection>> open;
   asio::ip::tcp::acceptor acceptor;
 
@@ -157,6 +159,7 @@
     if (connection.received.size() < end + 4 + length) {
       return;
     }
+    this->heads.push_back(connection.received.substr(0, end));
     connection.received.erase(0, end + 4 + length);
     this->script(connection, ++this->requests);
   }
