--- a/libs/calls/include/amaranthlatch/calls/balance_policy.h
+++ b/libs/calls/include/amaranthlatch/calls/balance_policy.h
@@ -27,6 +27,9 @@
   double warmth = 1.0;
   // Calls in its slots and queues as it last reported.
   std::uint32_t reported_load = 0;
+  // Calls that go before a new one of its class: as last reported and sent since, or else as sent by
+  // this node.
+  std::uint32_t ahead = 0;
   Distance distance = Distance::kZone;
 };
 
--- a/libs/calls/include/amaranthlatch/calls/counters.h
+++ b/libs/calls/include/amaranthlatch/calls/counters.h
@@ -14,6 +14,7 @@
   std::uint64_t unknown = 0;
   std::uint64_t attempts = 0;
   std::uint64_t retries = 0;
+  std::uint64_t moves = 0;
   std::uint64_t retries_over_budget = 0;
   std::uint64_t redirects = 0;
   std::uint64_t fences = 0;
--- a/libs/calls/include/amaranthlatch/calls/message.h
+++ b/libs/calls/include/amaranthlatch/calls/message.h
@@ -2,7 +2,10 @@
 
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
+#include <numeric>
 #include <string>
 #include <variant>
 #include <vector>
@@ -47,12 +50,24 @@
   bool operator==(const CallRequest&) const = default;
 };
 
+// Load of a gate: a hint for the choice of backend servers.
+struct GateLoad {
+  std::uint32_t in_flight = 0;
+  // Calls in the queue of each priority class.
+  std::array<std::uint32_t, document::kPriorityCount> queued{};
+
+  // Calls that go before a new one of this class, running ones among them.
+  std::uint32_t Ahead(document::Priority priority) const {
+    const auto end = this->queued.begin() + static_cast<std::ptrdiff_t>(priority) + 1;
+    return std::accumulate(this->queued.begin(), end, this->in_flight);
+  }
+  bool operator==(const GateLoad&) const = default;
+};
+
 struct CallReply {
   AttemptId id;
   Answer answer;
-  // Load of the gate: hints for the choice of backend servers.
-  std::uint32_t in_flight = 0;
-  std::uint32_t queued = 0;
+  GateLoad load;
   // Home gate of a suspect request where code is kSuspectElsewhere.
   membership::NodeId redirect;
   bool operator==(const CallReply&) const = default;
--- a/libs/calls/src/balance_policy.cc
+++ b/libs/calls/src/balance_policy.cc
@@ -44,7 +44,7 @@
 utils::Duration ExpectedTimePolicy::ExpectedWait(const Candidate& candidate) const {
   const double latency = candidate.latency_us > 0.0 ? candidate.latency_us : kAssumedRunUs;
   const double slots = std::max<std::uint32_t>(1, candidate.member->slots) * candidate.warmth;
-  const double load = std::max(candidate.in_flight, candidate.reported_load) + 1.0;
+  const double load = candidate.ahead + 1.0;
   // Up to its slots a server answers at once; a nearly full one is given up a little earlier.
   const double waiting = std::max(0.0, load - kFreeShare * slots) / slots;
   return utils::Duration(static_cast<utils::Duration::rep>(waiting * latency));
--- a/libs/calls/src/balancer.cc
+++ b/libs/calls/src/balancer.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <utility>
 
 namespace amaranthlatch::calls::details {
@@ -85,7 +86,7 @@
     if (route.split[index].weight == 0) {
       continue;
     }
-    if (const Member* member = this->ChooseTarget(context, route.split[index], tried, patience)) {
+    if (const Member* member = this->ChooseTarget(context, route.split[index], route.priority, tried, patience)) {
       target = index;
       return member;
     }
@@ -111,6 +112,7 @@
 }
 
 const Member* Balancer::ChooseTarget(const Context& context, const document::SplitTarget& target,
+                                     document::Priority priority,
                                      const std::vector<NodeId>& tried, utils::Duration patience) {
   const auto document = context.routes.Find(target.service);
   if (!document) {
@@ -120,8 +122,8 @@
   if (version == document->versions.end()) {
     return nullptr;
   }
-  if (!this->Collect(context, *document, version->second, tried) &&
-      (tried.empty() || !this->Collect(context, *document, version->second, {}))) {
+  if (!this->Collect(context, *document, version->second, priority, tried) &&
+      (tried.empty() || !this->Collect(context, *document, version->second, priority, {}))) {
     return nullptr;
   }
   const std::vector<Candidate>& level = this->levels[this->ChooseLevel(document->locality)];
@@ -134,7 +136,7 @@
 }
 
 bool Balancer::Collect(const Context& context, const document::ServiceDocument& document,
-                       const document::VersionSelector& selector,
+                       const document::VersionSelector& selector, document::Priority priority,
                        const std::vector<NodeId>& tried) {
   for (auto& level : this->levels) {
     level.clear();
@@ -153,7 +155,7 @@
       continue;
     }
     const std::size_t level = this->LevelFor(self, member, document.locality.prefer);
-    Candidate candidate = this->Observe(member, document.protection.slow_start, context.now);
+    Candidate candidate = this->Observe(member, document.protection.slow_start, priority, context.now);
     candidate.distance = DistanceOf(self, member);
     this->levels[level].push_back(candidate);
     found = true;
@@ -167,7 +169,7 @@
 }
 
 Candidate Balancer::Observe(const Member& member, utils::Duration slow_start,
-                            utils::Timestamp now) {
+                            document::Priority priority, utils::Timestamp now) {
   Peer& peer = this->Get(member.id);
   if (peer.ready_boot != member.boot_id || peer.ready_incarnation != member.incarnation) {
     peer.ready_boot = member.boot_id;
@@ -184,8 +186,11 @@
   if (peer.unheard && now - peer.unheard_since > options.silence) {
     candidate.faults += static_cast<double>((now - peer.unheard_since) / options.silence);
   }
+  candidate.ahead = peer.in_flight;
   if (now - peer.load_at < options.load_hint_time) {
-    candidate.reported_load = peer.load;
+    candidate.reported_load = peer.load.Ahead(priority);
+    const auto end = peer.sent_since.begin() + static_cast<std::ptrdiff_t>(priority) + 1;
+    candidate.ahead = std::accumulate(peer.sent_since.begin(), end, candidate.reported_load);
   }
   const utils::Duration age = now - peer.ready_at;
   if (age < slow_start) {
@@ -229,9 +234,10 @@
   return this->peers[id];
 }
 
-void Balancer::OnSent(const NodeId& gate, utils::Timestamp now) {
+void Balancer::OnSent(const NodeId& gate, document::Priority priority, utils::Timestamp now) {
   Peer& peer = this->Get(gate);
   ++peer.in_flight;
+  ++peer.sent_since.at(static_cast<std::size_t>(priority));
   if (!peer.unheard) {
     peer.unheard = true;
     peer.unheard_since = now;
@@ -256,9 +262,10 @@
   }
 }
 
-void Balancer::OnLoad(const NodeId& gate, std::uint32_t load, utils::Timestamp now) {
+void Balancer::OnLoad(const NodeId& gate, const GateLoad& load, utils::Timestamp now) {
   Peer& peer = this->Get(gate);
   peer.load = load;
+  peer.sent_since = {};
   peer.load_at = now;
   // The calls that are still open are waited for from now on.
   peer.unheard = peer.in_flight > 1;
--- a/libs/calls/src/balancer.h
+++ b/libs/calls/src/balancer.h
@@ -41,10 +41,10 @@
   // Draws by weight; none if all weights are 0.
   std::optional<std::size_t> DrawTarget(const document::Route& route);
 
-  void OnSent(const membership::NodeId& gate, utils::Timestamp now);
+  void OnSent(const membership::NodeId& gate, document::Priority priority, utils::Timestamp now);
   void OnEnded(const membership::NodeId& gate, AttemptOutcome outcome, utils::Duration latency,
                utils::Timestamp now);
-  void OnLoad(const membership::NodeId& gate, std::uint32_t load, utils::Timestamp now);
+  void OnLoad(const membership::NodeId& gate, const GateLoad& load, utils::Timestamp now);
   // The process that members still list is gone: none of its successors has this boot id.
   void OnForeignProcess(const membership::NodeId& gate, std::uint64_t boot);
 
@@ -58,7 +58,9 @@
     // When the first of the attempts that are open was sent, if nothing was heard since.
     utils::Timestamp unheard_since{};
     bool unheard = false;
-    std::uint32_t load = 0;
+    GateLoad load;
+    // Own calls that were sent after the gate reported its load.
+    std::array<std::uint32_t, document::kPriorityCount> sent_since{};
     utils::Timestamp load_at{};
     // Process that was first seen ready at `ready_at`.
     std::uint64_t ready_boot = 0;
@@ -72,16 +74,17 @@
 
   const membership::Member* ChooseTarget(const Context& context,
                                          const document::SplitTarget& target,
+                                         document::Priority priority,
                                          const std::vector<membership::NodeId>& tried,
                                          utils::Duration patience);
   // Fills the levels; false without a candidate.
   bool Collect(const Context& context, const document::ServiceDocument& document,
-               const document::VersionSelector& selector,
+               const document::VersionSelector& selector, document::Priority priority,
                const std::vector<membership::NodeId>& tried);
   std::size_t LevelFor(const membership::Member& self, const membership::Member& member,
                        document::LocalityPreference prefer) const;
   Candidate Observe(const membership::Member& member, utils::Duration slow_start,
-                    utils::Timestamp now);
+                    document::Priority priority, utils::Timestamp now);
   std::size_t ChooseLevel(const document::Locality& locality) const;
   double DecayedFaults(const Peer& peer, utils::Timestamp now) const;
   Peer& Get(const membership::NodeId& id);
--- a/libs/calls/src/entry.cc
+++ b/libs/calls/src/entry.cc
@@ -24,6 +24,10 @@
   return bytes;
 }
 
+document::Priority PriorityOf(const OpenCall& call) {
+  return call.match ? call.match->route->priority : document::Priority::kNormal;
+}
+
 bool HasOpenAttempt(const OpenCall& call) {
   return std::any_of(call.attempts.begin(), call.attempts.end(),
                      [](const Attempt& a) { return a.stage == AttemptStage::kOpen; });
@@ -192,7 +196,7 @@
   attempt.sent = context.now;
   attempt.overdue_at = context.now + this->AttemptTime(context, call);
   ++this->shared.counters.attempts;
-  this->balancer.OnSent(gate->id, context.now);
+  this->balancer.OnSent(gate->id, PriorityOf(call), context.now);
   context.Send(gate->id, this->MakeRequest(context, call, attempt, *gate));
   call.attempts.push_back(std::move(attempt));
   this->Schedule(call);
@@ -239,7 +243,7 @@
     ++this->shared.counters.ignored_replies;
     return;
   }
-  this->balancer.OnLoad(attempt->gate, reply.in_flight + reply.queued, context.now);
+  this->balancer.OnLoad(attempt->gate, reply.load, context.now);
   if (answer.code == ErrorCode::kGateUnreachable) {
     this->balancer.OnForeignProcess(attempt->gate, attempt->gate_boot);
   }
--- a/libs/calls/src/entry_retry.cc
+++ b/libs/calls/src/entry_retry.cc
@@ -208,6 +208,7 @@
   // No backend server has seen the request: the next attempt is no repetition.
   const bool is_move = moves == made && moves > 0;
   if (is_move && moves == 1) {
+    ++this->shared.counters.moves;
     call.retry_at = context.now;
     this->Schedule(call);
     return true;
@@ -224,7 +225,7 @@
     ++this->shared.counters.retries_over_budget;
     return false;
   }
-  ++this->shared.counters.retries;
+  ++(is_move ? this->shared.counters.moves : this->shared.counters.retries);
   call.retry_at = context.now + delay;
   this->Schedule(call);
   return true;
--- a/libs/calls/src/gate.cc
+++ b/libs/calls/src/gate.cc
@@ -454,8 +454,11 @@
   CallReply reply;
   reply.id = id;
   reply.answer = std::move(answer);
-  reply.in_flight = static_cast<std::uint32_t>(this->runs.size());
-  reply.queued = static_cast<std::uint32_t>(this->queue.Size());
+  reply.load.in_flight = static_cast<std::uint32_t>(this->runs.size());
+  for (std::size_t i = 0; i < reply.load.queued.size(); ++i) {
+    reply.load.queued.at(i) =
+        static_cast<std::uint32_t>(this->queue.Size(static_cast<document::Priority>(i)));
+  }
   reply.redirect = std::move(redirect);
   context.Send(id.entry, std::move(reply));
 }
--- a/libs/calls/src/message_codec.cc
+++ b/libs/calls/src/message_codec.cc
@@ -261,7 +261,11 @@
   out.Add(utils::ToNumber(m.answer.code)).Add(m.answer.message);
   out.Add(static_cast<std::uint64_t>(m.answer.response.status));
   out.Add(HeadersToJson(m.answer.response.headers)).Add(Binary(m.answer.response.body));
-  out.Add(m.answer.no_retry).Add(m.in_flight).Add(m.queued).Add(m.redirect);
+  out.Add(m.answer.no_retry).Add(m.load.in_flight);
+  for (const std::uint32_t queued : m.load.queued) {
+    out.Add(queued);
+  }
+  out.Add(m.redirect);
   return out.Take();
 }
 
@@ -326,8 +330,10 @@
   m.answer.response.headers = in.HeaderFields();
   m.answer.response.body = in.Bytes(kMaxBody);
   m.answer.no_retry = in.Flag();
-  m.in_flight = in.Number32();
-  m.queued = in.Number32();
+  m.load.in_flight = in.Number32();
+  for (std::uint32_t& queued : m.load.queued) {
+    queued = in.Number32();
+  }
   m.redirect = in.Text(kMaxName);
   return m;
 }
--- a/libs/node/tests/register_node_test.cc
+++ b/libs/node/tests/register_node_test.cc
@@ -118,12 +118,14 @@
   this->Call();
   CHECK_EQUAL(1, this->TakeAll<calls::RunOnBackendServer>().size());
   this->Give(directory::BackendServerGone{});
+  this->Pass(Milliseconds(500));
   const auto queued = this->Answer();
   CHECK_TRUE(queued && queued->kind == ResultKind::kNotRun);
   // The one that runs is answered.
   this->Give(calls::BackendServerAnswered{1, {200, {}, "ok"}});
   CHECK_TRUE(this->Answer()->kind == ResultKind::kAnswered);
   this->Call();
+  this->Pass(Milliseconds(500));
   CHECK_TRUE(this->Answer()->kind == ResultKind::kNotRun);
   CHECK_EQUAL(0, this->TakeAll<calls::RunOnBackendServer>().size());
 }
--- a/libs/runtime/src/node_metrics.cc
+++ b/libs/runtime/src/node_metrics.cc
@@ -15,6 +15,7 @@
   text.Counter("calls_received_total", calls.calls);
   text.Counter("call_attempts_total", calls.attempts);
   text.Counter("call_retries_total", calls.retries);
+  text.Counter("call_moves_total", calls.moves);
   text.Counter("call_retries_over_budget_total", calls.retries_over_budget);
   text.Counter("call_redirects_total", calls.redirects);
   text.Counter("call_fences_total", calls.fences);
