Forget sockets that libcurl has closed by itself

Lines for every request and answer showed the garbage come before our own answer, and a line in OpenSocket showed numbers of sockets opened again that were still held here. libcurl 7.88 closes a socket that never connected without CLOSESOCKETFUNCTION; our copy then closed the number a second time when it already belonged to a caller's connection. Change: such sockets are released, not closed, when their transfer ends, and before a number is taken again within one call of libcurl.

--- a/libs/runtime/src/curl_multi.cc
+++ b/libs/runtime/src/curl_multi.cc
@@ -55,13 +55,39 @@
 
 bool CurlMulti::Add(CURL* easy) {
   curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &CurlMulti::OpenSocket);
-  curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
+  std::unique_ptr<Opened>& entry = this->opened[easy];
+  entry = std::make_unique<Opened>();
+  entry->multi = this;
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, entry.get());
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &CurlMulti::CloseSocket);
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
   return curl_multi_add_handle(this->multi, easy) == CURLM_OK;
 }
 
-void CurlMulti::Remove(CURL* easy) { curl_multi_remove_handle(this->multi, easy); }
+void CurlMulti::Remove(CURL* easy) {
+  curl_multi_remove_handle(this->multi, easy);
+  this->ForgetUnconnected(easy);
+  this->opened.erase(easy);
+}
+
+void CurlMulti::ForgetUnconnected(CURL* easy) {
+  const auto entry = this->opened.find(easy);
+  if (entry == this->opened.end()) {
+    return;
+  }
+  curl_off_t connected_after_us = 0;
+  curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connected_after_us);
+  for (const curl_socket_t socket : std::exchange(entry->second->sockets, {})) {
+    const auto found = this->sockets.find(socket);
+    if (connected_after_us != 0 || found == this->sockets.end()) {
+      continue;
+    }
+    asio::error_code ignored;
+    found->second->wanted = CURL_POLL_NONE;
+    found->second->socket.release(ignored);
+    this->sockets.erase(found);
+  }
+}
 
 void CurlMulti::Limit(std::size_t max_connections) {
   const auto limit = static_cast<long>(max_connections);  // NOLINT(google-runtime-int)
@@ -70,20 +96,33 @@
 }
 
 curl_socket_t CurlMulti::OpenSocket(void* self, curlsocktype purpose, curl_sockaddr* address) {
-  auto* const multi = static_cast<CurlMulti*>(self);
+  auto* const opened = static_cast<Opened*>(self);
+  CurlMulti* const multi = opened->multi;
   if (purpose != CURLSOCKTYPE_IPCXN) {
     return CURL_SOCKET_BAD;
   }
   auto watched = std::make_shared<Watched>(multi->context);
   asio::error_code error;
-  watched->socket.open(address->family == AF_INET6 ? asio::ip::tcp::v6() : asio::ip::tcp::v4(),
-                       error);
+  const auto protocol = address->family == AF_INET6 ? asio::ip::tcp::v6() : asio::ip::tcp::v4();
+  watched->socket.open(protocol, error);
   if (error) {
     return CURL_SOCKET_BAD;
   }
   ShowSilence(watched->socket, multi->acknowledge_limit);
   const curl_socket_t handle = watched->socket.native_handle();
+  if (const auto stale = multi->sockets.find(handle); stale != multi->sockets.end()) {
+    // Closed by libcurl within this same call: its registration must go before the new one is made.
+    watched->socket.release(error);
+    stale->second->wanted = CURL_POLL_NONE;
+    stale->second->socket.release(error);
+    multi->sockets.erase(stale);
+    watched->socket.assign(protocol, handle, error);
+    if (error) {
+      return CURL_SOCKET_BAD;
+    }
+  }
   multi->sockets[handle] = std::move(watched);
+  opened->sockets.push_back(handle);
   return handle;
 }
 
@@ -177,6 +216,7 @@
     if (message->msg == CURLMSG_DONE) {
       CURL* const easy = message->easy_handle;
       const CURLcode result = message->data.result;
+      this->ForgetUnconnected(easy);
       this->finished(easy, result);
     }
   }
--- a/libs/runtime/src/curl_multi.h
+++ b/libs/runtime/src/curl_multi.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 #include "amaranthlatch/utils/time.h"
 
@@ -44,6 +45,11 @@
     bool writing = false;
   };
   using WatchedPointer = std::shared_ptr<Watched>;
+  // The sockets that libcurl has opened for one transfer.
+  struct Opened {
+    CurlMulti* multi = nullptr;
+    std::vector<curl_socket_t> sockets;
+  };
 
   static curl_socket_t OpenSocket(void* self, curlsocktype purpose, curl_sockaddr* address);
   static int CloseSocket(void* self, curl_socket_t socket);
@@ -51,6 +57,9 @@
   // NOLINTNEXTLINE(google-runtime-int): libcurl's type.
   static int TimerCallback(CURLM* multi, long timeout_ms, void* self);
 
+  // libcurl 7.88 closes a socket that never connected without calling CloseSocket. Its number may
+  // belong to another connection by now, so this object must forget it without closing it.
+  void ForgetUnconnected(CURL* easy);
   void Watch(const WatchedPointer& watched);
   void WaitFor(const WatchedPointer& watched, bool read);
   void OnReady(const WatchedPointer& watched, bool read, bool failed);
@@ -63,6 +72,8 @@
   CURLM* multi;
   asio::steady_timer timer;
   std::unordered_map<curl_socket_t, WatchedPointer> sockets;
+  // One entry for each transfer between Add and Remove.
+  std::unordered_map<CURL*, std::unique_ptr<Opened>> opened;
   // Expires with this object: completions that come later do nothing.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/libs/runtime/tests/http_client_test.cc
+++ b/libs/runtime/tests/http_client_test.cc
@@ -224,4 +224,43 @@
   CHECK_TRUE(server.heads.front().starts_with("GET /a/./b/../c//%2e/?x=/../y HTTP/1.1\r\n"));
 }
 
+// Guards against answers that reach another caller: libcurl closes a socket that did not connect by
+// itself, and whoever got its number next lost it when the client closed it a second time.
+TEST(HttpClientTest, SocketThatDidNotConnectIsClosedOnce) {
+  // A queue of connections that is full: further ones get no answer.
+  asio::ip::tcp::acceptor full(context);
+  full.open(asio::ip::tcp::v4());
+  full.bind({asio::ip::address_v4::loopback(), 0});
+  full.listen(0);
+  std::vector<std::unique_ptr<asio::ip::tcp::socket>> queued;
+  for (int i = 0; i < 4; ++i) {
+    queued.push_back(std::make_unique<asio::ip::tcp::socket>(context));
+    queued.back()->async_connect(full.local_endpoint(), [](const asio::error_code& /*error*/) {});
+  }
+  HttpExchange exchange;
+  exchange.address = "127.0.0.1:" + std::to_string(full.local_endpoint().port());
+  exchange.request = {"GET", "/", "field-log.example", {}, {}};
+  exchange.time_limit = utils::Seconds(5);
+  // Given up while they connect, and by their own limit.
+  bool ended = false;
+  client->Start(++last_id, exchange, [&ended](const HttpOutcome& /*outcome*/) { ended = true; });
+  RunFor(context, std::chrono::milliseconds(50));
+  client->Cancel(last_id);
+  CHECK_TRUE(RunUntil(context, [&ended] { return ended; }));
+  exchange.time_limit = utils::Milliseconds(100);
+  CHECK_FALSE(Run(exchange).has_value());
+  // These take the numbers of the sockets that are closed by now.
+  std::vector<std::unique_ptr<asio::ip::tcp::acceptor>> others;
+  for (int i = 0; i < 8; ++i) {
+    others.push_back(std::make_unique<asio::ip::tcp::acceptor>(
+        context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)));
+  }
+  client.reset();
+  for (const auto& other : others) {
+    asio::error_code error;
+    other->local_endpoint(error);
+    CHECK_FALSE(error);
+  }
+}
+
 }  // namespace amaranthlatch::runtime
