--- a/libs/calls/include/amaranthlatch/calls/balance_policy.h
+++ b/libs/calls/include/amaranthlatch/calls/balance_policy.h
@@ -27,8 +27,8 @@
   double warmth = 1.0;
   // Calls in its slots and queues as it last reported.
   std::uint32_t reported_load = 0;
-  // Calls that go before a new one of its class: as last reported and sent since, or else as sent by
-  // this node.
+  // Calls that go before a new one of its class: as last reported and sent since, or else as sent
+  // by this node.
   std::uint32_t ahead = 0;
   Distance distance = Distance::kZone;
 };
@@ -40,7 +40,8 @@
   // Whether the policy weighs the distance itself and takes all levels at once.
   virtual bool WeighsDistance() const { return false; }
 
-  // Time that a call would wait at the candidate before it runs; zero where the policy does not tell.
+  // Time that a call would wait at the candidate before it runs; zero where the policy does not
+  // tell.
   virtual utils::Duration ExpectedWait(const Candidate& /*candidate*/) const { return {}; }
 
   // Index of the chosen candidate; `candidates` is not empty.
@@ -53,8 +54,8 @@
   std::size_t Choose(std::span<const Candidate> candidates, utils::Random& random) override;
 };
 
-// Lowest expected time to an answer, where crossing a zone or a region counts as time: a call leaves
-// its zone only when it would wait longer there than the transfer is worth.
+// Lowest expected time to an answer, where crossing a zone or a region counts as time: a call
+// leaves its zone only when it would wait longer there than the transfer is worth.
 class ExpectedTimePolicy : public BalancePolicy {
  public:
   struct Weights {
--- a/libs/calls/src/balance_policy.cc
+++ b/libs/calls/src/balance_policy.cc
@@ -52,7 +52,8 @@
 
 double ExpectedTimePolicy::ExpectedUs(const Candidate& candidate) const {
   const auto count = [](utils::Duration duration) { return static_cast<double>(duration.count()); };
-  double expected = count(this->ExpectedWait(candidate)) + candidate.faults * count(this->weights.fault);
+  double expected =
+      count(this->ExpectedWait(candidate)) + candidate.faults * count(this->weights.fault);
   if (candidate.distance == Distance::kRegion) {
     expected += count(this->weights.zone_crossing);
   } else if (candidate.distance == Distance::kOtherRegion) {
--- a/libs/calls/src/balancer.cc
+++ b/libs/calls/src/balancer.cc
@@ -70,8 +70,8 @@
     : shared(shared), policy(std::move(policy)) {}
 
 const Member* Balancer::Choose(const Context& context, const document::Route& route,
-                               const std::vector<NodeId>& tried,
-                               std::optional<std::size_t>& target, utils::Duration patience) {
+                               const std::vector<NodeId>& tried, std::optional<std::size_t>& target,
+                               utils::Duration patience) {
   this->crowded = false;
   if (!target) {
     target = this->DrawTarget(route);
@@ -86,7 +86,8 @@
     if (route.split[index].weight == 0) {
       continue;
     }
-    if (const Member* member = this->ChooseTarget(context, route.split[index], route.priority, tried, patience)) {
+    if (const Member* member =
+            this->ChooseTarget(context, route.split[index], route.priority, tried, patience)) {
       target = index;
       return member;
     }
@@ -112,8 +113,8 @@
 }
 
 const Member* Balancer::ChooseTarget(const Context& context, const document::SplitTarget& target,
-                                     document::Priority priority,
-                                     const std::vector<NodeId>& tried, utils::Duration patience) {
+                                     document::Priority priority, const std::vector<NodeId>& tried,
+                                     utils::Duration patience) {
   const auto document = context.routes.Find(target.service);
   if (!document) {
     return nullptr;
@@ -155,7 +156,8 @@
       continue;
     }
     const std::size_t level = this->LevelFor(self, member, document.locality.prefer);
-    Candidate candidate = this->Observe(member, document.protection.slow_start, priority, context.now);
+    Candidate candidate =
+        this->Observe(member, document.protection.slow_start, priority, context.now);
     candidate.distance = DistanceOf(self, member);
     this->levels[level].push_back(candidate);
     found = true;
--- a/libs/calls/src/entry.cc
+++ b/libs/calls/src/entry.cc
@@ -179,8 +179,8 @@
   const membership::Member* gate = this->ChooseGate(context, call);
   if (gate == nullptr) {
     if (!call.permit && call.attempts.empty()) {
-      call.failure = NotRun(this->balancer.WasCrowded() ? ErrorCode::kQueueFull
-                                                        : ErrorCode::kNoBackendServer);
+      call.failure =
+          NotRun(this->balancer.WasCrowded() ? ErrorCode::kQueueFull : ErrorCode::kNoBackendServer);
     }
     if (HasOpenAttempt(call)) {
       this->Schedule(call);
--- a/libs/calls/src/gate.cc
+++ b/libs/calls/src/gate.cc
@@ -137,7 +137,8 @@
   const utils::Duration mean = this->limit.MeanLatency();
   const auto rounds = static_cast<utils::Duration::rep>(this->queue.Ahead(priority) + 1);
   const utils::Duration wait = mean * rounds / std::max<std::uint32_t>(1, this->limit.Get());
-  return context.now + wait + mean > std::min(call.deadline, call.in_time) ? ErrorCode::kQueueFull : ErrorCode::kOk;
+  return context.now + wait + mean > std::min(call.deadline, call.in_time) ? ErrorCode::kQueueFull
+                                                                           : ErrorCode::kOk;
 }
 
 void Gate::Admit(const Context& context, AdmittedCall call) {
--- a/libs/calls/tests/balancer_test.cc
+++ b/libs/calls/tests/balancer_test.cc
@@ -230,9 +230,8 @@
   utils::Random random(1);
   ExpectedTimePolicy policy(ExpectedTimePolicy::Weights{});
   const auto chosen = [&](std::uint32_t near_load, double near_faults) {
-    const Candidate candidates[] = {
-        MakeCandidate(member, Distance::kOtherRegion, 0),
-        MakeCandidate(member, Distance::kZone, near_load, near_faults)};
+    const Candidate candidates[] = {MakeCandidate(member, Distance::kOtherRegion, 0),
+                                    MakeCandidate(member, Distance::kZone, near_load, near_faults)};
     return candidates[policy.Choose(candidates, random)].distance;
   };
   CHECK_TRUE(chosen(0, 0.0) == Distance::kZone);
@@ -244,8 +243,8 @@
 
 // Guards against calls that are sent to queues in which they could only come too late.
 TEST(Balancer, CrowdedServersAreNotChosen) {
-  details::Balancer weighing{this->shared, std::make_unique<ExpectedTimePolicy>(
-                                               ExpectedTimePolicy::Weights{})};
+  details::Balancer weighing{this->shared,
+                             std::make_unique<ExpectedTimePolicy>(ExpectedTimePolicy::Weights{})};
   this->Add("zone", "r1", "z1");
   const details::Context context{this->now, this->members, this->routes, this->effects,
                                  this->local};
@@ -262,8 +261,8 @@
 
 // Guards against urgent calls that are refused or sent away because of calls that they overtake.
 TEST(Balancer, CallsOfLowerClassesDoNotCrowdUrgentOnes) {
-  details::Balancer weighing{this->shared, std::make_unique<ExpectedTimePolicy>(
-                                               ExpectedTimePolicy::Weights{})};
+  details::Balancer weighing{this->shared,
+                             std::make_unique<ExpectedTimePolicy>(ExpectedTimePolicy::Weights{})};
   this->Add("zone", "r1", "z1");
   const details::Context context{this->now, this->members, this->routes, this->effects,
                                  this->local};
@@ -280,8 +279,8 @@
 
 // Guards against a server that is given more and more calls while it answers none.
 TEST(Balancer, SilenceCountsAsFaults) {
-  details::Balancer weighing{this->shared, std::make_unique<ExpectedTimePolicy>(
-                                               ExpectedTimePolicy::Weights{})};
+  details::Balancer weighing{this->shared,
+                             std::make_unique<ExpectedTimePolicy>(ExpectedTimePolicy::Weights{})};
   this->Add("zone", "r1", "z1");
   this->Add("far", "r2", "z9");
   const document::Route& route = *FindRoute(this->document, "read");
--- a/libs/directory/include/amaranthlatch/directory/effect.h
+++ b/libs/directory/include/amaranthlatch/directory/effect.h
@@ -10,8 +10,8 @@
 
 namespace amaranthlatch::directory {
 
-// Reads records from a position on and waits for one if there is none yet; without a position, lists
-// the newest record of every key. At most one read a stream is under way.
+// Reads records from a position on and waits for one if there is none yet; without a position,
+// lists the newest record of every key. At most one read a stream is under way.
 struct ReadStream {
   Stream stream = Stream::kConfiguration;
   std::optional<Position> from;
--- a/libs/directory/include/amaranthlatch/directory/event.h
+++ b/libs/directory/include/amaranthlatch/directory/event.h
@@ -25,7 +25,8 @@
   bool operator==(const WakeUp&) const = default;
 };
 
-// The answer to ReadStream. Records that do not decode are left out by the adapter, which logs them.
+// The answer to ReadStream. Records that do not decode are left out by the adapter, which logs
+// them.
 struct StreamRead {
   Stream stream = Stream::kConfiguration;
   // Where the next read begins.
--- a/libs/directory/src/directory.cc
+++ b/libs/directory/src/directory.cc
@@ -24,9 +24,9 @@
         random(from.seed),
         own(options),
         members(own.Record()),
-        followers{details::StreamFollower(Stream::kConfiguration, from.configuration_pause,
-                                          options),
-                  details::StreamFollower(Stream::kMembers, from.members_pause, options)} {}
+        followers{
+            details::StreamFollower(Stream::kConfiguration, from.configuration_pause, options),
+            details::StreamFollower(Stream::kMembers, from.members_pause, options)} {}
 
   void Handle(const WakeUp& /*event*/) {}
   void Handle(const StreamRead& event);
--- a/libs/directory/src/mesh_configuration.cc
+++ b/libs/directory/src/mesh_configuration.cc
@@ -100,9 +100,9 @@
       const document::Route* const route = found->second;
       const auto& document = this->documents.find(route->split.front().service)->second;
       // The match must keep the route alive, not only the document.
-      return document::RouteMatch{std::shared_ptr<const document::ServiceDocument>(
-                                      this->self.lock(), document.get()),
-                                  this->version, route};
+      return document::RouteMatch{
+          std::shared_ptr<const document::ServiceDocument>(this->self.lock(), document.get()),
+          this->version, route};
     }
     if (slash == 0) {
       break;
--- a/libs/directory/tests/directory_test.cc
+++ b/libs/directory/tests/directory_test.cc
@@ -213,7 +213,8 @@
   CHECK_TRUE(membership::ComparePrecedence(back, gone) > 0);
 }
 
-// Guards against a write whose outcome is unknown and that is not repeated, or a second one beside it.
+// Guards against a write whose outcome is unknown and that is not repeated, or a second one beside
+// it.
 TEST(Directory, FailedWriteIsRepeatedWithTheNewestRecord) {
   this->Begin();
   this->Configure(9, 1);
@@ -234,8 +235,8 @@
     utils::Random random(*rc::gen::arbitrary<std::uint64_t>());
     std::optional<Member> highest;
     for (int i = 0; i < 40; ++i) {
-      Member member = MakeMember("10.0.0.2:1", 1 + random.Below(5),
-                                 static_cast<MemberState>(random.Below(4)));
+      Member member =
+          MakeMember("10.0.0.2:1", 1 + random.Below(5), static_cast<MemberState>(random.Below(4)));
       member.boot_id = 1 + random.Below(3);
       tested.Reduce(StreamRead{Stream::kMembers, 1, nullptr, {member}}, utils::Timestamp{});
       if (!highest || membership::ComparePrecedence(member, *highest) > 0) {
--- a/libs/directory/tests/mesh_configuration_test.cc
+++ b/libs/directory/tests/mesh_configuration_test.cc
@@ -15,7 +15,8 @@
 // Guards against a prefix that is matched in the product's normal form, or at a shorter length.
 TEST(MeshConfiguration, LongestLiteralPrefixWins) {
   const auto made = MeshConfiguration::Create(
-      7, {MakeRoute("a.example", "/"), MakeRoute("a.example", "/x/"), MakeRoute("a.example", "/x/y/")},
+      7,
+      {MakeRoute("a.example", "/"), MakeRoute("a.example", "/x/"), MakeRoute("a.example", "/x/y/")},
       {{"fleet", "/health", 10}}, {});
   CHECK_TRUE(made.has_value());
   const auto name = [&made](const char* host, const char* path) {
--- a/libs/membership/src/context.h
+++ b/libs/membership/src/context.h
@@ -9,10 +9,10 @@
 #include <vector>
 
 #include "amaranthlatch/membership/effect.h"
+#include "amaranthlatch/membership/member_table.h"
 #include "amaranthlatch/membership/membership.h"
 #include "amaranthlatch/membership/options.h"
 #include "amaranthlatch/utils/random.h"
-#include "amaranthlatch/membership/member_table.h"
 
 namespace amaranthlatch::membership::details {
 
--- a/libs/node/src/register_node.cc
+++ b/libs/node/src/register_node.cc
@@ -233,14 +233,13 @@
   }
   calls::Options for_calls = options.calls;
   for_calls.permit_key = DeriveKey(options.secret, KeyPurpose::kPermit);
-  auto calls =
-      calls::Calls::Create(for_calls, std::make_unique<calls::ExpectedTimePolicy>(
-                                          calls::ExpectedTimePolicy::Weights{}));
+  auto calls = calls::Calls::Create(
+      for_calls, std::make_unique<calls::ExpectedTimePolicy>(calls::ExpectedTimePolicy::Weights{}));
   if (!calls) {
     return tl::unexpected(calls.error());
   }
-  return std::unique_ptr<RegisterNode>(new RegisterNode(
-      std::make_unique<Parts>(options, *std::move(directory), *std::move(calls))));
+  return std::unique_ptr<RegisterNode>(
+      new RegisterNode(std::make_unique<Parts>(options, *std::move(directory), *std::move(calls))));
 }
 
 RegisterNode::RegisterNode(std::unique_ptr<Parts> parts) : parts(std::move(parts)) {}
--- a/libs/runtime/src/backend_server_link.cc
+++ b/libs/runtime/src/backend_server_link.cc
@@ -103,8 +103,12 @@
   if (!slots || !connections) {
     return tl::unexpected(slots ? connections.error() : slots.error());
   }
-  return BackendServer{{}, (*object)["service"].get<std::string>(), address.get<std::string>(),
-                       std::move(*labels), *slots, *connections};
+  return BackendServer{{},
+                       (*object)["service"].get<std::string>(),
+                       address.get<std::string>(),
+                       std::move(*labels),
+                       *slots,
+                       *connections};
 }
 
 HttpExchange OwnBackendDialect::WriteExchange(const BackendServer& /*server*/,
@@ -220,8 +224,7 @@
   auto response = this->dialect.ReadResponse(std::move(*outcome));
   if (!response) {
     ++this->bad_answers;
-    this->report(
-        calls::BackendServerFailed{run, calls::BackendFailure::kConnectionLost, false});
+    this->report(calls::BackendServerFailed{run, calls::BackendFailure::kConnectionLost, false});
     return;
   }
   response->headers.emplace_back(kBackendTimeField, std::to_string(time.count()));
--- a/libs/runtime/src/curl_multi.cc
+++ b/libs/runtime/src/curl_multi.cc
@@ -39,7 +39,9 @@
                      utils::Duration acknowledge_limit, Finished finished)
     : context(context),
       acknowledge_limit(acknowledge_limit),
-      finished(std::move(finished)), multi(curl_multi_init()), timer(context) {
+      finished(std::move(finished)),
+      multi(curl_multi_init()),
+      timer(context) {
   curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, &CurlMulti::SocketCallback);
   curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
   curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, &CurlMulti::TimerCallback);
--- a/libs/runtime/src/curl_transfer.cc
+++ b/libs/runtime/src/curl_transfer.cc
@@ -169,9 +169,9 @@
   long status = 0;  // NOLINT(google-runtime-int): libcurl's type.
   curl_easy_getinfo(this->easy, CURLINFO_RESPONSE_CODE, &status);
   const bool is_interim = status < kStatusOk;
-  this->foreign = !is_interim && !this->exchange.echo_name.empty() &&
-                  FindField(this->response.headers, this->exchange.echo_name) !=
-                      this->exchange.echo_value;
+  this->foreign =
+      !is_interim && !this->exchange.echo_name.empty() &&
+      FindField(this->response.headers, this->exchange.echo_name) != this->exchange.echo_value;
   return !this->foreign;
 }
 
@@ -203,8 +203,8 @@
     return tl::unexpected(Failure(calls::BackendFailure::kTooLarge, "answer above the limit"));
   }
   if (this->foreign) {
-    return tl::unexpected(Failure(calls::BackendFailure::kConnectionLost,
-                                  "the answer belongs to another request"));
+    return tl::unexpected(
+        Failure(calls::BackendFailure::kConnectionLost, "the answer belongs to another request"));
   }
   if (result != CURLE_OK) {
     const auto failure = this->MayBeSent() ? calls::BackendFailure::kConnectionLost
--- a/libs/runtime/src/dialect_gateway.cc
+++ b/libs/runtime/src/dialect_gateway.cc
@@ -10,6 +10,11 @@
 
 namespace amaranthlatch::runtime::details {
 
+namespace {
+// A node whose calls all fail writes no more than this; the rest is counted.
+constexpr std::uint32_t kLinesPerSecond = 20;
+}  // namespace
+
 using calls::ResultKind;
 
 DialectGateway::DialectGateway(const utils::Clock& clock, const CallerDialect& dialect,
@@ -58,8 +63,9 @@
 void DialectGateway::CountTimes(const OpenCall& call, calls::HttpResponse& response) {
   const utils::Duration time = this->clock.Now() - call.begun;
   this->call_times.Add(time);
-  const auto field = std::find_if(response.headers.begin(), response.headers.end(),
-                                  [](const auto& entry) { return entry.first == kBackendTimeField; });
+  const auto field =
+      std::find_if(response.headers.begin(), response.headers.end(),
+                   [](const auto& entry) { return entry.first == kBackendTimeField; });
   if (field == response.headers.end()) {
     return;
   }
@@ -72,7 +78,17 @@
   response.headers.erase(field);
 }
 
-void DialectGateway::LogFailure(const OpenCall& call, const calls::Answer& answer) const {
+void DialectGateway::LogFailure(const OpenCall& call, const calls::Answer& answer) {
+  const utils::Timestamp second =
+      std::chrono::time_point_cast<std::chrono::seconds>(this->clock.Now());
+  if (second != this->log_second) {
+    this->log_second = second;
+    this->logged = 0;
+  }
+  if (++this->logged > kLinesPerSecond) {
+    ++this->lines_dropped;
+    return;
+  }
   LogLine("call-failed")
       .Add("request", call.name)
       .Add("target", call.target)
@@ -81,7 +97,7 @@
       .Add("name", utils::ToString(answer.code))
       .Add("after_ms",
            static_cast<std::uint64_t>(utils::ToMilliseconds(this->clock.Now() - call.begun)))
-      .Debug();
+      .Info();
 }
 
 }  // namespace amaranthlatch::runtime::details
--- a/libs/runtime/src/dialect_gateway.h
+++ b/libs/runtime/src/dialect_gateway.h
@@ -32,6 +32,8 @@
   void Answer(calls::AnswerCaller effect);
 
   std::size_t OpenCalls() const { return this->open.size(); }
+  // Lines of failed calls that were left out.
+  std::uint64_t LinesDropped() const { return this->lines_dropped; }
   const DurationHistogram& CallTimes() const { return this->call_times; }
   const DurationHistogram& AddedTimes() const { return this->added_times; }
 
@@ -43,7 +45,7 @@
   };
 
   void CountTimes(const OpenCall& call, calls::HttpResponse& response);
-  void LogFailure(const OpenCall& call, const calls::Answer& answer) const;
+  void LogFailure(const OpenCall& call, const calls::Answer& answer);
 
   const utils::Clock& clock;
   const CallerDialect& dialect;
@@ -51,6 +53,10 @@
   const Gone gone;
   HttpServer* server = nullptr;
   std::unordered_map<std::uint64_t, OpenCall> open;
+  // Lines written in this second.
+  utils::Timestamp log_second{};
+  std::uint32_t logged = 0;
+  std::uint64_t lines_dropped = 0;
   DurationHistogram call_times;
   DurationHistogram added_times;
 };
--- a/libs/runtime/src/host.cc
+++ b/libs/runtime/src/host.cc
@@ -189,8 +189,7 @@
     this->log_http_client = std::move(*log);
     this->backend_server = std::make_unique<BackendServerLink>(
         this->context, this->clock, *this->backend_client, this->backend_dialect,
-        this->settings.silent,
-        [this](const node::Event& event) { this->OnBackendEvent(event); });
+        this->settings.silent, [this](const node::Event& event) { this->OnBackendEvent(event); });
     this->log_client = std::make_unique<LogClient>(
         *this->log_http_client, this->settings.log_address, [this](const LogClient::Event& event) {
           std::visit([this](const auto& inner) { this->Apply(inner); }, event);
--- a/libs/runtime/src/node_metrics.cc
+++ b/libs/runtime/src/node_metrics.cc
@@ -135,6 +135,7 @@
   AppendServer(text, metrics.data_server, R"(address="data")");
   text.Counter("backend_answers_not_taken_total", metrics.bad_answers);
   text.Counter("announcements_refused_total", metrics.announcements_refused);
+  text.Counter("log_lines_dropped_total", metrics.log_lines_dropped);
   text.Histogram("call_seconds", *metrics.call_times);
   text.Histogram("call_added_seconds", *metrics.added_times);
   text.Histogram("backend_run_seconds", *metrics.run_times);
--- a/libs/runtime/src/register_host.cc
+++ b/libs/runtime/src/register_host.cc
@@ -192,7 +192,8 @@
         this->context, this->clock, *this->backend_client, this->adapter.BackendServers(),
         kNoSilenceLimit, [this](const node::Event& event) { this->OnBackendEvent(event); });
     this->register_client = this->adapter.MakeRegisterClient(
-        *this->register_http_client, details::MakeServiceDefaults(this->settings), [this](const directory::Event& event) {
+        *this->register_http_client, details::MakeServiceDefaults(this->settings),
+        [this](const directory::Event& event) {
           std::visit([this](const auto& inner) { this->ApplyDirectory(inner); }, event);
         });
     return {};
@@ -258,14 +259,15 @@
     metrics.version = configuration == nullptr ? 0 : configuration->GetVersion();
     metrics.bad_answers = this->backend_server->BadAnswers();
     metrics.announcements_refused = this->announcements_refused;
+    metrics.log_lines_dropped = this->gateway.LinesDropped();
     return {200, {{"content-type", "text/plain; version=0.0.4"}}, details::ToPrometheus(metrics)};
   }
 
   // Events of the link that concern register mode; the link reports no others.
   void OnBackendEvent(const node::Event& event) {
     if (const auto* announced = std::get_if<node::BackendServerAnnounced>(&event)) {
-      this->Apply(directory::BackendServerReady{announced->service, announced->labels,
-                                                announced->slots});
+      this->Apply(
+          directory::BackendServerReady{announced->service, announced->labels, announced->slots});
     } else if (std::holds_alternative<node::BackendServerLost>(event)) {
       LogLine("backend-server-lost").Warn();
       this->Apply(directory::BackendServerGone{});
--- a/libs/runtime/src/register_metrics.h
+++ b/libs/runtime/src/register_metrics.h
@@ -29,6 +29,7 @@
   std::uint64_t version = 0;
   std::uint64_t bad_answers = 0;
   std::uint64_t announcements_refused = 0;
+  std::uint64_t log_lines_dropped = 0;
 };
 
 std::string ToPrometheus(const RegisterMetrics& metrics);
--- a/libs/runtime/src/register_options.cc
+++ b/libs/runtime/src/register_options.cc
@@ -36,7 +36,8 @@
 constexpr utils::Duration kQueueTime = utils::Seconds(10);
 constexpr std::uint32_t kMaxAttempts = 2;
 // A node that has just started cannot tell which of the servers that it meets have as well: with a
-// slow start all of them would count as cold. The load that gates report shows cold ones soon enough.
+// slow start all of them would count as cold. The load that gates report shows cold ones soon
+// enough.
 constexpr utils::Duration kSlowStart = utils::Duration(0);
 // Share of the permitted ratio that is spent on retries; repeated calls may call further services.
 constexpr double kRetryShare = 0.5;
--- a/libs/runtime/tests/register_settings_test.cc
+++ b/libs/runtime/tests/register_settings_test.cc
@@ -15,26 +15,32 @@
 namespace {
 
 nlohmann::json Minimal() {
-  return {{"node_address", "10.0.0.1:1"},     {"data_address", "10.0.0.1:2"},
-          {"ready_address", "10.0.0.1:3"},    {"control_address", "10.0.0.1:4"},
-          {"admin_address", "10.0.0.1:5"},    {"register_address", "10.0.0.9:1"},
-          {"region", "north"},                {"zone", "ondangwa"},
-          {"backend_service", "fleet"},       {"backend_address", "10.0.0.1:6"},
+  return {{"node_address", "10.0.0.1:1"},
+          {"data_address", "10.0.0.1:2"},
+          {"ready_address", "10.0.0.1:3"},
+          {"control_address", "10.0.0.1:4"},
+          {"admin_address", "10.0.0.1:5"},
+          {"register_address", "10.0.0.9:1"},
+          {"region", "north"},
+          {"zone", "ondangwa"},
+          {"backend_service", "fleet"},
+          {"backend_address", "10.0.0.1:6"},
           {"secret", "0123456789abcdef"}};
 }
 
 }  // namespace
 
-TEST_GROUP(RegisterSettings) {
-  static void ExpectFailure(const char* key, const nlohmann::json& value, ErrorCode code) {
-    nlohmann::json object = Minimal();
-    object[key] = value;
-    const auto parsed = ParseRegisterSettings(object.dump());
-    CHECK_FALSE(parsed.has_value());
-    CHECK_EQUAL(utils::ToNumber(code), utils::ToNumber(parsed.error().code));
-    STRCMP_EQUAL((std::string("/") + key).c_str(), parsed.error().pointer.c_str());
-  }
-};
+TEST_GROUP(RegisterSettings){
+    static void ExpectFailure(const char* key, const nlohmann::json& value,
+                              ErrorCode code){nlohmann::json object = Minimal();
+object[key] = value;
+const auto parsed = ParseRegisterSettings(object.dump());
+CHECK_FALSE(parsed.has_value());
+CHECK_EQUAL(utils::ToNumber(code), utils::ToNumber(parsed.error().code));
+STRCMP_EQUAL((std::string("/") + key).c_str(), parsed.error().pointer.c_str());
+}  // namespace amaranthlatch::runtime
+}
+;
 
 // Guards against defaults and units that are read in another way than the page says.
 TEST(RegisterSettings, ReadsValuesWithUnits) {
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -6,6 +6,7 @@
 cd "$(dirname "$0")/.."
 tools/install_dependencies.sh
 tools/format.sh --check
+tools/check_platform_names.sh
 cmake -S . -B build -G Ninja
 cmake --build build
 tools/lint.sh build
