--- a/libs/directory/tests/directory_test.cc
+++ b/libs/directory/tests/directory_test.cc
@@ -4,6 +4,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <compare>
 #include <optional>
 #include <set>
 #include <utility>
@@ -209,8 +210,8 @@
   this->Give(BackendServerReady{"fleet", {}, 6});
   const Member back = this->Take<WriteMember>()->member;
   CHECK_TRUE(back.state == MemberState::kReady);
-  CHECK_TRUE(membership::ComparePrecedence(gone, ready) > 0);
-  CHECK_TRUE(membership::ComparePrecedence(back, gone) > 0);
+  CHECK_TRUE(std::is_gt(membership::ComparePrecedence(gone, ready)));
+  CHECK_TRUE(std::is_gt(membership::ComparePrecedence(back, gone)));
 }
 
 // Guards against a write whose outcome is unknown and that is not repeated, or a second one beside
@@ -239,13 +240,13 @@
           MakeMember("10.0.0.2:1", 1 + random.Below(5), static_cast<MemberState>(random.Below(4)));
       member.boot_id = 1 + random.Below(3);
       tested.Reduce(StreamRead{Stream::kMembers, 1, nullptr, {member}}, utils::Timestamp{});
-      if (!highest || membership::ComparePrecedence(member, *highest) > 0) {
+      if (!highest || std::is_gt(membership::ComparePrecedence(member, *highest))) {
         highest = member;
       }
     }
     const Member* known = tested.Members().Find("10.0.0.2:1");
     RC_ASSERT(known != nullptr);
-    const bool is_highest = membership::ComparePrecedence(*known, *highest) == 0;
+    const bool is_highest = std::is_eq(membership::ComparePrecedence(*known, *highest));
     RC_ASSERT(is_highest);
   }));
 }
--- a/libs/runtime/tests/http_client_test.cc
+++ b/libs/runtime/tests/http_client_test.cc
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <array>
 #include <optional>
 
 #include "amaranthlatch/runtime/curl_http_client.h"
@@ -232,10 +233,10 @@
   full.open(asio::ip::tcp::v4());
   full.bind({asio::ip::address_v4::loopback(), 0});
   full.listen(0);
-  std::vector<std::unique_ptr<asio::ip::tcp::socket>> queued;
-  for (int i = 0; i < 4; ++i) {
-    queued.push_back(std::make_unique<asio::ip::tcp::socket>(context));
-    queued.back()->async_connect(full.local_endpoint(), [](const asio::error_code& /*error*/) {});
+  std::array<std::unique_ptr<asio::ip::tcp::socket>, 4> queued;
+  for (auto& waiting : queued) {
+    waiting = std::make_unique<asio::ip::tcp::socket>(context);
+    waiting->async_connect(full.local_endpoint(), [](const asio::error_code& /*error*/) {});
   }
   HttpExchange exchange;
   exchange.address = "127.0.0.1:" + std::to_string(full.local_endpoint().port());
@@ -250,10 +251,10 @@
   exchange.time_limit = utils::Milliseconds(100);
   CHECK_FALSE(Run(exchange).has_value());
   // These take the numbers of the sockets that are closed by now.
-  std::vector<std::unique_ptr<asio::ip::tcp::acceptor>> others;
-  for (int i = 0; i < 8; ++i) {
-    others.push_back(std::make_unique<asio::ip::tcp::acceptor>(
-        context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)));
+  std::array<std::unique_ptr<asio::ip::tcp::acceptor>, 8> others;
+  for (auto& other : others) {
+    other = std::make_unique<asio::ip::tcp::acceptor>(
+        context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
   }
   client.reset();
   for (const auto& other : others) {
