Drop requests whose callers left before they were read

Cause: a node short of processor time (4x traffic on 0.2 cores) reads requests up to a second after they came. RESTinio hands a request on before it reads the end of the connection behind it.

Change: when bytes of a request are read, the socket is asked whether the caller has closed behind them; such a request is counted and not handed on. DropsRequestsOfCallersThatHaveLeft fails without the change.

--- a/libs/runtime/src/caller_socket.cc
+++ b/libs/runtime/src/caller_socket.cc
@@ -2,9 +2,12 @@
 
 #include "caller_socket.h"
 
+#include <sys/socket.h>
+
 #include <array>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <cerrno>
 #include <chrono>
 #include <cstddef>
 
@@ -69,6 +72,12 @@
 
 }  // namespace
 
+bool CallerHasClosed(int descriptor) {
+  char next = 0;
+  const ssize_t bytes = recv(descriptor, &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+  return bytes == 0 || (bytes < 0 && errno == ECONNRESET);
+}
+
 void CloseAfterWriting(asio::ip::tcp::socket socket, std::string text) {
   if (LingeringClose::Count() < kMaxLingering) {
     std::make_shared<LingeringClose>(std::move(socket), std::move(text))->Start();
--- a/libs/runtime/src/caller_socket.h
+++ b/libs/runtime/src/caller_socket.h
@@ -30,6 +30,9 @@
   std::string timeout_answer;
 };
 
+// Whether the caller has closed its side and everything it sent has been read.
+bool CallerHasClosed(int descriptor);
+
 // Writes the text, then reads and drops what the caller still sends, for at most a second. A close
 // with unread input would reset the connection and could destroy the text before it is read.
 void CloseAfterWriting(asio::ip::tcp::socket socket, std::string text);
@@ -58,13 +61,16 @@
       });
       return;
     }
-    Base::async_read_some(buffers, [connection = this->connection, handler = std::move(handler)](
-                                       const asio::error_code& error, std::size_t bytes) mutable {
-      connection->request_begun = connection->request_begun || bytes > 0;
-      connection->closed_by_caller = connection->closed_by_caller || error == asio::error::eof ||
-                                     error == asio::error::connection_reset;
-      handler(error, bytes);
-    });
+    // RESTinio's handler keeps this socket until it is called.
+    Base::async_read_some(
+        buffers, [this, connection = this->connection, handler = std::move(handler)](
+                     const asio::error_code& error, std::size_t bytes) mutable {
+          connection->request_begun = connection->request_begun || bytes > 0;
+          connection->closed_by_caller =
+              connection->closed_by_caller || error == asio::error::eof ||
+              error == asio::error::connection_reset || CallerHasClosed(this->native_handle());
+          handler(error, bytes);
+        });
   }
 
   void shutdown(shutdown_type what, asio::error_code& error) {
--- a/libs/runtime/src/restinio_server.cc
+++ b/libs/runtime/src/restinio_server.cc
@@ -357,6 +357,11 @@
     connection.state->request_begun = false;
     ++connection.state->unanswered;
     ++this->counters.requests;
+    if (connection.state->closed_by_caller) {
+      // Nobody waits for the answer; the next read ends the connection.
+      ++this->counters.callers_gone;
+      return restinio::request_accepted();
+    }
     const std::uint64_t id = ++this->last_request;
     connection.requests.insert(id);
     calls::HttpRequest request = ReadRequest(*handle);
--- a/libs/runtime/tests/http_server_test.cc
+++ b/libs/runtime/tests/http_server_test.cc
@@ -131,6 +131,21 @@
   server->Respond(recorder.ids[0], Answer(200, ""));
 }
 
+// Guards against work for callers that left before their requests were read: a node that is short
+// of processor time reads requests long after they came.
+TEST(HttpServerTest, DropsRequestsOfCallersThatHaveLeft) {
+  Open({});
+  {
+    RawCaller caller(context, server->Port());
+    caller.Write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  }
+  CHECK_TRUE(RunUntil(context, [&] {
+    return server->Counters().connections_accepted == 1 && server->Counters().connections == 0;
+  }));
+  LONGS_EQUAL(0, recorder.ids.size());
+  LONGS_EQUAL(1, server->Counters().callers_gone);
+}
+
 // Guards against callers that ask for much and read nothing.
 TEST(HttpServerTest, TimesOutSlowReaders) {
   RestinioServerOptions options;
