Write log lines on a thread of their own, to standard output

Cause: log4cplus' console appender writes on the node's only thread; a pipe that nobody reads would stop the node. Lines went to standard error, though the operations page says standard output.

Change: a bounded writer (256 KB of lines) behind log4cplus; what finds no room is dropped and counted in log_lines_dropped_total{reason="unread"}, refused writes in log_writes_failed_total. A process waits 100 ms at its end for lines that are not written. Lines of failed calls above 20 a second are counted in the same metric with reason="rate".

--- a/apps/amaranthlatchd/main.cc
+++ b/apps/amaranthlatchd/main.cc
@@ -40,6 +40,9 @@
 
 enum class ExitCode : int { kOk = 0, kCutOff = 1, kUsage = 2, kSettings = 3, kAddress = 4 };
 
+// Lines are written within a few milliseconds if anybody reads them.
+constexpr amaranthlatch::utils::Duration kLogFlushLimit = amaranthlatch::utils::Milliseconds(100);
+
 int ToInt(ExitCode code) { return static_cast<int>(code); }
 
 int Fail(ExitCode code, const amaranthlatch::utils::Error& error) {
@@ -74,6 +77,7 @@
   });
   (*host)->Start();
   context.run();
+  runtime::FlushLog(kLogFlushLimit);
   return exit_code;
 }
 
--- a/libs/runtime/include/amaranthlatch/runtime/log_line.h
+++ b/libs/runtime/include/amaranthlatch/runtime/log_line.h
@@ -1,4 +1,7 @@
 // Log lines of a node: "event=... key=value ...", written at changes of state only.
+//
+// Lines are written to standard output by a thread of their own. If nobody reads them, they wait in
+// bounded memory and further ones are dropped and counted: writing never holds up the caller.
 
 #pragma once
 
@@ -7,12 +10,26 @@
 #include <string_view>
 
 #include "amaranthlatch/runtime/settings.h"
+#include "amaranthlatch/utils/time.h"
 
 namespace amaranthlatch::runtime {
 
-// Sends lines of the level and above to standard error.
+// Sends lines of the level and above to standard output.
 void SetUpLogging(LogLevel level);
 
+// Waits until all lines are written, for the given time at most. Returns whether they are.
+bool FlushLog(utils::Duration limit);
+
+// What the log of this process has lost so far.
+struct LogCounters {
+  // Lines that found no room.
+  std::uint64_t lines_dropped = 0;
+  // Writes of one or more lines that standard output refused.
+  std::uint64_t writes_failed = 0;
+  bool operator==(const LogCounters&) const = default;
+};
+LogCounters CountLogLosses();
+
 class LogLine {
  public:
   explicit LogLine(std::string_view event);
--- a/libs/runtime/src/log_line.cc
+++ b/libs/runtime/src/log_line.cc
@@ -2,15 +2,18 @@
 
 #include "amaranthlatch/runtime/log_line.h"
 
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <memory>
 
+#include "log_writer.h"
+
 namespace amaranthlatch::runtime {
 
 namespace {
@@ -46,6 +49,30 @@
   return log4cplus::DEBUG_LOG_LEVEL;
 }
 
+// About 2,000 lines: some seconds of a node that logs all it may.
+constexpr std::size_t kMaxWaitingBytes = 262144;
+
+// Never destroyed: a process ends while its log cannot be written.
+details::LogWriter& Writer() {
+  static auto* const writer = new details::LogWriter(STDOUT_FILENO, kMaxWaitingBytes);
+  return *writer;
+}
+
+class WriterAppender final : public log4cplus::Appender {
+ public:
+  WriterAppender() = default;
+  ~WriterAppender() override { this->destructorImpl(); }
+
+  // NOLINTNEXTLINE(readability-identifier-naming): log4cplus' name.
+  void close() override { this->closed = true; }
+
+ protected:
+  // NOLINTNEXTLINE(readability-identifier-naming): log4cplus' name.
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    Writer().Write(this->formatEvent(event));
+  }
+};
+
 log4cplus::Logger& NodeLogger() {
   static log4cplus::Logger logger = log4cplus::Logger::getInstance("node");
   return logger;
@@ -55,10 +82,7 @@
 
 void SetUpLogging(LogLevel level) {
   static const log4cplus::Initializer initializer;
-  constexpr bool kToStandardError = true;
-  constexpr bool kFlushEachLine = true;
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(kToStandardError, kFlushEachLine));
+  log4cplus::SharedAppenderPtr appender(new WriterAppender());
   appender->setLayout(
       std::make_unique<log4cplus::PatternLayout>("time=%d{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n"));
   NodeLogger().removeAllAppenders();
@@ -67,6 +91,10 @@
   NodeLogger().setLogLevel(ToLog4cplus(level));
 }
 
+bool FlushLog(utils::Duration limit) { return Writer().Flush(limit); }
+
+LogCounters CountLogLosses() { return {Writer().Dropped(), Writer().FailedWrites()}; }
+
 LogLine::LogLine(std::string_view event) : text("event=") { this->text.append(event); }
 
 LogLine& LogLine::Add(std::string_view key, std::string_view value) {
--- a/libs/runtime/src/node_metrics.cc
+++ b/libs/runtime/src/node_metrics.cc
@@ -2,6 +2,7 @@
 
 #include "amaranthlatch/runtime/node_metrics.h"
 
+#include "amaranthlatch/runtime/log_line.h"
 #include "register_metrics.h"
 
 namespace amaranthlatch::runtime {
@@ -123,6 +124,12 @@
   text.Counter("member_records_stale_total", directory.members_stale);
 }
 
+void AppendLog(MetricsText& text) {
+  const LogCounters losses = CountLogLosses();
+  text.Counter("log_lines_dropped_total", losses.lines_dropped, R"(reason="unread")");
+  text.Counter("log_writes_failed_total", losses.writes_failed);
+}
+
 }  // namespace
 
 std::string details::ToPrometheus(const details::RegisterMetrics& metrics) {
@@ -135,7 +142,8 @@
   AppendServer(text, metrics.data_server, R"(address="data")");
   text.Counter("backend_answers_not_taken_total", metrics.bad_answers);
   text.Counter("announcements_refused_total", metrics.announcements_refused);
-  text.Counter("log_lines_dropped_total", metrics.log_lines_dropped);
+  text.Counter("log_lines_dropped_total", metrics.call_lines_dropped, R"(reason="rate")");
+  AppendLog(text);
   text.Histogram("call_seconds", *metrics.call_times);
   text.Histogram("call_added_seconds", *metrics.added_times);
   text.Histogram("backend_run_seconds", *metrics.run_times);
@@ -159,6 +167,7 @@
   metrics.traffic->AppendTo(text);
   AppendServer(text, metrics.data_server, R"(address="data")");
   AppendServer(text, metrics.admin_server, R"(address="admin")");
+  AppendLog(text);
   text.Histogram("call_seconds", *metrics.call_times);
   text.Histogram("call_added_seconds", *metrics.added_times);
   text.Histogram("backend_run_seconds", *metrics.run_times);
--- a/libs/runtime/src/register_host.cc
+++ b/libs/runtime/src/register_host.cc
@@ -259,7 +259,7 @@
     metrics.version = configuration == nullptr ? 0 : configuration->GetVersion();
     metrics.bad_answers = this->backend_server->BadAnswers();
     metrics.announcements_refused = this->announcements_refused;
-    metrics.log_lines_dropped = this->gateway.LinesDropped();
+    metrics.call_lines_dropped = this->gateway.LinesDropped();
     return {200, {{"content-type", "text/plain; version=0.0.4"}}, details::ToPrometheus(metrics)};
   }
 
--- a/libs/runtime/src/register_metrics.h
+++ b/libs/runtime/src/register_metrics.h
@@ -29,7 +29,8 @@
   std::uint64_t version = 0;
   std::uint64_t bad_answers = 0;
   std::uint64_t announcements_refused = 0;
-  std::uint64_t log_lines_dropped = 0;
+  // Lines of failed calls above the rate that is written.
+  std::uint64_t call_lines_dropped = 0;
 };
 
 std::string ToPrometheus(const RegisterMetrics& metrics);
