Give up a waiting read of the configuration when calls show a newer one

Cause: a node waits up to 20 s for the answer to its read at the store. If the answer is lost while the connection stays whole, the node keeps its old configuration for that time.

Change: calls between nodes already name the version by which they were routed. The directory remembers a version above its own, and after 1 s without it gives up the read that waits and lists the stream.

--- a/libs/directory/include/amaranthlatch/directory/directory.h
+++ b/libs/directory/include/amaranthlatch/directory/directory.h
@@ -22,6 +22,8 @@
 struct Counters {
   std::uint64_t reads = 0;
   std::uint64_t reads_failed = 0;
+  // Reads without an answer to a change that other nodes knew.
+  std::uint64_t reads_abandoned = 0;
   std::uint64_t listings = 0;
   std::uint64_t writes = 0;
   std::uint64_t writes_failed = 0;
--- a/libs/directory/include/amaranthlatch/directory/effect.h
+++ b/libs/directory/include/amaranthlatch/directory/effect.h
@@ -11,7 +11,8 @@
 namespace amaranthlatch::directory {
 
 // Reads records from a position on and waits for one if there is none yet; without a position,
-// lists the newest record of every key. At most one read a stream is under way.
+// lists the newest record of every key. A read replaces the one under
+// way on its stream, which is not reported any more.
 struct ReadStream {
   Stream stream = Stream::kConfiguration;
   std::optional<Position> from;
--- a/libs/directory/include/amaranthlatch/directory/event.h
+++ b/libs/directory/include/amaranthlatch/directory/event.h
@@ -65,12 +65,18 @@
   bool operator==(const BackendServerGone&) const = default;
 };
 
+// Another node acts on this version of the configuration.
+struct NewerVersionSeen {
+  document::Version version = 0;
+  bool operator==(const NewerVersionSeen&) const = default;
+};
+
 // This node shuts down.
 struct DrainStarted {
   bool operator==(const DrainStarted&) const = default;
 };
 
 using Event = std::variant<WakeUp, StreamRead, StreamReadFailed, MemberWriteEnded,
-                           BackendServerReady, BackendServerGone, DrainStarted>;
+                           BackendServerReady, BackendServerGone, NewerVersionSeen, DrainStarted>;
 
 }  // namespace amaranthlatch::directory
--- a/libs/directory/include/amaranthlatch/directory/options.h
+++ b/libs/directory/include/amaranthlatch/directory/options.h
@@ -25,6 +25,9 @@
   // of pause and transfer has to stay well below the time in which a change must be in force.
   utils::Duration configuration_pause = utils::Milliseconds(700);
   utils::Duration members_pause = utils::Milliseconds(500);
+  // Time for which a version that another node acts on may be missing here before the read under
+  // way is taken as lost: above the pause and the transfer of a read that is well.
+  utils::Duration behind_limit = utils::Milliseconds(1000);
   // Delays before a failed read or write is repeated; they double from the first to the longest.
   utils::Duration first_retry = utils::Milliseconds(150);
   utils::Duration longest_retry = utils::Milliseconds(1000);
--- a/libs/directory/src/directory.cc
+++ b/libs/directory/src/directory.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <string>
 #include <utility>
 
 #include "amaranthlatch/membership/member_table.h"
@@ -34,11 +35,13 @@
   void Handle(const MemberWriteEnded& event);
   void Handle(const BackendServerReady& event);
   void Handle(const BackendServerGone& event);
+  void Handle(const NewerVersionSeen& event);
   void Handle(const DrainStarted& event);
 
   void TakeConfiguration(MeshConfiguration::Pointer read);
   void TakeMember(const Member& member);
   void UpdateOwnState();
+  void AbandonLostRead();
   // Gives the reads and writes that are due.
   void Poll();
   details::StreamFollower& FollowerOf(Stream stream) {
@@ -51,6 +54,12 @@
   membership::details::MemberTable members;
   std::array<details::StreamFollower, kStreamCount> followers;
   MeshConfiguration::Pointer configuration;
+  // A version above the one in force that another node acts on, and since when it is known.
+  struct Behind {
+    document::Version version = 0;
+    Timestamp since{};
+  };
+  std::optional<Behind> behind;
   // The backend server takes work.
   bool server_ready = false;
   bool draining = false;
@@ -105,6 +114,13 @@
 
 void Directory::Impl::Handle(const BackendServerGone& /*event*/) { this->server_ready = false; }
 
+void Directory::Impl::Handle(const NewerVersionSeen& event) {
+  if (!this->behind && this->configuration != nullptr &&
+      event.version > this->configuration->GetVersion()) {
+    this->behind = Behind{event.version, this->now};
+  }
+}
+
 void Directory::Impl::Handle(const DrainStarted& /*event*/) { this->draining = true; }
 
 void Directory::Impl::TakeConfiguration(MeshConfiguration::Pointer read) {
@@ -116,6 +132,9 @@
   }
   ++this->counters.configurations;
   this->configuration = std::move(read);
+  if (this->behind && this->behind->version <= this->configuration->GetVersion()) {
+    this->behind.reset();
+  }
   this->effects.emplace_back(ConfigurationInForce{this->configuration->GetVersion(), previous,
                                                   this->configuration->RouteCount()});
 }
@@ -141,6 +160,23 @@
   this->members.Offer(this->own.Record(), this->now);
 }
 
+void Directory::Impl::AbandonLostRead() {
+  if (this->behind && this->now - this->behind->since >= this->options.behind_limit) {
+    // The next attempt has as much time.
+    this->behind->since = this->now;
+    if (this->FollowerOf(Stream::kConfiguration).Abandon(this->now)) {
+      ++this->counters.reads_abandoned;
+      this->effects.emplace_back(
+          RegisterReachable{Stream::kConfiguration,
+                            false,
+                            {utils::ErrorCode::kLogUnavailable,
+                             "no answer, and version " + std::to_string(this->behind->version) +
+                                 " is in use elsewhere",
+                             {}}});
+    }
+  }
+}
+
 void Directory::Impl::Poll() {
   for (details::StreamFollower& follower : this->followers) {
     if (std::optional<ReadStream> read = follower.Poll(this->now)) {
@@ -177,6 +213,7 @@
   all.now = now;
   std::visit([&all](const auto& value) { all.Handle(value); }, event);
   all.UpdateOwnState();
+  all.AbandonLostRead();
   all.Poll();
   return std::exchange(all.effects, {});
 }
@@ -195,6 +232,9 @@
   for (const details::StreamFollower& follower : all.followers) {
     keep(follower.NextWake());
   }
+  if (all.behind) {
+    keep(all.behind->since + all.options.behind_limit);
+  }
   if (all.followers.at(static_cast<std::size_t>(Stream::kMembers)).IsListed()) {
     keep(all.own.NextWake());
   }
--- a/libs/directory/src/stream_follower.cc
+++ b/libs/directory/src/stream_follower.cc
@@ -45,6 +45,17 @@
   this->next_read = now + RetryDelay(this->options, this->failures, random);
 }
 
+bool StreamFollower::Abandon(utils::Timestamp now) {
+  if (!this->reading || !this->position) {
+    return false;
+  }
+  this->reading = false;
+  ++this->failures;
+  this->position.reset();
+  this->next_read = now;
+  return true;
+}
+
 std::optional<utils::Timestamp> StreamFollower::NextWake() const {
   if (this->reading) {
     return std::nullopt;
--- a/libs/directory/src/stream_follower.h
+++ b/libs/directory/src/stream_follower.h
@@ -19,6 +19,9 @@
   // The read that is due, if any.
   std::optional<ReadStream> Poll(utils::Timestamp now);
   void OnRead(Position next, utils::Timestamp now);
+  // Gives up a read that waits for changes, and lists the stream at once. Returns false without
+  // one: a listing has a short limit of its own.
+  bool Abandon(utils::Timestamp now);
   void OnFailed(bool truncated, utils::Random& random, utils::Timestamp now);
 
   // None while a read is under way.
--- a/libs/directory/tests/directory_test.cc
+++ b/libs/directory/tests/directory_test.cc
@@ -136,6 +136,46 @@
   CHECK_TRUE(this->TakeRead(Stream::kConfiguration).has_value());
 }
 
+// Guards against a configuration that stays behind because the answer to a waiting read was lost.
+TEST(Directory, LostReadIsReplacedWhenOthersAreAhead) {
+  this->Begin();
+  this->Configure(9, 3);
+  CHECK_TRUE(this->TakeRead(Stream::kConfiguration)->from.has_value());
+  this->Give(NewerVersionSeen{9});
+  this->Pass(Seconds(5));
+  CHECK_FALSE(this->TakeRead(Stream::kConfiguration).has_value());
+  this->Give(NewerVersionSeen{10});
+  this->Pass(Milliseconds(500));
+  this->Give(NewerVersionSeen{11});
+  this->Pass(Milliseconds(499));
+  CHECK_FALSE(this->TakeRead(Stream::kConfiguration).has_value());
+  this->Pass(Milliseconds(1));
+  const auto listing = this->TakeRead(Stream::kConfiguration);
+  CHECK_TRUE(listing && !listing->from);
+  CHECK_EQUAL(1, this->directory.GetCounters().reads_abandoned);
+  CHECK_FALSE(this->Take<RegisterReachable>()->reachable);
+  // A listing has a limit of its own.
+  this->Pass(Seconds(5));
+  CHECK_FALSE(this->TakeRead(Stream::kConfiguration).has_value());
+  this->Configure(11, 5);
+  CHECK_TRUE(this->Take<RegisterReachable>()->reachable);
+  CHECK_TRUE(this->TakeRead(Stream::kConfiguration)->from.has_value());
+  this->Pass(Seconds(5));
+  CHECK_FALSE(this->TakeRead(Stream::kConfiguration).has_value());
+}
+
+// Guards against reads that are repeated while the node keeps pace with a storm of changes.
+TEST(Directory, NodeThatKeepsPaceAbandonsNoRead) {
+  this->Begin();
+  this->Configure(9, 3);
+  for (document::Version version = 10; version < 40; ++version) {
+    this->Give(NewerVersionSeen{version});
+    this->Pass(Milliseconds(900));
+    this->Configure(version, version);
+  }
+  CHECK_EQUAL(0, this->directory.GetCounters().reads_abandoned);
+}
+
 // Guards against following from records that the register has dropped.
 TEST(Directory, ListsAgainAfterTruncation) {
   this->Begin();
--- a/libs/node/src/register_node.cc
+++ b/libs/node/src/register_node.cc
@@ -51,6 +51,8 @@
 
   void GiveDirectory(const directory::Event& event);
   void GiveCalls(const calls::Event& event);
+  // Tells the directory if a call was routed by a newer configuration.
+  void NoteVersion(const calls::Message& message);
   // Tells calls what has changed for them.
   void UpdateCalls();
   void CloseEntryIfDue();
@@ -150,10 +152,18 @@
 
 void RegisterNode::Parts::Handle(const MessageReceived& event) {
   if (const auto* call = std::get_if<calls::Message>(&event.message)) {
+    this->NoteVersion(*call);
     this->GiveCalls(calls::PeerMessage{event.from, *call});
   }
 }
 
+void RegisterNode::Parts::NoteVersion(const calls::Message& message) {
+  const auto* const request = std::get_if<calls::CallRequest>(&message);
+  if (request != nullptr && request->version > this->highest_version) {
+    this->GiveDirectory(directory::NewerVersionSeen{request->version});
+  }
+}
+
 void RegisterNode::Parts::Handle(const MessageNotSent& event) {
   const auto* const call = std::get_if<calls::Message>(&event.message);
   const auto* const request = call == nullptr ? nullptr : std::get_if<calls::CallRequest>(call);
--- a/libs/node/tests/register_node_test.cc
+++ b/libs/node/tests/register_node_test.cc
@@ -97,6 +97,19 @@
   }
 };
 
+// Guards against a node that stays behind although calls show it that others are ahead.
+TEST(RegisterNode, CallsOfANewerConfigurationReplaceALostRead) {
+  Configure(3);
+  TakeAll<directory::ReadStream>();
+  calls::CallRequest request;
+  request.version = 4;
+  Give(MessageReceived{"10.0.0.2:1", calls::Message(request)});
+  Pass(Seconds(1));
+  const auto reads = TakeAll<directory::ReadStream>();
+  LONGS_EQUAL(1, reads.size());
+  CHECK_TRUE(reads[0].stream == Stream::kConfiguration && !reads[0].from);
+}
+
 // Guards against "no such route" from a node that knows no configuration yet.
 TEST(RegisterNode, RefusesAsNotReadyBeforeTheFirstConfiguration) {
   this->Give(WakeUp{});
--- a/libs/runtime/include/amaranthlatch/runtime/adapter.h
+++ b/libs/runtime/include/amaranthlatch/runtime/adapter.h
@@ -36,7 +36,8 @@
   virtual std::string_view NameOf(const calls::HttpRequest& request) const = 0;
 };
 
-// Reads and writes records of a register. Every effect is answered by one event, later.
+// Reads and writes records of a register. Every effect is answered by one event, later; a read that
+// is replaced by another of its stream is not.
 class RegisterClient {
  public:
   using Report = std::function<void(const directory::Event&)>;
--- a/libs/runtime/tests/log_writer_test.cc
+++ b/libs/runtime/tests/log_writer_test.cc
@@ -16,7 +16,9 @@
 
 constexpr std::size_t kMaxWaitingBytes = 10000;
 constexpr utils::Duration kLimit = utils::Seconds(10);
-const std::string kLine = std::string(99, 'x') + "\n";
+constexpr std::size_t kLineBytes = 100;
+
+std::string Line() { return std::string(kLineBytes - 1, 'x') + "\n"; }
 
 }  // namespace
 
@@ -69,7 +71,7 @@
   const std::size_t filled = Fill();
   LogWriter writer(ends[1], kMaxWaitingBytes);
   for (int i = 0; i < kLines; ++i) {
-    writer.Write(kLine);
+    writer.Write(Line());
   }
   CHECK_FALSE(writer.Flush(utils::Milliseconds(1)));
   const std::uint64_t dropped = writer.Dropped();
@@ -79,7 +81,7 @@
     Read();
   }
   Read();
-  LONGS_EQUAL(filled + (kLines - dropped) * kLine.size(), received.size());
+  LONGS_EQUAL(filled + (kLines - dropped) * kLineBytes, received.size());
   writer.Write("after\n");
   CHECK_TRUE(writer.Flush(kLimit));
   Read();
@@ -90,7 +92,7 @@
 // Guards against losses that are not counted.
 TEST(LogWriterTest, CountsWritesThatFail) {
   LogWriter writer(-1, kMaxWaitingBytes);
-  writer.Write(kLine);
+  writer.Write(Line());
   CHECK_TRUE(writer.Flush(kLimit));
   LONGS_EQUAL(1, writer.FailedWrites());
 }
