Time the wait for a configuration from the start of the read

Cause: a read was given up 1 s after a newer version was first seen, although 0.7 s of that is the delay before the read. Change: the time counts from the start of the read in flight; a wake-up over 250 ms late shows that the node itself was delayed and starts the wait again.

--- a/libs/directory/include/amaranthlatch/directory/options.h
+++ b/libs/directory/include/amaranthlatch/directory/options.h
@@ -28,8 +28,11 @@
   utils::Duration configuration_read_delay = utils::Milliseconds(700);
   utils::Duration members_read_delay = utils::Milliseconds(500);
   // Time after which a read in flight is considered lost if another node uses a newer configuration
-  // version. Must exceed the read delay plus the transfer time of a successful read.
+  // version. Must exceed the transfer time of a successful read.
   utils::Duration stale_configuration_timeout = utils::Milliseconds(1000);
+  // A wake-up that is later than this shows that the node itself was delayed; what it awaits may
+  // have been received meanwhile.
+  utils::Duration max_wake_delay = utils::Milliseconds(250);
   // Delay before a failed read or write is retried. It doubles with every consecutive failure, from
   // the initial up to the maximum delay.
   utils::Duration initial_retry_delay = utils::Milliseconds(150);
--- a/libs/directory/src/directory.cc
+++ b/libs/directory/src/directory.cc
@@ -41,6 +41,9 @@
   void ApplyConfiguration(MeshConfiguration::Pointer read);
   void ApplyMember(const Member& member);
   void UpdateOwnState();
+  // When the waiting read counts as lost; none if nothing newer than the configuration in force is
+  // known.
+  std::optional<Timestamp> StalledReadTimeout() const;
   void AbandonStalledRead();
   // Emits the reads and writes that are due.
   void Poll();
@@ -54,8 +57,8 @@
   membership::details::MemberTable members;
   std::array<details::StreamFollower, kStreamCount> followers;
   MeshConfiguration::Pointer configuration;
-  // A version above the one in force that another node uses, and the start of the current wait for
-  // it.
+  // A version above the one in force that another node uses, and the time since which it is
+  // awaited.
   struct NewerVersion {
     document::Version version = 0;
     Timestamp waiting_since{};
@@ -162,22 +165,34 @@
   this->members.Merge(this->own_entry.Record(), this->now);
 }
 
+std::optional<Timestamp> Directory::Impl::StalledReadTimeout() const {
+  const std::optional<Timestamp> read_start =
+      this->followers.at(static_cast<std::size_t>(Stream::kConfiguration)).WaitingSince();
+  if (!this->newer_version || !read_start) {
+    return std::nullopt;
+  }
+  return std::max(this->newer_version->waiting_since, *read_start) +
+         this->options.stale_configuration_timeout;
+}
+
 void Directory::Impl::AbandonStalledRead() {
-  if (this->newer_version &&
-      this->now - this->newer_version->waiting_since >= this->options.stale_configuration_timeout) {
-    // The replacement read gets the full timeout as well.
+  const std::optional<Timestamp> timeout = this->StalledReadTimeout();
+  if (!timeout || this->now < *timeout) {
+    return;
+  }
+  if (this->now - *timeout > this->options.max_wake_delay) {
     this->newer_version->waiting_since = this->now;
-    if (this->GetFollower(Stream::kConfiguration).AbandonRead(this->now)) {
-      ++this->counters.reads_abandoned;
-      this->effects.emplace_back(
-          RegisterReachabilityChanged{Stream::kConfiguration,
-                                      false,
-                                      {utils::ErrorCode::kLogUnavailable,
-                                       "read abandoned without an answer: version " +
-                                           std::to_string(this->newer_version->version) +
-                                           " is already in force on another node",
-                                       {}}});
-    }
+    return;
+  }
+  if (this->GetFollower(Stream::kConfiguration).AbandonRead(this->now)) {
+    ++this->counters.reads_abandoned;
+    this->effects.emplace_back(RegisterReachabilityChanged{
+        Stream::kConfiguration,
+        false,
+        {utils::ErrorCode::kLogUnavailable,
+         "read abandoned without an answer: version " +
+             std::to_string(this->newer_version->version) + " is already in force on another node",
+         {}}});
   }
 }
 
@@ -239,10 +254,7 @@
   for (const details::StreamFollower& follower : reducer.followers) {
     keep_earliest(follower.NextWake());
   }
-  if (reducer.newer_version) {
-    keep_earliest(reducer.newer_version->waiting_since +
-                  reducer.options.stale_configuration_timeout);
-  }
+  keep_earliest(reducer.StalledReadTimeout());
   if (reducer.followers.at(static_cast<std::size_t>(Stream::kMembers)).IsListed()) {
     keep_earliest(reducer.own_entry.NextWake());
   }
--- a/libs/directory/src/stream_follower.cc
+++ b/libs/directory/src/stream_follower.cc
@@ -25,6 +25,7 @@
     return std::nullopt;
   }
   this->read_in_flight = true;
+  this->read_start = now;
   return ReadStream{this->stream, this->next_position,
                     this->next_position ? this->options.max_read_wait : utils::Duration{}};
 }
@@ -59,6 +60,13 @@
   return true;
 }
 
+std::optional<utils::Timestamp> StreamFollower::WaitingSince() const {
+  if (!this->read_in_flight || !this->next_position) {
+    return std::nullopt;
+  }
+  return this->read_start;
+}
+
 std::optional<utils::Timestamp> StreamFollower::NextWake() const {
   if (this->read_in_flight) {
     return std::nullopt;
--- a/libs/directory/src/stream_follower.h
+++ b/libs/directory/src/stream_follower.h
@@ -26,6 +26,8 @@
   bool AbandonRead(utils::Timestamp now);
   void OnReadFailed(bool truncated, utils::Random& random, utils::Timestamp now);
 
+  // When the read that waits for changes was started; none if no such read is in flight.
+  std::optional<utils::Timestamp> WaitingSince() const;
   // When the next read is due; none while a read is in flight.
   std::optional<utils::Timestamp> NextWake() const;
   // Whether at least one listing has succeeded.
@@ -40,6 +42,8 @@
   std::optional<Position> next_position;
   bool listed = false;
   bool read_in_flight = false;
+  // Start of the latest read.
+  utils::Timestamp read_start{};
   std::uint32_t consecutive_failures = 0;
   utils::Timestamp next_read_time{};
 };
--- a/libs/directory/tests/directory_test.cc
+++ b/libs/directory/tests/directory_test.cc
@@ -179,6 +179,38 @@
   CHECK_EQUAL(0, this->directory.GetCounters().reads_abandoned);
 }
 
+// Guards against counting the delay before a read as time spent waiting for it: in a fast series of
+// changes, some other node uses a newer version at any time.
+TEST(Directory, SlowReadIsNotAbandonedBecauseOfTheDelayBeforeIt) {
+  this->StartWithoutMembers();
+  this->DispatchConfiguration(8, 3);
+  // The read after the listing had no delay.
+  this->DispatchConfiguration(9, 4);
+  for (document::Version version = 10; version < 200; version += 4) {
+    this->Dispatch(NewerVersionObserved{version + 3});
+    // The delay of 700 ms, and a transfer of 500 ms.
+    this->AdvanceTime(Milliseconds(1200));
+    this->DispatchConfiguration(version, version);
+  }
+  CHECK_EQUAL(0, this->directory.GetCounters().reads_abandoned);
+}
+
+// Guards against taking the delays of the node itself, such as a lack of processor time, for a lost
+// response: the response may already have been received.
+TEST(Directory, DelayedNodeAwaitsReadForAnotherTimeout) {
+  this->StartWithoutMembers();
+  this->DispatchConfiguration(9, 3);
+  this->TakeLastRead(Stream::kConfiguration);
+  this->Dispatch(NewerVersionObserved{10});
+  this->now += Seconds(3);
+  this->Dispatch(WakeUp{});
+  CHECK_EQUAL(0, this->directory.GetCounters().reads_abandoned);
+  this->AdvanceTime(Milliseconds(999));
+  CHECK_EQUAL(0, this->directory.GetCounters().reads_abandoned);
+  this->AdvanceTime(Milliseconds(1));
+  CHECK_EQUAL(1, this->directory.GetCounters().reads_abandoned);
+}
+
 // Guards against reading on from a position whose records the register has deleted.
 TEST(Directory, ListsAgainAfterTruncation) {
   this->StartWithoutMembers();
