Encode call messages in one pass, without a JSON tree

Change: utils::CborWriter and CborReader on libcbor's streaming interface; call messages and envelopes are written and read in place. The bytes are the same as before (property test against the JSON library's encoder), so nodes of both builds understand each other. New package: libcbor-dev.

--- a/libs/calls/include/amaranthlatch/calls/message_codec.h
+++ b/libs/calls/include/amaranthlatch/calls/message_codec.h
@@ -1,19 +1,20 @@
-// JSON encoding of the calls messages: arrays [type, fields...] with binary bodies.
+// CBOR encoding of the calls messages: arrays [type, fields...] with bodies as byte strings.
 
 #pragma once
 
-#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
 
 #include "amaranthlatch/calls/message.h"
 #include "amaranthlatch/utils/result.h"
 
 namespace amaranthlatch::calls {
 
-nlohmann::json ToJson(const Message& message);
+std::string ToCbor(const Message& message);
 
 // Fails with kMessageMalformed if the structure is invalid and kMessageTooLarge if a limit is
 // exceeded.
-utils::Result<Message> MessageFromJson(const nlohmann::json& json);
+utils::Result<Message> MessageFromCbor(std::string_view bytes);
 
 // Whether the value fits the limits of the codec; receivers reject larger messages.
 bool FitsMessage(const HttpRequest& request);
--- a/libs/calls/src/message_codec.cc
+++ b/libs/calls/src/message_codec.cc
@@ -1,17 +1,19 @@
-// Encodes call messages as JSON arrays and decodes them with strict type and size checks.
+// Encodes call messages as CBOR arrays and decodes them with strict type and size checks.
 
 #include "amaranthlatch/calls/message_codec.h"
 
+#include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
-#include <type_traits>
 #include <utility>
 #include <vector>
 
+#include "amaranthlatch/utils/cbor.h"
+
 namespace amaranthlatch::calls {
 
 namespace {
-using nlohmann::json;
 using utils::ErrorCode;
 
 enum class MessageType : std::uint8_t {
@@ -40,58 +42,34 @@
 // Size of the length prefix of a header name or value.
 constexpr std::size_t kLengthPrefixBytes = 2;
 
-// Reads the fields of an array in order. After the first error all further fields are empty.
+// Reads the fields of a message in order; see CborReader for errors.
 class Reader {
  public:
-  explicit Reader(const json& array) : array(array) {}
+  explicit Reader(std::string_view bytes) : input(bytes), size(this->input.ArraySize(kMaxFields)) {}
 
   std::uint64_t Number(std::uint64_t max = UINT64_MAX) {
-    const json* field = this->Next();
-    if (field == nullptr || !field->is_number_unsigned()) {
-      this->FailWith(ErrorCode::kMessageMalformed);
-      return 0;
-    }
-    const auto value = field->get<std::uint64_t>();
-    if (value > max) {
-      this->FailWith(ErrorCode::kMessageMalformed);
-      return 0;
-    }
-    return value;
+    ++this->fields;
+    return this->input.Number(max);
   }
 
   std::uint32_t Number32() { return static_cast<std::uint32_t>(this->Number(UINT32_MAX)); }
 
   bool Flag() {
-    const json* field = this->Next();
-    if (field == nullptr || !field->is_boolean()) {
-      this->FailWith(ErrorCode::kMessageMalformed);
-      return false;
-    }
-    return field->get<bool>();
+    ++this->fields;
+    return this->input.Flag();
   }
 
   std::string Text(std::size_t max) {
-    const json* field = this->Next();
-    if (field == nullptr || !field->is_string()) {
-      this->FailWith(ErrorCode::kMessageMalformed);
-      return {};
-    }
-    return this->Bounded(field->get_ref<const std::string&>(), max);
+    ++this->fields;
+    return std::string(this->input.Text(max));
   }
 
-  // Bytes from callers need not be valid UTF-8, so they are sent as binary values.
-  std::string Bytes(std::size_t max) {
-    const json* field = this->Next();
-    if (field == nullptr || !field->is_binary()) {
-      this->FailWith(ErrorCode::kMessageMalformed);
-      return {};
-    }
-    const std::vector<std::uint8_t>& bytes = field->get_binary();
-    if (bytes.size() > max) {
-      this->FailWith(ErrorCode::kMessageTooLarge);
-      return {};
-    }
-    return std::string(reinterpret_cast<const char*>(bytes.data()), bytes.size());
+  // Bytes from callers need not be valid UTF-8, so they are sent as byte strings.
+  std::string Bytes(std::size_t max) { return std::string(this->ByteString(max)); }
+
+  std::vector<std::uint64_t> Numbers(std::size_t max_count) {
+    ++this->fields;
+    return this->input.Numbers(max_count);
   }
 
   AttemptId Id() {
@@ -103,17 +81,16 @@
     return id;
   }
 
-  // Reads one binary value that holds pairs of length-prefixed names and values.
+  // Reads one byte string that holds pairs of length-prefixed names and values.
   Headers HeaderFields() {
-    const std::string bytes = this->Bytes(kMaxHeaderBytes);
+    std::string_view bytes = this->ByteString(kMaxHeaderBytes);
     Headers headers;
-    std::size_t at = 0;
-    while (at < bytes.size() && !this->error) {
-      std::string name = this->LengthPrefixed(bytes, at);
-      std::string value = this->LengthPrefixed(bytes, at);
+    while (!bytes.empty() && !this->input.Error()) {
+      std::string name = this->LengthPrefixed(bytes);
+      std::string value = this->LengthPrefixed(bytes);
       headers.emplace_back(std::move(name), std::move(value));
       if (headers.size() > kMaxHeaderFields) {
-        this->FailWith(ErrorCode::kMessageTooLarge);
+        this->input.FailWith(ErrorCode::kMessageTooLarge);
       }
     }
     return headers;
@@ -131,170 +108,188 @@
     return ErrorCode::kOk;
   }
 
-  const json* Next() {
-    if (this->error || this->index >= this->array.size()) {
-      this->FailWith(ErrorCode::kMessageMalformed);
-      return nullptr;
-    }
-    return &this->array[this->index++];
-  }
+  void FailWith(ErrorCode code) { this->input.FailWith(code); }
 
-  void FailWith(ErrorCode code) {
-    if (!this->error) {
-      this->error = code;
-    }
-  }
-
-  // Returns the first error, or kMessageMalformed if fields are left over.
+  // Returns the first error, or kMessageMalformed if fields or bytes are left over.
   std::optional<ErrorCode> Error() const {
-    if (!this->error && this->index != this->array.size()) {
+    if (!this->input.Error() && (this->fields != this->size || !this->input.AtEnd())) {
       return ErrorCode::kMessageMalformed;
     }
-    return this->error;
+    return this->input.Error();
   }
 
  private:
-  std::string Bounded(const std::string& text, std::size_t max) {
-    if (text.size() > max) {
-      this->FailWith(ErrorCode::kMessageTooLarge);
-      return {};
-    }
-    return text;
+  static constexpr std::size_t kMaxFields = 64;
+
+  std::string_view ByteString(std::size_t max) {
+    ++this->fields;
+    return this->input.Bytes(max);
   }
 
-  std::string LengthPrefixed(const std::string& bytes, std::size_t& at) {
+  // Removes a length-prefixed text from the front of `bytes`.
+  std::string LengthPrefixed(std::string_view& bytes) {
     constexpr unsigned kByteBits = 8;
-    if (this->error || bytes.size() - at < kLengthPrefixBytes) {
+    if (bytes.size() < kLengthPrefixBytes) {
       this->FailWith(ErrorCode::kMessageMalformed);
       return {};
     }
-    const auto low = static_cast<unsigned char>(bytes[at]);
-    const auto high = static_cast<unsigned char>(bytes[at + 1]);
-    const std::size_t size = low | (static_cast<std::size_t>(high) << kByteBits);
-    at += kLengthPrefixBytes;
-    if (bytes.size() - at < size) {
+    const auto low = static_cast<unsigned char>(bytes[0]);
+    const auto high = static_cast<unsigned char>(bytes[1]);
+    const std::size_t length = low | (static_cast<std::size_t>(high) << kByteBits);
+    bytes.remove_prefix(kLengthPrefixBytes);
+    if (bytes.size() < length) {
       this->FailWith(ErrorCode::kMessageMalformed);
       return {};
     }
-    std::string out = bytes.substr(at, size);
-    at += size;
-    return out;
+    std::string text(bytes.substr(0, length));
+    bytes.remove_prefix(length);
+    return text;
   }
 
-  const json& array;
-  std::size_t index = 0;
-  std::optional<ErrorCode> error;
+  utils::CborReader input;
+  // Number of fields of the message, and of those read.
+  std::size_t size = 0;
+  std::size_t fields = 0;
 };
 
-bool HeadersFit(const Headers& headers) {
+std::size_t EncodedSize(const Headers& headers) {
   std::size_t bytes = 0;
   for (const auto& [name, value] : headers) {
     bytes += name.size() + value.size() + 2 * kLengthPrefixBytes;
   }
-  return headers.size() <= kMaxHeaderFields && bytes <= kMaxHeaderBytes;
+  return bytes;
 }
 
-json Binary(const std::string& bytes) {
-  return json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+bool HeadersFit(const Headers& headers) {
+  return headers.size() <= kMaxHeaderFields && EncodedSize(headers) <= kMaxHeaderBytes;
 }
 
-void AppendLengthPrefixed(std::vector<std::uint8_t>& out, const std::string& text) {
-  constexpr std::uint8_t kByteMask = 0xff;
+// FitsMessage limits header names and values to less than the prefix can express.
+void AppendLengthPrefixed(std::string& out, std::string_view text) {
+  constexpr std::size_t kByteMask = 0xff;
   constexpr unsigned kByteBits = 8;
-  // FitsMessage limits header fields to less than this; a longer text is truncated.
-  const std::size_t size = std::min<std::size_t>(text.size(), UINT16_MAX);
-  out.push_back(static_cast<std::uint8_t>(size & kByteMask));
-  out.push_back(static_cast<std::uint8_t>(size >> kByteBits));
-  out.insert(out.end(), text.begin(), text.begin() + static_cast<std::ptrdiff_t>(size));
+  out.push_back(static_cast<char>(text.size() & kByteMask));
+  out.push_back(static_cast<char>((text.size() >> kByteBits) & kByteMask));
+  out.append(text);
 }
 
-json HeadersToJson(const Headers& headers) {
-  std::vector<std::uint8_t> bytes;
-  for (const auto& [name, value] : headers) {
-    AppendLengthPrefixed(bytes, name);
-    AppendLengthPrefixed(bytes, value);
-  }
-  return json::binary(std::move(bytes));
-}
-
-// Builds a JSON array without the copies that an initializer list makes.
+// Writes the array of a message: its type, then its fields.
 class Writer {
  public:
-  explicit Writer(MessageType type) {
-    this->fields.reserve(kReservedFields);
-    this->Add(static_cast<std::uint64_t>(type));
+  Writer(MessageType type, std::size_t fields, std::size_t reserved_bytes) : output(this->bytes) {
+    this->bytes.reserve(reserved_bytes);
+    this->output.Array(fields + 1).Number(static_cast<std::uint64_t>(type));
   }
 
-  template <typename T>
-  Writer& Add(T&& value) {
-    this->fields.emplace_back(std::forward<T>(value));
+  Writer& Number(std::uint64_t value) {
+    this->output.Number(value);
     return *this;
   }
-
-  Writer& Add(const AttemptId& id) {
-    return this->Add(id.entry).Add(id.entry_boot_id).Add(id.call).Add(id.attempt);
+  Writer& Time(utils::Duration time) {
+    return this->Number(static_cast<std::uint64_t>(std::max<std::int64_t>(0, time.count())));
+  }
+  Writer& Flag(bool value) {
+    this->output.Flag(value);
+    return *this;
+  }
+  Writer& Text(std::string_view value) {
+    this->output.Text(value);
+    return *this;
+  }
+  Writer& Bytes(std::string_view value) {
+    this->output.Bytes(value);
+    return *this;
+  }
+  Writer& Id(const AttemptId& id) {
+    return this->Text(id.entry).Number(id.entry_boot_id).Number(id.call).Number(id.attempt);
+  }
+  Writer& HeaderFields(const Headers& headers) {
+    this->output.BytesHeader(EncodedSize(headers));
+    for (const auto& [name, value] : headers) {
+      AppendLengthPrefixed(this->bytes, name);
+      AppendLengthPrefixed(this->bytes, value);
+    }
+    return *this;
+  }
+  Writer& Numbers(const std::vector<std::uint64_t>& numbers) {
+    this->output.Array(numbers.size());
+    for (const std::uint64_t number : numbers) {
+      this->output.Number(number);
+    }
+    return *this;
   }
 
-  json Take() { return json(std::move(this->fields)); }
+  std::string Take() { return std::move(this->bytes); }
 
  private:
-  static constexpr std::size_t kReservedFields = 24;
-  json::array_t fields;
+  std::string bytes;
+  utils::CborWriter output;
 };
 
-json Encode(const CallRequest& m) {
-  Writer out(MessageType::kCallRequest);
-  out.Add(m.id).Add(m.gate_incarnation).Add(m.gate_boot_id).Add(m.service).Add(m.route);
-  out.Add(m.version).Add(Binary(m.request.method)).Add(Binary(m.request.target));
-  out.Add(Binary(m.request.host)).Add(HeadersToJson(m.request.headers));
-  out.Add(Binary(m.request.body));
-  out.Add(static_cast<std::uint64_t>(std::max<std::int64_t>(0, m.remaining.count())));
-  out.Add(static_cast<std::uint64_t>(std::max<std::int64_t>(0, m.latency_budget.count())));
-  out.Add(m.idempotent).Add(static_cast<std::uint64_t>(m.priority)).Add(m.fingerprint);
-  out.Add(m.permit).Add(m.max_response_bytes);
+// Fields of an attempt id.
+constexpr std::size_t kIdFields = 4;
+// Enough for the fixed fields of any message and usual names.
+constexpr std::size_t kReservedBytes = 512;
+
+std::string Encode(const CallRequest& m) {
+  constexpr std::size_t kFields = kIdFields + 17;
+  Writer out(MessageType::kCallRequest, kFields,
+             kReservedBytes + EncodedSize(m.request.headers) + m.request.body.size());
+  out.Id(m.id).Number(m.gate_incarnation).Number(m.gate_boot_id).Text(m.service).Text(m.route);
+  out.Number(m.version).Bytes(m.request.method).Bytes(m.request.target).Bytes(m.request.host);
+  out.HeaderFields(m.request.headers).Bytes(m.request.body);
+  out.Time(m.remaining).Time(m.latency_budget).Flag(m.idempotent);
+  out.Number(static_cast<std::uint64_t>(m.priority)).Number(m.fingerprint);
+  out.Text(m.permit).Number(m.max_response_bytes);
   return out.Take();
 }
 
-json Encode(const CallReply& m) {
-  Writer out(MessageType::kCallReply);
-  out.Add(m.id).Add(static_cast<std::uint64_t>(m.answer.kind));
-  out.Add(utils::ToNumber(m.answer.code)).Add(m.answer.message);
-  out.Add(static_cast<std::uint64_t>(m.answer.response.status));
-  out.Add(HeadersToJson(m.answer.response.headers)).Add(Binary(m.answer.response.body));
-  out.Add(m.answer.no_retry).Add(m.load.in_flight);
+std::string Encode(const CallReply& m) {
+  constexpr std::size_t kFields = kIdFields + 9 + document::kPriorityCount;
+  Writer out(
+      MessageType::kCallReply, kFields,
+      kReservedBytes + EncodedSize(m.answer.response.headers) + m.answer.response.body.size());
+  out.Id(m.id).Number(static_cast<std::uint64_t>(m.answer.kind));
+  out.Number(utils::ToNumber(m.answer.code)).Text(m.answer.message);
+  out.Number(static_cast<std::uint64_t>(m.answer.response.status));
+  out.HeaderFields(m.answer.response.headers).Bytes(m.answer.response.body);
+  out.Flag(m.answer.no_retry).Number(m.load.in_flight);
   for (const std::uint32_t queued : m.load.queued) {
-    out.Add(queued);
+    out.Number(queued);
   }
-  out.Add(m.redirect);
-  return out.Take();
+  return out.Text(m.redirect).Take();
 }
 
-json Encode(const CallCancel& m) {
-  return Writer(MessageType::kCallCancel).Add(m.id).Add(m.gate_boot_id).Add(m.abort).Take();
+std::string Encode(const CallCancel& m) {
+  Writer out(MessageType::kCallCancel, kIdFields + 2, kReservedBytes);
+  return out.Id(m.id).Number(m.gate_boot_id).Flag(m.abort).Take();
 }
 
-json Encode(const CallCancelReply& m) {
-  return Writer(MessageType::kCallCancelReply).Add(m.id).Add(m.ran).Add(m.running).Take();
+std::string Encode(const CallCancelReply& m) {
+  Writer out(MessageType::kCallCancelReply, kIdFields + 2, kReservedBytes);
+  return out.Id(m.id).Flag(m.ran).Flag(m.running).Take();
 }
 
-json Encode(const PermitRequest& m) {
-  return Writer(MessageType::kPermitRequest).Add(m.request).Add(m.service).Add(m.route).Take();
+std::string Encode(const PermitRequest& m) {
+  Writer out(MessageType::kPermitRequest, 3, kReservedBytes);
+  return out.Number(m.request).Text(m.service).Text(m.route).Take();
 }
 
-json Encode(const PermitReply& m) {
-  Writer out(MessageType::kPermitReply);
-  out.Add(m.request).Add(utils::ToNumber(m.code)).Add(m.permit).Add(m.expires_in_ms);
-  return out.Take();
+std::string Encode(const PermitReply& m) {
+  Writer out(MessageType::kPermitReply, 4, kReservedBytes);
+  out.Number(m.request).Number(utils::ToNumber(m.code)).Text(m.permit);
+  return out.Number(m.expires_in_ms).Take();
 }
 
-json Encode(const CrashReport& m) {
-  Writer out(MessageType::kCrashReport);
-  out.Add(m.service).Add(json(m.fingerprints)).Add(m.gate).Add(m.gate_boot_id).Add(m.crash);
-  return out.Take();
+std::string Encode(const CrashReport& m) {
+  Writer out(MessageType::kCrashReport, 5, kReservedBytes);
+  out.Text(m.service).Numbers(m.fingerprints).Text(m.gate);
+  return out.Number(m.gate_boot_id).Number(m.crash).Take();
 }
 
-json Encode(const CrashCleared& m) {
-  return Writer(MessageType::kCrashCleared).Add(m.service).Add(m.fingerprint).Take();
+std::string Encode(const CrashCleared& m) {
+  Writer out(MessageType::kCrashCleared, 2, kReservedBytes);
+  return out.Text(m.service).Number(m.fingerprint).Take();
 }
 
 Message DecodeCallRequest(Reader& in) {
@@ -374,20 +369,7 @@
 Message DecodeCrashReport(Reader& in) {
   CrashReport m;
   m.service = in.Text(kMaxNameBytes);
-  const json* list = in.Next();
-  if (list == nullptr || !list->is_array()) {
-    in.FailWith(ErrorCode::kMessageMalformed);
-  } else if (list->size() > kMaxFingerprints) {
-    in.FailWith(ErrorCode::kMessageTooLarge);
-  } else {
-    for (const json& item : *list) {
-      if (!item.is_number_unsigned()) {
-        in.FailWith(ErrorCode::kMessageMalformed);
-        break;
-      }
-      m.fingerprints.push_back(item.get<std::uint64_t>());
-    }
-  }
+  m.fingerprints = in.Numbers(kMaxFingerprints);
   m.gate = in.Text(kMaxNameBytes);
   m.gate_boot_id = in.Number();
   m.crash = in.Number();
@@ -436,15 +418,12 @@
          response.body.size() <= kMaxBodyBytes;
 }
 
-json ToJson(const Message& message) {
+std::string ToCbor(const Message& message) {
   return std::visit([](const auto& m) { return Encode(m); }, message);
 }
 
-utils::Result<Message> MessageFromJson(const json& json) {
-  if (!json.is_array()) {
-    return utils::Fail(ErrorCode::kMessageMalformed, "call message is not a JSON array");
-  }
-  Reader in(json);
+utils::Result<Message> MessageFromCbor(std::string_view bytes) {
+  Reader in(bytes);
   const auto type = static_cast<MessageType>(in.Number(UINT8_MAX));
   Message message = Decode(type, in);
   if (const auto error = in.Error()) {
--- a/libs/calls/tests/call_components_test.cc
+++ b/libs/calls/tests/call_components_test.cc
@@ -86,6 +86,14 @@
       return CrashCleared{"fleet", *rc::gen::arbitrary<std::uint64_t>()};
   }
 }
+
+json ToTree(const Message& message) { return json::from_cbor(ToCbor(message)); }
+
+std::string FromTree(const json& tree) {
+  std::string bytes;
+  json::to_cbor(tree, bytes);
+  return bytes;
+}
 }  // namespace
 
 // Guards against messages that change in encoding, and against decoding a message with a missing or
@@ -93,41 +101,46 @@
 TEST(CallComponents, CodecRoundTripsMessagesAndRejectsMalformedOnes) {
   const bool holds = rc::check([] {
     const Message message = AnyMessage();
-    const json encoded = ToJson(message);
-    const auto decoded = MessageFromJson(json::from_cbor(json::to_cbor(encoded)));
+    const json encoded = ToTree(message);
+    // The tree's own encoder produces the same bytes.
+    const std::string bytes = ToCbor(message);
+    RC_ASSERT(FromTree(encoded) == bytes);
+    const auto decoded = MessageFromCbor(bytes);
     RC_ASSERT(decoded.has_value());
     RC_ASSERT(*decoded == message);
     for (std::size_t i = 0; i < encoded.size(); ++i) {
       json changed = encoded;
       changed[i] = json::object();
-      RC_ASSERT(!MessageFromJson(changed).has_value());
+      RC_ASSERT(!MessageFromCbor(FromTree(changed)).has_value());
       changed = encoded;
       changed.erase(i);
-      RC_ASSERT(!MessageFromJson(changed).has_value());
+      RC_ASSERT(!MessageFromCbor(FromTree(changed)).has_value());
     }
     json longer = encoded;
     longer.push_back(1);
-    RC_ASSERT(!MessageFromJson(longer).has_value());
+    RC_ASSERT(!MessageFromCbor(FromTree(longer)).has_value());
+    RC_ASSERT(!MessageFromCbor(bytes + bytes).has_value());
+    RC_ASSERT(!MessageFromCbor(bytes.substr(0, bytes.size() - 1)).has_value());
   });
   CHECK_TRUE(holds);
 }
 
 // Guards against messages that exceed the size limits or contain unknown values.
 TEST(CallComponents, CodecBoundsFields) {
-  CHECK_FALSE(MessageFromJson(json::object()).has_value());
-  CHECK_FALSE(MessageFromJson(json::array({99})).has_value());
+  CHECK_FALSE(MessageFromCbor(FromTree(json::object())).has_value());
+  CHECK_FALSE(MessageFromCbor(FromTree(json::array({99}))).has_value());
   CallRequest request;
   request.service = std::string(300, 'x');
-  CHECK_TRUE(MessageFromJson(ToJson(request)).error().code == ErrorCode::kMessageTooLarge);
+  CHECK_TRUE(MessageFromCbor(ToCbor(request)).error().code == ErrorCode::kMessageTooLarge);
   request = CallRequest{};
   request.request.headers.assign(300, {"a", "b"});
-  CHECK_TRUE(MessageFromJson(ToJson(request)).error().code == ErrorCode::kMessageTooLarge);
+  CHECK_TRUE(MessageFromCbor(ToCbor(request)).error().code == ErrorCode::kMessageTooLarge);
   CrashReport report;
   report.fingerprints.resize(5'000);
-  CHECK_TRUE(MessageFromJson(ToJson(report)).error().code == ErrorCode::kMessageTooLarge);
-  json reply = ToJson(PermitReply{1, ErrorCode::kOk, "", 0});
+  CHECK_TRUE(MessageFromCbor(ToCbor(report)).error().code == ErrorCode::kMessageTooLarge);
+  json reply = ToTree(PermitReply{1, ErrorCode::kOk, "", 0});
   reply[2] = 4;
-  CHECK_FALSE(MessageFromJson(reply).has_value());
+  CHECK_FALSE(MessageFromCbor(FromTree(reply)).has_value());
 }
 
 // Guards against FitsMessage accepting requests or responses that the receiver rejects.
@@ -141,8 +154,8 @@
     CHECK_EQUAL(bytes <= 65'532, fits);
     CHECK_EQUAL(fits, FitsMessage(reply.answer.response));
     if (fits) {
-      CHECK_TRUE(MessageFromJson(ToJson(request)).has_value());
-      CHECK_TRUE(MessageFromJson(ToJson(reply)).has_value());
+      CHECK_TRUE(MessageFromCbor(ToCbor(request)).has_value());
+      CHECK_TRUE(MessageFromCbor(ToCbor(reply)).has_value());
     }
   }
 }
--- a/libs/calls/tests/mesh.cc
+++ b/libs/calls/tests/mesh.cc
@@ -262,8 +262,7 @@
     return;
   }
   // Every message is encoded and decoded, to test the codec as well.
-  const auto json = nlohmann::json::from_cbor(nlohmann::json::to_cbor(ToJson(message)));
-  const auto decoded = MessageFromJson(json);
+  const auto decoded = MessageFromCbor(ToCbor(message));
   if (!decoded || *decoded != message) {
     this->first_error = "encoding and decoding changed a message";
     return;
--- a/libs/node/src/envelope.cc
+++ b/libs/node/src/envelope.cc
@@ -9,14 +9,13 @@
 #include <variant>
 #include <vector>
 
-#include "amaranthlatch/document/json_guard.h"
 #include "amaranthlatch/node/message_codec.h"
+#include "amaranthlatch/utils/cbor.h"
 
 namespace amaranthlatch::node {
 
 namespace {
 
-using nlohmann::json;
 using utils::ErrorCode;
 using utils::Fail;
 using utils::Result;
@@ -26,7 +25,11 @@
 
 constexpr std::size_t kMacBytes = crypto_auth_BYTES;
 constexpr std::size_t kFieldCount = 6;
+// Envelopes of later formats may have more fields.
+constexpr std::size_t kMaxFieldCount = 64;
 constexpr std::size_t kMaxIdBytes = 128;
+// Upper limit of the size of an envelope without its payload.
+constexpr std::size_t kMaxOverheadBytes = 256;
 // Well above the node count of the target size, to cover all nodes and the earlier processes of
 // restarted nodes.
 constexpr std::size_t kReplaySenderCapacity = 32'768;
@@ -125,15 +128,17 @@
 }
 
 Result<std::string> Envelope::Seal(const membership::NodeId& to, const Message& message) {
-  EncodedMessage encoded = EncodeMessage(message);
-  std::vector<std::uint8_t> payload(encoded.payload.begin(), encoded.payload.end());
-  const json fields = json::array({kEnvelopeFormat, encoded.module, this->self, this->boot_id,
-                                   this->last_counter + 1, json::binary(std::move(payload))});
-  std::string sealed(kMacBytes, '\0');
-  json::to_cbor(fields, sealed);
-  if (sealed.size() > kMaxEnvelopeBytes || to.size() > kMaxIdBytes) {
+  const EncodedMessage encoded = EncodeMessage(message);
+  if (encoded.payload.size() + kMaxOverheadBytes > kMaxEnvelopeBytes || to.size() > kMaxIdBytes) {
     return Fail(ErrorCode::kMessageTooLarge, "message or receiver id is too large");
   }
+  std::string sealed;
+  sealed.reserve(kMaxOverheadBytes + encoded.payload.size());
+  sealed.assign(kMacBytes, '\0');
+  utils::CborWriter fields(sealed);
+  fields.Array(kFieldCount).Number(kEnvelopeFormat).Number(encoded.module);
+  fields.Text(this->self).Number(this->boot_id).Number(this->last_counter + 1);
+  fields.Bytes(encoded.payload);
   ++this->last_counter;
   ++this->counters.sealed;
   const std::string_view whole = sealed;
@@ -165,42 +170,36 @@
 }
 
 Result<Envelope::OpenedMessage> Envelope::Decode(std::string_view content) {
-  const auto parsed = document::ParseCbor(content, ErrorCode::kMessageMalformed);
-  if (!parsed) {
-    return tl::unexpected<utils::Error>(parsed.error());
-  }
-  const json& fields = *parsed;
-  if (!fields.is_array() || fields.empty() || !fields[0].is_number_unsigned()) {
+  utils::CborReader fields(content);
+  const std::size_t field_count = fields.ArraySize(kMaxFieldCount);
+  const std::uint64_t format = fields.Number();
+  if (fields.Error()) {
     return Fail(ErrorCode::kMessageMalformed,
                 "envelope is not an array with a leading format number");
   }
-  if (fields[0].get<std::uint64_t>() != kEnvelopeFormat) {
+  if (format != kEnvelopeFormat) {
     return Fail(ErrorCode::kMessageUnknownFormat, "unknown envelope format");
   }
-  const bool well_formed = fields.size() == kFieldCount && fields[1].is_number_unsigned() &&
-                           fields[2].is_string() && fields[3].is_number_unsigned() &&
-                           fields[4].is_number_unsigned() && fields[5].is_binary();
-  if (!well_formed) {
+  const std::uint64_t module = fields.Number();
+  membership::NodeId sender(fields.Text(kMaxEnvelopeBytes));
+  const std::uint64_t boot = fields.Number();
+  const std::uint64_t counter = fields.Number();
+  const std::string_view payload = fields.Bytes(kMaxEnvelopeBytes);
+  if (fields.Error() || field_count != kFieldCount || !fields.AtEnd()) {
     return Fail(ErrorCode::kMessageMalformed, "envelope has a wrong number or type of fields");
   }
-  const auto& sender = fields[2].get_ref<const std::string&>();
-  const auto module = fields[1].get<std::uint64_t>();
   if (sender.empty() || sender.size() > kMaxIdBytes || module >= std::variant_size_v<Message>) {
     return Fail(ErrorCode::kMessageMalformed, "envelope sender or module is out of range");
   }
-  const auto boot = fields[3].get<std::uint64_t>();
-  if (!this->replay_filter.Accept(sender, boot, fields[4].get<std::uint64_t>())) {
+  if (!this->replay_filter.Accept(sender, boot, counter)) {
     return Fail(ErrorCode::kMessageReplayed,
                 "message was replayed or its counter is older than the replay window");
   }
-  const auto& payload = fields[5].get_binary();
-  const std::string_view payload_bytes(reinterpret_cast<const char*>(payload.data()),
-                                       payload.size());
-  auto message = DecodeMessage(static_cast<ModuleNumber>(module), payload_bytes);
+  auto message = DecodeMessage(static_cast<ModuleNumber>(module), payload);
   if (!message) {
     return tl::unexpected<utils::Error>(message.error());
   }
-  return OpenedMessage{sender, boot, *std::move(message)};
+  return OpenedMessage{std::move(sender), boot, *std::move(message)};
 }
 
 }  // namespace amaranthlatch::node
--- a/libs/node/src/message_codec.cc
+++ b/libs/node/src/message_codec.cc
@@ -2,6 +2,8 @@
 
 #include "amaranthlatch/node/message_codec.h"
 
+#include <string>
+#include <utility>
 #include <variant>
 
 #include "amaranthlatch/calls/message_codec.h"
@@ -25,28 +27,42 @@
   return Message(*std::move(decoded));
 }
 
+// Membership and distribution messages are rare, so they are encoded by way of a JSON tree.
+template <typename T>
+Result<Message> DecodeTree(std::string_view payload, Result<T> (*decode)(const json&)) {
+  const auto value = document::ParseCbor(payload, ErrorCode::kMessageMalformed);
+  if (!value) {
+    return tl::unexpected<utils::Error>(value.error());
+  }
+  return ToMessage(decode(*value));
+}
+
+template <typename T>
+std::string Encode(const T& message) {
+  std::string payload;
+  json::to_cbor(ToJson(message), payload);
+  return payload;
+}
+
+std::string Encode(const calls::Message& message) { return calls::ToCbor(message); }
+
 }  // namespace
 
 EncodedMessage EncodeMessage(const Message& message) {
   EncodedMessage encoded;
   encoded.module = static_cast<ModuleNumber>(message.index());
-  const json value = std::visit([](const auto& inner) { return ToJson(inner); }, message);
-  json::to_cbor(value, encoded.payload);
+  encoded.payload = std::visit([](const auto& inner) { return Encode(inner); }, message);
   return encoded;
 }
 
 Result<Message> DecodeMessage(ModuleNumber module, std::string_view payload) {
-  const auto value = document::ParseCbor(payload, ErrorCode::kMessageMalformed);
-  if (!value) {
-    return tl::unexpected<utils::Error>(value.error());
-  }
   switch (module) {
     case 0:
-      return ToMessage(membership::MessageFromJson(*value));
+      return DecodeTree<membership::Message>(payload, &membership::MessageFromJson);
     case 1:
-      return ToMessage(distribution::MessageFromJson(*value));
+      return DecodeTree<distribution::Message>(payload, &distribution::MessageFromJson);
     case 2:
-      return ToMessage(calls::MessageFromJson(*value));
+      return ToMessage(calls::MessageFromCbor(payload));
     default:
       return utils::Fail(ErrorCode::kMessageMalformed, "unknown module number");
   }
--- a/tools/calls_benchmark/costs.cc
+++ b/tools/calls_benchmark/costs.cc
@@ -48,16 +48,16 @@
   request.route = "fleet/read";
   request.request = MakeRequest();
   const Message message = request;
-  std::vector<std::uint8_t> bytes;
+  std::string bytes;
   const Stopwatch encode;
   for (int i = 0; i < kCodecRounds; ++i) {
-    bytes = json::to_cbor(ToJson(message));
+    bytes = ToCbor(message);
   }
   const double encode_us = encode.MicrosecondsFor(kCodecRounds);
   std::size_t decoded = 0;
   const Stopwatch decode;
   for (int i = 0; i < kCodecRounds; ++i) {
-    decoded += MessageFromJson(json::from_cbor(bytes)).has_value() ? 1 : 0;
+    decoded += MessageFromCbor(bytes).has_value() ? 1 : 0;
   }
   const double decode_us = decode.MicrosecondsFor(kCodecRounds);
   return {{"encode_us", encode_us},
--- a/tools/install_dependencies.sh
+++ b/tools/install_dependencies.sh
@@ -8,7 +8,7 @@
   librestinio-dev libasio-dev libfmt-dev libhttp-parser-dev
   libnng-dev libboost-dev libcurl4-openssl-dev libdocopt-dev liblog4cplus-dev
   libexpected-dev libcpputest-dev nlohmann-json3-dev librapidcheck-dev
-  libzstd-dev libxxhash-dev libsodium-dev
+  libzstd-dev libxxhash-dev libsodium-dev libcbor-dev libsimdjson-dev
 )
 
 missing=()
