--- a/libs/directory/include/amaranthlatch/directory/mesh_configuration.h
+++ b/libs/directory/include/amaranthlatch/directory/mesh_configuration.h
@@ -27,6 +27,13 @@
   bool operator==(const HostRoute&) const = default;
 };
 
+// Successive configurations share the routes that did not change.
+using HostRoutePointer = std::shared_ptr<const HostRoute>;
+using HostRoutes = std::vector<HostRoutePointer>;
+
+// Copies the routes into shared ones.
+HostRoutes ShareRoutes(std::vector<HostRoute> routes);
+
 struct MeshService {
   std::string name;
   // Path of the GET request that checks the health of a backend server.
@@ -52,12 +59,18 @@
   // Fails with kConfigurationMalformed if a path prefix does not start and end with a slash, a
   // route has no target with a weight above 0, a target names a service that is not in `services`,
   // or two routes have the same host and prefix.
-  static utils::Result<Pointer> Create(document::Version version, std::vector<HostRoute> routes,
+  static utils::Result<Pointer> Create(document::Version version, HostRoutes routes,
                                        std::vector<MeshService> services,
                                        const ServiceDefaults& defaults);
 
   document::Version GetVersion() const { return this->version; }
   std::size_t RouteCount() const { return this->routes.size(); }
+  // Never null elements; in the order of creation.
+  const HostRoutes& Routes() const { return this->routes; }
+  const std::vector<MeshService>& Services() const { return this->services; }
+  const ServiceDefaults& Defaults() const { return this->defaults; }
+  // The route of this host and prefix; null if there is none.
+  HostRoutePointer FindRoute(std::string_view host, std::string_view path_prefix) const;
   // The longest deadline of all routes; 0 without routes.
   utils::Duration LongestDeadline() const;
   // Null if the configuration does not contain the service.
@@ -77,19 +90,20 @@
       return std::hash<std::string_view>{}(text);
     }
   };
-  using RoutesByPrefix =
-      std::unordered_map<std::string, const document::Route*, StringHash, std::equal_to<>>;
+  using RoutesByPrefix = std::unordered_map<std::string_view, const HostRoutePointer*>;
 
-  MeshConfiguration(document::Version version, std::vector<HostRoute> routes,
-                    std::vector<MeshService> services);
+  MeshConfiguration(document::Version version, HostRoutes routes, std::vector<MeshService> services,
+                    const ServiceDefaults& defaults);
 
   utils::Result<void> IndexRoutes();
-  void BuildServiceDocuments(const ServiceDefaults& defaults);
+  utils::Result<void> CheckRoute(const document::Route& route) const;
+  void BuildServiceDocuments();
 
   const document::Version version;
-  const std::vector<HostRoute> routes;
+  const HostRoutes routes;
   const std::vector<MeshService> services;
-  // The pointers refer to elements of `routes`.
+  const ServiceDefaults defaults;
+  // The inner keys and pointers refer to elements of `routes`.
   std::unordered_map<std::string, RoutesByPrefix, StringHash, std::equal_to<>> routes_by_host;
   std::map<std::string, std::shared_ptr<const document::ServiceDocument>, std::less<>>
       documents_by_service;
--- a/libs/directory/src/mesh_configuration.cc
+++ b/libs/directory/src/mesh_configuration.cc
@@ -20,12 +20,21 @@
 
 }  // namespace
 
+HostRoutes ShareRoutes(std::vector<HostRoute> routes) {
+  HostRoutes shared;
+  shared.reserve(routes.size());
+  for (HostRoute& route : routes) {
+    shared.push_back(std::make_shared<const HostRoute>(std::move(route)));
+  }
+  return shared;
+}
+
 utils::Result<MeshConfiguration::Pointer> MeshConfiguration::Create(
-    document::Version version, std::vector<HostRoute> routes, std::vector<MeshService> services,
+    document::Version version, HostRoutes routes, std::vector<MeshService> services,
     const ServiceDefaults& defaults) {
   const std::shared_ptr<MeshConfiguration> configuration(
-      new MeshConfiguration(version, std::move(routes), std::move(services)));
-  configuration->BuildServiceDocuments(defaults);
+      new MeshConfiguration(version, std::move(routes), std::move(services), defaults));
+  configuration->BuildServiceDocuments();
   if (auto indexed = configuration->IndexRoutes(); !indexed) {
     return tl::unexpected(indexed.error());
   }
@@ -33,16 +42,20 @@
   return Pointer(configuration);
 }
 
-MeshConfiguration::MeshConfiguration(document::Version version, std::vector<HostRoute> routes,
-                                     std::vector<MeshService> services)
-    : version(version), routes(std::move(routes)), services(std::move(services)) {}
+MeshConfiguration::MeshConfiguration(document::Version version, HostRoutes routes,
+                                     std::vector<MeshService> services,
+                                     const ServiceDefaults& defaults)
+    : version(version),
+      routes(std::move(routes)),
+      services(std::move(services)),
+      defaults(defaults) {}
 
-void MeshConfiguration::BuildServiceDocuments(const ServiceDefaults& defaults) {
+void MeshConfiguration::BuildServiceDocuments() {
   for (const MeshService& service : this->services) {
     document::ServiceDocument document;
     document.service = service.name;
     document.versions[""] = {};
-    document.protection = defaults.protection;
+    document.protection = this->defaults.protection;
     document.protection.connections = service.connections;
     this->documents_by_service[service.name] =
         std::make_shared<const document::ServiceDocument>(std::move(document));
@@ -50,26 +63,18 @@
 }
 
 utils::Result<void> MeshConfiguration::IndexRoutes() {
-  for (const HostRoute& host_route : this->routes) {
-    const document::Route& route = host_route.route;
-    if (!IsValidPathPrefix(route.path_prefix)) {
-      return Fail(ErrorCode::kConfigurationMalformed,
-                  "route " + route.name + " needs a path prefix that starts and ends with a slash");
+  // Most routes have one of a few hosts, so that each host is normalized once.
+  std::unordered_map<std::string_view, RoutesByPrefix*> indexes;
+  for (const HostRoutePointer& host_route : this->routes) {
+    const document::Route& route = host_route->route;
+    if (auto checked = this->CheckRoute(route); !checked) {
+      return checked;
     }
-    const bool has_positive_weight =
-        std::any_of(route.split.begin(), route.split.end(),
-                    [](const auto& target) { return target.weight > 0; });
-    const bool has_known_targets = std::all_of(
-        route.split.begin(), route.split.end(),
-        [this](const auto& target) { return this->documents_by_service.contains(target.service); });
-    if (!has_positive_weight || !has_known_targets) {
-      return Fail(
-          ErrorCode::kConfigurationMalformed,
-          "route " + route.name +
-              " needs a target with a weight above 0 and only targets that are known services");
+    RoutesByPrefix*& index = indexes[host_route->host];
+    if (index == nullptr) {
+      index = &this->routes_by_host[document::NormalizeHost(host_route->host)];
     }
-    RoutesByPrefix& index = this->routes_by_host[document::NormalizeHost(host_route.host)];
-    if (!index.emplace(route.path_prefix, &route).second) {
+    if (!index->emplace(route.path_prefix, &host_route).second) {
       return Fail(ErrorCode::kConfigurationMalformed,
                   "route " + route.name + " has the same host and path prefix as another route");
     }
@@ -77,10 +82,39 @@
   return {};
 }
 
+utils::Result<void> MeshConfiguration::CheckRoute(const document::Route& route) const {
+  if (!IsValidPathPrefix(route.path_prefix)) {
+    return Fail(ErrorCode::kConfigurationMalformed,
+                "route " + route.name + " needs a path prefix that starts and ends with a slash");
+  }
+  const bool has_positive_weight = std::any_of(
+      route.split.begin(), route.split.end(), [](const auto& target) { return target.weight > 0; });
+  const bool has_known_targets = std::all_of(
+      route.split.begin(), route.split.end(),
+      [this](const auto& target) { return this->documents_by_service.contains(target.service); });
+  if (!has_positive_weight || !has_known_targets) {
+    return Fail(
+        ErrorCode::kConfigurationMalformed,
+        "route " + route.name +
+            " needs a target with a weight above 0 and only targets that are known services");
+  }
+  return {};
+}
+
+HostRoutePointer MeshConfiguration::FindRoute(std::string_view host,
+                                              std::string_view path_prefix) const {
+  const auto index = this->routes_by_host.find(document::NormalizeHost(host));
+  if (index == this->routes_by_host.end()) {
+    return nullptr;
+  }
+  const auto found = index->second.find(path_prefix);
+  return found == index->second.end() ? nullptr : *found->second;
+}
+
 utils::Duration MeshConfiguration::LongestDeadline() const {
   utils::Duration longest{};
-  for (const HostRoute& host_route : this->routes) {
-    longest = std::max(longest, host_route.route.deadline);
+  for (const HostRoutePointer& host_route : this->routes) {
+    longest = std::max(longest, host_route->route.deadline);
   }
   return longest;
 }
@@ -103,7 +137,7 @@
        slash = path.rfind('/', slash - 1)) {
     const auto found = index->second.find(path.substr(0, slash + 1));
     if (found != index->second.end()) {
-      const document::Route* const route = found->second;
+      const document::Route* const route = &(*found->second)->route;
       const auto& document = this->documents_by_service.find(route->split.front().service)->second;
       // The aliasing pointer owns the configuration, which keeps the route alive as well as the
       // document.
@@ -125,8 +159,10 @@
 }
 
 bool MeshConfiguration::operator==(const MeshConfiguration& other) const {
-  return this->version == other.version && this->routes == other.routes &&
-         this->services == other.services;
+  return this->version == other.version && this->services == other.services &&
+         std::equal(this->routes.begin(), this->routes.end(), other.routes.begin(),
+                    other.routes.end(),
+                    [](const auto& left, const auto& right) { return *left == *right; });
 }
 
 }  // namespace amaranthlatch::directory
--- a/libs/directory/tests/configuration_fixture.h
+++ b/libs/directory/tests/configuration_fixture.h
@@ -35,8 +35,8 @@
   defaults.protection.queue_time = utils::Seconds(2);
   defaults.protection.retry_budget_percent = 10;
   defaults.protection.max_attempts = 2;
-  return *MeshConfiguration::Create(version, std::move(routes), {{"fleet", "/health", 10}},
-                                    defaults);
+  return *MeshConfiguration::Create(version, ShareRoutes(std::move(routes)),
+                                    {{"fleet", "/health", 10}}, defaults);
 }
 
 }  // namespace amaranthlatch::directory::testing
--- a/libs/directory/tests/mesh_configuration_test.cc
+++ b/libs/directory/tests/mesh_configuration_test.cc
@@ -17,7 +17,8 @@
 TEST(MeshConfiguration, MatchesLongestLiteralPrefix) {
   const auto configuration = MeshConfiguration::Create(
       7,
-      {MakeRoute("a.example", "/"), MakeRoute("a.example", "/x/"), MakeRoute("a.example", "/x/y/")},
+      ShareRoutes({MakeRoute("a.example", "/"), MakeRoute("a.example", "/x/"),
+                   MakeRoute("a.example", "/x/y/")}),
       {{"fleet", "/health", 10}}, {});
   CHECK_TRUE(configuration.has_value());
   const auto name = [&configuration](const char* host, const char* path) {
@@ -47,7 +48,7 @@
 TEST(MeshConfiguration, RejectsInvalidRoutes) {
   const auto is_rejected = [](std::vector<HostRoute> routes) {
     const auto configuration =
-        MeshConfiguration::Create(1, std::move(routes), {{"fleet", "/", 1}}, {});
+        MeshConfiguration::Create(1, ShareRoutes(std::move(routes)), {{"fleet", "/", 1}}, {});
     return !configuration && configuration.error().code == ErrorCode::kConfigurationMalformed;
   };
   HostRoute route = MakeRoute("a", "/x/");
--- a/libs/node/tests/register_node_test.cc
+++ b/libs/node/tests/register_node_test.cc
@@ -34,7 +34,8 @@
   defaults.protection.slots = 10;
   defaults.protection.queue_length = 10;
   defaults.protection.queue_time = Seconds(1);
-  return *directory::MeshConfiguration::Create(version, {entry}, {{"fleet", "/", 1}}, defaults);
+  return *directory::MeshConfiguration::Create(version, directory::ShareRoutes({entry}),
+                                               {{"fleet", "/", 1}}, defaults);
 }
 
 RegisterNodeOptions MakeOptions() {
