Share the reads of the register among the nodes of a zone

Change: one node of each zone reads and passes changes on; the others subscribe (libs/directory: reader_selection, subscribers, configuration_change, directory_relay). No election: a node asks the best ranked candidate, avoids one that is silent, fails or is outdated, and reads for itself without one. Changes of a configuration are sent as the changed routes. A new mesh waits for its backend servers before the first listing. Messages are a new module of the envelope, which nodes of earlier builds drop: such nodes read for themselves.

--- a/libs/directory/include/amaranthlatch/directory/directory.h
+++ b/libs/directory/include/amaranthlatch/directory/directory.h
@@ -1,7 +1,8 @@
 // The directory reducer: tracks the members and the configuration of a mesh through a register.
 //
 // A register is a platform service that retains the newest record of every key indefinitely and
-// serves linearizable reads. Every node reads it directly and is the only writer of its own record.
+// serves linearizable reads. The nodes of a zone share the reads of one of them, its reader; every
+// node is the only writer of its own record.
 // The directory performs no failure detection: calls detect failures from their own attempts.
 
 #pragma once
@@ -34,9 +35,23 @@
   std::uint64_t members_changed = 0;
   // Member records ignored because they do not take precedence over the stored one.
   std::uint64_t members_stale = 0;
+  // Updates for and from other nodes of the zone, and received ones that cannot be used.
+  std::uint64_t updates_sent = 0;
+  std::uint64_t updates_received = 0;
+  std::uint64_t updates_unusable = 0;
+  // Changes between reading and each reader.
+  std::uint64_t source_changes = 0;
   bool operator==(const Counters&) const = default;
 };
 
+struct Gauges {
+  // Whether this node reads the register itself.
+  bool reading = false;
+  // Nodes that this one reads for.
+  std::size_t subscribers = 0;
+  bool operator==(const Gauges&) const = default;
+};
+
 class Directory {
  public:
   // Fails with kSettingsOutOfRange if `options` are invalid.
@@ -56,6 +71,7 @@
   // The configuration in force; null until the first one has been read.
   MeshConfiguration::Pointer Configuration() const;
   const Counters& GetCounters() const;
+  Gauges GetGauges() const;
 
  private:
   struct Impl;
--- a/libs/directory/include/amaranthlatch/directory/effect.h
+++ b/libs/directory/include/amaranthlatch/directory/effect.h
@@ -49,7 +49,20 @@
   bool operator==(const RegisterReachabilityChanged&) const = default;
 };
 
+struct SendToPeer {
+  membership::NodeId to;
+  Message message;
+  bool operator==(const SendToPeer&) const = default;
+};
+
+// Where this node gets configurations and member records from.
+struct ReadSourceChanged {
+  // The node that reads for this one; empty if this node reads the register itself.
+  membership::NodeId reader;
+  bool operator==(const ReadSourceChanged&) const = default;
+};
+
 using Effect = std::variant<ReadStream, WriteMember, ConfigurationActivated, MemberChanged,
-                            RegisterReachabilityChanged>;
+                            RegisterReachabilityChanged, SendToPeer, ReadSourceChanged>;
 
 }  // namespace amaranthlatch::directory
--- a/libs/directory/include/amaranthlatch/directory/event.h
+++ b/libs/directory/include/amaranthlatch/directory/event.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "amaranthlatch/directory/mesh_configuration.h"
+#include "amaranthlatch/directory/message.h"
 #include "amaranthlatch/membership/member.h"
 #include "amaranthlatch/utils/result.h"
 
@@ -75,13 +76,26 @@
   bool operator==(const NewerVersionObserved&) const = default;
 };
 
+// A message of another node.
+struct PeerMessageReceived {
+  membership::NodeId from;
+  Message message;
+  bool operator==(const PeerMessageReceived&) const = default;
+};
+
+// The connection to another node was lost or cannot be established.
+struct PeerUnreachable {
+  membership::NodeId id;
+  bool operator==(const PeerUnreachable&) const = default;
+};
+
 // This node has begun to shut down.
 struct DrainStarted {
   bool operator==(const DrainStarted&) const = default;
 };
 
-using Event =
-    std::variant<WakeUp, StreamReadSucceeded, StreamReadFailed, MemberWriteCompleted,
-                 BackendServerReady, BackendServerUnavailable, NewerVersionObserved, DrainStarted>;
+using Event = std::variant<WakeUp, StreamReadSucceeded, StreamReadFailed, MemberWriteCompleted,
+                           BackendServerReady, BackendServerUnavailable, NewerVersionObserved,
+                           PeerMessageReceived, PeerUnreachable, DrainStarted>;
 
 }  // namespace amaranthlatch::directory
--- a/libs/directory/include/amaranthlatch/directory/options.h
+++ b/libs/directory/include/amaranthlatch/directory/options.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include "amaranthlatch/directory/mesh_configuration.h"
 #include "amaranthlatch/membership/member.h"
 #include "amaranthlatch/utils/time.h"
 
@@ -37,6 +38,39 @@
   // the initial up to the maximum delay.
   utils::Duration initial_retry_delay = utils::Milliseconds(150);
   utils::Duration max_retry_delay = utils::Milliseconds(1000);
+
+  // Whether the nodes of a zone share the reads of one of them (reader_selection.h).
+  bool share_reads = true;
+  // Whether the mesh starts for the first time: no node has a predecessor, and all of them start at
+  // once. The node then waits for a reader before it reads; otherwise it lists the members first.
+  bool mesh_is_new = false;
+  // Longest wait for a reader after the start: `discovery_time` for the best candidate of the zone,
+  // up to `discovery_spread` longer for the others.
+  utils::Duration discovery_time = utils::Milliseconds(600);
+  utils::Duration discovery_spread{};
+  // Interval of the requests of a subscriber: grows with the number of members of the zone, because
+  // one node answers all of them.
+  utils::Duration request_interval_per_member = utils::Milliseconds(30);
+  utils::Duration min_request_interval = utils::Milliseconds(400);
+  utils::Duration max_request_interval = utils::Milliseconds(1000);
+  // Time that a candidate has to answer a first request.
+  utils::Duration reader_answer_timeout = utils::Milliseconds(700);
+  // Time after which a newer version that other nodes use shows that the reader is outdated. Must
+  // exceed the read delay of the reader.
+  utils::Duration stale_reader_timeout = utils::Milliseconds(1200);
+  // For how long candidates are avoided that gave no answer, or whose reads fail.
+  utils::Duration silent_reader_avoidance = utils::Seconds(10);
+  utils::Duration failing_reader_avoidance = utils::Seconds(3);
+  // Time of failing reads after which a reader says so, and after which the subscribers try to
+  // read, one after the other.
+  utils::Duration failing_reads_tolerance = utils::Milliseconds(500);
+  utils::Duration failing_reader_step = utils::Milliseconds(300);
+  // How often a node that reads without subscribers looks for a reader, and how often a reader
+  // announces itself to members that do not subscribe.
+  utils::Duration reader_search_interval = utils::Seconds(2);
+  utils::Duration announcement_interval = utils::Seconds(10);
+  // Settings of all services, for configurations that other nodes pass on.
+  ServiceDefaults service_defaults;
 };
 
 }  // namespace amaranthlatch::directory
--- a/libs/directory/src/directory.cc
+++ b/libs/directory/src/directory.cc
@@ -3,13 +3,10 @@
 #include "amaranthlatch/directory/directory.h"
 
 #include <algorithm>
-#include <array>
 #include <string>
 #include <utility>
 
-#include "amaranthlatch/membership/member_table.h"
-#include "own_entry.h"
-#include "stream_follower.h"
+#include "directory_impl.h"
 
 namespace amaranthlatch::directory {
 
@@ -19,59 +16,6 @@
 using utils::Timestamp;
 }  // namespace
 
-struct Directory::Impl {
-  explicit Impl(const Options& from)
-      : options(from),
-        random(from.seed),
-        own_entry(options),
-        members(own_entry.Record()),
-        followers{
-            details::StreamFollower(Stream::kConfiguration, from.configuration_read_delay, options),
-            details::StreamFollower(Stream::kMembers, from.members_read_delay, options)} {}
-
-  void Handle(const WakeUp& /*event*/) {}
-  void Handle(const StreamReadSucceeded& event);
-  void Handle(const StreamReadFailed& event);
-  void Handle(const MemberWriteCompleted& event);
-  void Handle(const BackendServerReady& event);
-  void Handle(const BackendServerUnavailable& event);
-  void Handle(const NewerVersionObserved& event);
-  void Handle(const DrainStarted& event);
-
-  void ApplyConfiguration(MeshConfiguration::Pointer read);
-  void ApplyMember(const Member& member);
-  void UpdateOwnState();
-  // When the waiting read counts as lost; none if nothing newer than the configuration in force is
-  // known.
-  std::optional<Timestamp> StalledReadTimeout() const;
-  void AbandonStalledRead();
-  // Emits the reads and writes that are due.
-  void Poll();
-  details::StreamFollower& GetFollower(Stream stream) {
-    return this->followers.at(static_cast<std::size_t>(stream));
-  }
-
-  const Options options;
-  utils::Random random;
-  details::OwnEntry own_entry;
-  membership::details::MemberTable members;
-  std::array<details::StreamFollower, kStreamCount> followers;
-  MeshConfiguration::Pointer configuration;
-  // A version above the one in force that another node uses, and the time since which it is
-  // awaited.
-  struct NewerVersion {
-    document::Version version = 0;
-    Timestamp waiting_since{};
-  };
-  std::optional<NewerVersion> newer_version;
-  bool backend_server_ready = false;
-  bool draining = false;
-  bool started = false;
-  Counters counters;
-  Timestamp now{};
-  std::vector<Effect> effects;
-};
-
 void Directory::Impl::Handle(const StreamReadSucceeded& event) {
   details::StreamFollower& follower = this->GetFollower(event.stream);
   ++this->counters.reads;
@@ -93,6 +37,12 @@
   // Only the last record of this node counts: it replaced the earlier ones.
   if (own_record != nullptr) {
     this->own_entry.OnRecordRead(*own_record);
+    this->subscribers.OnOwnRecordStored(*own_record);
+  }
+  if (event.stream == Stream::kMembers && this->options.share_reads) {
+    std::vector<details::OutgoingMessage> messages;
+    this->selection.OnListed(this->MakeSituation(), messages);
+    this->SendAll(std::move(messages));
   }
 }
 
@@ -107,6 +57,9 @@
 
 void Directory::Impl::Handle(const MemberWriteCompleted& event) {
   ++(event.written ? this->counters.writes : this->counters.writes_failed);
+  if (event.written) {
+    this->subscribers.OnOwnRecordStored(this->own_entry.Written());
+  }
   this->own_entry.OnWriteCompleted(event.written, this->random, this->now);
 }
 
@@ -126,7 +79,20 @@
   }
 }
 
-void Directory::Impl::Handle(const DrainStarted& /*event*/) { this->draining = true; }
+void Directory::Impl::Handle(const DrainStarted& /*event*/) {
+  this->draining = true;
+  const membership::NodeId successor = this->IsReading() && !this->subscribers.Empty()
+                                           ? this->selection.Successor(this->MakeSituation())
+                                           : membership::NodeId();
+  if (!successor.empty()) {
+    this->effects.emplace_back(SendToPeer{successor, ReaderNotice{successor}});
+    for (const membership::NodeId& id : this->subscribers.Ids()) {
+      if (id != successor) {
+        this->effects.emplace_back(SendToPeer{id, ReaderNotice{successor}});
+      }
+    }
+  }
+}
 
 void Directory::Impl::ApplyConfiguration(MeshConfiguration::Pointer read) {
   const document::Version previous_version =
@@ -137,6 +103,8 @@
   }
   ++this->counters.configurations_activated;
   this->configuration = std::move(read);
+  this->configuration_changed_at = this->now;
+  this->subscribers.OnConfiguration(this->configuration);
   if (this->newer_version && this->newer_version->version <= this->configuration->GetVersion()) {
     this->newer_version.reset();
   }
@@ -148,9 +116,14 @@
   if (this->members.Merge(member, this->now) ==
       membership::details::MemberTable::MergeResult::kStored) {
     ++this->counters.members_changed;
+    this->subscribers.OnMemberChanged(member.id);
     this->effects.emplace_back(MemberChanged{member});
-  } else {
-    ++this->counters.members_stale;
+    return;
+  }
+  ++this->counters.members_stale;
+  if (*this->members.Find(member.id) != member && this->subscribers.Contains(member.id)) {
+    // The register holds an outdated record, which its node must replace.
+    this->effects.emplace_back(SendToPeer{member.id, Update{true, 0, {}, 0, {}, {member}}});
   }
 }
 
@@ -166,46 +139,82 @@
 }
 
 std::optional<Timestamp> Directory::Impl::StalledReadTimeout() const {
+  if (!this->newer_version) {
+    return std::nullopt;
+  }
+  if (this->selection.Mode() == details::ReadMode::kSubscribed) {
+    return std::max(this->newer_version->waiting_since, this->configuration_changed_at) +
+           this->options.stale_reader_timeout;
+  }
   const std::optional<Timestamp> read_start =
-      this->followers.at(static_cast<std::size_t>(Stream::kConfiguration)).WaitingSince();
-  if (!this->newer_version || !read_start) {
+      this->GetFollower(Stream::kConfiguration).WaitingSince();
+  if (!read_start) {
     return std::nullopt;
   }
   return std::max(this->newer_version->waiting_since, *read_start) +
          this->options.stale_configuration_timeout;
 }
 
-void Directory::Impl::AbandonStalledRead() {
+void Directory::Impl::HandleStalledRead() {
   const std::optional<Timestamp> timeout = this->StalledReadTimeout();
   if (!timeout || this->now < *timeout) {
     return;
   }
-  if (this->now - *timeout > this->options.max_wake_delay) {
-    this->newer_version->waiting_since = this->now;
+  const bool delayed = this->now - *timeout > this->options.max_wake_delay;
+  this->newer_version->waiting_since = this->now;
+  if (delayed) {
     return;
   }
-  if (this->GetFollower(Stream::kConfiguration).AbandonRead(this->now)) {
-    ++this->counters.reads_abandoned;
-    this->effects.emplace_back(RegisterReachabilityChanged{
-        Stream::kConfiguration,
-        false,
-        {utils::ErrorCode::kLogUnavailable,
-         "read abandoned without an answer: version " +
-             std::to_string(this->newer_version->version) + " is already in force on another node",
-         {}}});
+  if (this->selection.Mode() != details::ReadMode::kSubscribed) {
+    this->AbandonStalledRead();
+    return;
   }
+  std::vector<details::OutgoingMessage> messages;
+  this->selection.OnReaderStale(this->MakeSituation(), messages);
+  this->SendAll(std::move(messages));
+}
+
+void Directory::Impl::AbandonStalledRead() {
+  if (!this->GetFollower(Stream::kConfiguration).AbandonRead(this->now)) {
+    return;
+  }
+  ++this->counters.reads_abandoned;
+  this->effects.emplace_back(RegisterReachabilityChanged{
+      Stream::kConfiguration,
+      false,
+      {utils::ErrorCode::kLogUnavailable,
+       "read abandoned without an answer: version " + std::to_string(this->newer_version->version) +
+           " is already in force on another node",
+       {}}});
+}
+
+bool Directory::Impl::Reads(Stream stream) const {
+  // A node that starts again lists the members once, to find a reader and to know the records of
+  // its predecessor, which a reader may not have yet.
+  return this->IsReading() || (stream == Stream::kMembers && !this->IsPredecessorKnown());
+}
+
+bool Directory::Impl::IsListed() const {
+  return this->GetFollower(Stream::kConfiguration).IsListed() &&
+         this->GetFollower(Stream::kMembers).IsListed();
+}
+
+bool Directory::Impl::IsPredecessorKnown() const {
+  return this->options.mesh_is_new || this->GetFollower(Stream::kMembers).IsListed();
 }
 
 void Directory::Impl::Poll() {
-  for (details::StreamFollower& follower : this->followers) {
-    if (std::optional<ReadStream> read = follower.Poll(this->now)) {
+  for (const Stream stream : {Stream::kConfiguration, Stream::kMembers}) {
+    if (!this->Reads(stream)) {
+      continue;
+    }
+    if (std::optional<ReadStream> read = this->GetFollower(stream).Poll(this->now)) {
       this->counters.listings += read->from ? 0 : 1;
       this->effects.emplace_back(*read);
     }
   }
-  // The incarnation must exceed that of an earlier process of this node, which is only known after
-  // the first listing.
-  if (!this->GetFollower(Stream::kMembers).IsListed()) {
+  // The incarnation must exceed that of an earlier process of this node.
+  if (!this->IsPredecessorKnown()) {
     return;
   }
   if (std::optional<Member> member = this->own_entry.Poll(this->now)) {
@@ -235,7 +244,8 @@
   reducer.now = now;
   std::visit([&reducer](const auto& value) { reducer.Handle(value); }, event);
   reducer.UpdateOwnState();
-  reducer.AbandonStalledRead();
+  reducer.HandleStalledRead();
+  reducer.PollSharedReads();
   reducer.Poll();
   return std::exchange(reducer.effects, {});
 }
@@ -251,13 +261,23 @@
       next = candidate;
     }
   };
-  for (const details::StreamFollower& follower : reducer.followers) {
-    keep_earliest(follower.NextWake());
+  for (const Stream stream : {Stream::kConfiguration, Stream::kMembers}) {
+    if (reducer.Reads(stream)) {
+      keep_earliest(reducer.GetFollower(stream).NextWake());
+    }
   }
   keep_earliest(reducer.StalledReadTimeout());
-  if (reducer.followers.at(static_cast<std::size_t>(Stream::kMembers)).IsListed()) {
+  if (reducer.IsPredecessorKnown()) {
     keep_earliest(reducer.own_entry.NextWake());
   }
+  if (reducer.options.share_reads) {
+    keep_earliest(reducer.selection.NextWake(reducer.members));
+    keep_earliest(reducer.subscribers.NextExpiry());
+    keep_earliest(reducer.FailingReadsDeadline());
+    if (reducer.Announces()) {
+      keep_earliest(reducer.next_announcement);
+    }
+  }
   return next;
 }
 
@@ -267,4 +287,8 @@
 
 const Counters& Directory::GetCounters() const { return this->impl->counters; }
 
+Gauges Directory::GetGauges() const {
+  return {this->impl->IsReading(), this->impl->subscribers.Ids().size()};
+}
+
 }  // namespace amaranthlatch::directory
--- /dev/null
+++ b/libs/directory/src/directory_impl.h
@@ -0,0 +1,134 @@
+// State of the directory reducer.
+
+#pragma once
+
+#include <array>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "amaranthlatch/directory/directory.h"
+#include "amaranthlatch/membership/member_table.h"
+#include "own_entry.h"
+#include "reader_selection.h"
+#include "stream_follower.h"
+#include "subscribers.h"
+
+namespace amaranthlatch::directory {
+
+// Several requests of a subscriber may be lost.
+inline constexpr utils::Duration kSubscriberLease = utils::Seconds(4);
+
+struct Directory::Impl {
+  explicit Impl(const Options& from)
+      : options(from),
+        random(from.seed),
+        own_entry(options),
+        members(own_entry.Record()),
+        followers{
+            details::StreamFollower(Stream::kConfiguration, from.configuration_read_delay, options),
+            details::StreamFollower(Stream::kMembers, from.members_read_delay, options)},
+        selection(options),
+        subscribers(from.boot_id, kSubscriberLease) {}
+
+  void Handle(const WakeUp& /*event*/) {}
+  void Handle(const StreamReadSucceeded& event);
+  void Handle(const StreamReadFailed& event);
+  void Handle(const MemberWriteCompleted& event);
+  void Handle(const BackendServerReady& event);
+  void Handle(const BackendServerUnavailable& event);
+  void Handle(const NewerVersionObserved& event);
+  void Handle(const PeerMessageReceived& event);
+  void Handle(const PeerUnreachable& event);
+  void Handle(const DrainStarted& event);
+
+  // Messages of other nodes of the zone.
+  void HandleMessage(const membership::NodeId& from, const UpdateRequest& request);
+  void HandleMessage(const membership::NodeId& from, const Update& update);
+  void HandleMessage(const membership::NodeId& from, const ReaderNotice& notice);
+
+  void ApplyConfiguration(MeshConfiguration::Pointer read);
+  // Applies the changes that a reader passed on.
+  void ApplyConfigurationChange(const Update& update);
+  // Applies a record of this or another node.
+  void ApplyMember(const membership::Member& member);
+  void UpdateOwnState();
+  // When the waiting read counts as lost; none if nothing newer than the configuration in force is
+  // known.
+  std::optional<utils::Timestamp> StalledReadTimeout() const;
+  void AbandonStalledRead();
+  void HandleStalledRead();
+  // Emits the reads and writes that are due.
+  void Poll();
+  bool IsReading() const { return this->selection.Mode() == details::ReadMode::kReading; }
+  // Whether the node reads this stream itself now.
+  bool Reads(Stream stream) const;
+  // Whether both streams have been listed.
+  bool IsListed() const;
+  // Whether the records that the register holds for earlier processes of this node are known.
+  bool IsPredecessorKnown() const;
+
+  // Decides on the reader and serves the subscribers.
+  void PollSharedReads();
+  details::ReaderSelection::Situation MakeSituation() const;
+  void SendAll(std::vector<details::OutgoingMessage> messages);
+  void ReportSource();
+  void TrackFailingReads();
+  // When failing reads become known to the subscribers; none if they already are, or succeed.
+  std::optional<utils::Timestamp> FailingReadsDeadline() const;
+  bool ReadsFail() const;
+  // Sends each subscriber what it lacks if anything changed.
+  void PushUpdates();
+  void SendUpdate(const membership::NodeId& to);
+  bool Announces() const { return this->IsReading() && this->IsListed() && !this->draining; }
+  // Tells members that do not subscribe that this node reads.
+  void Announce();
+  // Names another reader to all subscribers, which this node no longer serves.
+  void DismissSubscribers(const membership::NodeId& reader);
+  details::StreamFollower& GetFollower(Stream stream) {
+    return this->followers.at(static_cast<std::size_t>(stream));
+  }
+  const details::StreamFollower& GetFollower(Stream stream) const {
+    return this->followers.at(static_cast<std::size_t>(stream));
+  }
+
+  const Options options;
+  utils::Random random;
+  details::OwnEntry own_entry;
+  membership::details::MemberTable members;
+  std::array<details::StreamFollower, kStreamCount> followers;
+  MeshConfiguration::Pointer configuration;
+  // A version above the one in force that another node uses, and the time since which it is
+  // awaited.
+  struct NewerVersion {
+    document::Version version = 0;
+    utils::Timestamp waiting_since{};
+  };
+  std::optional<NewerVersion> newer_version;
+  details::ReaderSelection selection;
+  details::Subscribers subscribers;
+  // The latest change of member records received from a reader; none while this node reads.
+  ChangeNumber members_until;
+  // The source reported last; none before the first report.
+  std::optional<membership::NodeId> reported_source;
+  std::optional<utils::Timestamp> reads_failing_since;
+  utils::Timestamp configuration_changed_at{};
+  // State that the subscribers were told last.
+  struct PushedState {
+    document::Version version = 0;
+    std::uint64_t last_change = 0;
+    bool healthy = false;
+    bool operator==(const PushedState&) const = default;
+  };
+  PushedState pushed;
+  utils::Timestamp next_announcement{};
+  std::uint64_t announced_generation = 0;
+  bool backend_server_ready = false;
+  bool draining = false;
+  bool started = false;
+  Counters counters;
+  utils::Timestamp now{};
+  std::vector<Effect> effects;
+};
+
+}  // namespace amaranthlatch::directory
--- /dev/null
+++ b/libs/directory/src/directory_relay.cc
@@ -0,0 +1,225 @@
+// Shared reads: the exchange of updates with other nodes of the zone.
+
+#include <algorithm>
+#include <utility>
+
+#include "configuration_change.h"
+#include "directory_impl.h"
+
+namespace amaranthlatch::directory {
+
+using details::OutgoingMessage;
+using details::ReadMode;
+using membership::Member;
+using membership::NodeId;
+using utils::Timestamp;
+
+void Directory::Impl::Handle(const PeerMessageReceived& event) {
+  if (!this->options.share_reads) {
+    return;
+  }
+  std::visit([this, &event](const auto& message) { this->HandleMessage(event.from, message); },
+             event.message);
+}
+
+void Directory::Impl::Handle(const PeerUnreachable& event) {
+  std::vector<OutgoingMessage> messages;
+  this->selection.OnPeerUnreachable(event.id, this->MakeSituation(), messages);
+  this->SendAll(std::move(messages));
+}
+
+void Directory::Impl::HandleMessage(const NodeId& from, const UpdateRequest& request) {
+  if (request.insist) {
+    this->selection.OnInsistentRequest();
+  }
+  if (this->selection.Mode() == ReadMode::kSubscribed) {
+    if (!this->selection.Reader().empty()) {
+      this->effects.emplace_back(SendToPeer{from, ReaderNotice{this->selection.Reader()}});
+    }
+    return;
+  }
+  this->subscribers.OnRequest(from, request, this->now);
+  // A node that has just started answers after its first listing.
+  if (this->IsReading() && this->IsListed()) {
+    this->SendUpdate(from);
+  }
+}
+
+void Directory::Impl::HandleMessage(const NodeId& from, const Update& update) {
+  ++this->counters.updates_received;
+  this->ApplyConfigurationChange(update);
+  for (const Member& member : update.members) {
+    if (member.id == this->options.id) {
+      this->own_entry.OnRecordRead(member);
+    } else {
+      this->ApplyMember(member);
+    }
+  }
+  const bool is_complete =
+      update.members_until.boot_id != 0 &&
+      (update.members_since == 0 || (update.members_until.boot_id == this->members_until.boot_id &&
+                                     update.members_since <= this->members_until.sequence));
+  // An update for an earlier process of this node, or one that overtook another, lacks members.
+  if (!is_complete) {
+    return;
+  }
+  this->selection.OnUpdate(from, update.healthy, this->MakeSituation());
+  if (this->selection.Mode() == ReadMode::kSubscribed && this->selection.Reader() == from) {
+    this->members_until = update.members_until;
+  }
+}
+
+void Directory::Impl::HandleMessage(const NodeId& from, const ReaderNotice& notice) {
+  std::vector<OutgoingMessage> messages;
+  this->selection.OnNotice(from, notice, this->MakeSituation(), messages);
+  this->SendAll(std::move(messages));
+}
+
+void Directory::Impl::ApplyConfigurationChange(const Update& update) {
+  if (update.configuration.empty()) {
+    return;
+  }
+  const auto change = details::DecodeChange(update.configuration);
+  const bool is_newer = change && (this->configuration == nullptr ||
+                                   change->version > this->configuration->GetVersion());
+  if (change && !is_newer) {
+    ++this->counters.configurations_stale;
+    return;
+  }
+  if (change) {
+    if (auto next = details::Apply(this->configuration, *change, this->options.service_defaults)) {
+      this->ApplyConfiguration(std::move(*next));
+      return;
+    }
+  }
+  // The next request tells the reader the version that is in force here.
+  ++this->counters.updates_unusable;
+}
+
+details::ReaderSelection::Situation Directory::Impl::MakeSituation() const {
+  details::ReaderSelection::Situation situation;
+  situation.now = this->now;
+  situation.view = &this->members;
+  situation.has_subscribers = !this->subscribers.Empty();
+  situation.has_insistent_subscribers = this->subscribers.HasInsistent(this->now);
+  situation.reads_fail = this->ReadsFail();
+  situation.request.version =
+      this->configuration == nullptr ? 0 : this->configuration->GetVersion();
+  situation.request.members = this->members_until;
+  return situation;
+}
+
+void Directory::Impl::SendAll(std::vector<OutgoingMessage> messages) {
+  for (OutgoingMessage& message : messages) {
+    this->effects.emplace_back(SendToPeer{std::move(message.to), std::move(message.message)});
+  }
+}
+
+void Directory::Impl::PollSharedReads() {
+  if (!this->options.share_reads) {
+    return;
+  }
+  this->TrackFailingReads();
+  this->subscribers.Expire(this->now);
+  std::vector<OutgoingMessage> messages;
+  this->selection.Poll(this->MakeSituation(), messages);
+  this->SendAll(std::move(messages));
+  this->ReportSource();
+  switch (this->selection.Mode()) {
+    case ReadMode::kDiscovering:
+      break;
+    case ReadMode::kReading:
+      this->PushUpdates();
+      this->Announce();
+      break;
+    case ReadMode::kSubscribed:
+      if (!this->selection.Reader().empty()) {
+        this->DismissSubscribers(this->selection.Reader());
+      }
+      break;
+  }
+}
+
+void Directory::Impl::ReportSource() {
+  if (this->selection.Mode() == ReadMode::kDiscovering ||
+      this->reported_source == this->selection.Reader()) {
+    return;
+  }
+  this->reported_source = this->selection.Reader();
+  ++this->counters.source_changes;
+  this->effects.emplace_back(ReadSourceChanged{this->selection.Reader()});
+}
+
+void Directory::Impl::TrackFailingReads() {
+  const bool failing =
+      this->IsReading() && std::any_of(this->followers.begin(), this->followers.end(),
+                                       [](const auto& follower) { return follower.IsFailing(); });
+  if (!failing) {
+    this->reads_failing_since.reset();
+  } else if (!this->reads_failing_since) {
+    this->reads_failing_since = this->now;
+  }
+}
+
+std::optional<Timestamp> Directory::Impl::FailingReadsDeadline() const {
+  if (!this->reads_failing_since || this->ReadsFail()) {
+    return std::nullopt;
+  }
+  return *this->reads_failing_since + this->options.failing_reads_tolerance;
+}
+
+bool Directory::Impl::ReadsFail() const {
+  return this->reads_failing_since &&
+         this->now - *this->reads_failing_since >= this->options.failing_reads_tolerance;
+}
+
+void Directory::Impl::PushUpdates() {
+  if (!this->IsListed()) {
+    return;
+  }
+  const PushedState state{this->configuration == nullptr ? 0 : this->configuration->GetVersion(),
+                          this->subscribers.LastChange(), !this->ReadsFail()};
+  if (state == this->pushed) {
+    return;
+  }
+  this->pushed = state;
+  for (const NodeId& id : this->subscribers.Ids()) {
+    this->SendUpdate(id);
+  }
+}
+
+void Directory::Impl::SendUpdate(const NodeId& to) {
+  ++this->counters.updates_sent;
+  this->effects.emplace_back(
+      SendToPeer{to, this->subscribers.MakeUpdate(to, !this->ReadsFail(), this->members)});
+}
+
+void Directory::Impl::Announce() {
+  const bool due = this->now >= this->next_announcement;
+  const bool changed = this->members.Generation() != this->announced_generation;
+  if (!this->Announces() || (!due && !changed)) {
+    return;
+  }
+  this->announced_generation = this->members.Generation();
+  this->next_announcement = this->now + this->options.announcement_interval;
+  if (this->ReadsFail() ||
+      (this->subscribers.Empty() && !this->selection.IsBest(this->MakeSituation()))) {
+    return;
+  }
+  for (const Member& member : *this->members.ZoneMembers(this->options.zone)) {
+    if (member.id != this->options.id && !this->subscribers.Contains(member.id)) {
+      this->effects.emplace_back(SendToPeer{member.id, ReaderNotice{this->options.id}});
+    }
+  }
+}
+
+void Directory::Impl::DismissSubscribers(const NodeId& reader) {
+  for (const NodeId& id : this->subscribers.Ids()) {
+    if (id != reader) {
+      this->effects.emplace_back(SendToPeer{id, ReaderNotice{reader}});
+    }
+  }
+  this->subscribers.Clear();
+}
+
+}  // namespace amaranthlatch::directory
--- /dev/null
+++ b/libs/directory/src/message_codec.cc
@@ -0,0 +1,163 @@
+// Encodes directory messages and decodes them with strict type and size checks.
+
+#include "amaranthlatch/directory/message_codec.h"
+
+#include <cstddef>
+#include <map>
+#include <utility>
+
+#include "amaranthlatch/utils/cbor.h"
+
+namespace amaranthlatch::directory {
+
+namespace {
+
+using membership::Member;
+using membership::MemberState;
+using utils::CborReader;
+using utils::CborWriter;
+using utils::ErrorCode;
+
+enum class MessageType : std::uint8_t { kUpdateRequest = 1, kUpdate = 2, kReaderNotice = 3 };
+
+// Size limits; a message that exceeds one is rejected.
+constexpr std::size_t kMaxNameBytes = 256;
+constexpr std::size_t kMaxLabels = 64;
+constexpr std::size_t kMaxMembers = 100'000;
+constexpr std::size_t kMaxChangeBytes = std::size_t{16} * 1024 * 1024;
+
+constexpr std::size_t kMemberFields = 10;
+
+void Write(CborWriter& out, const Member& member) {
+  out.Array(kMemberFields).Text(member.id).Text(member.region).Text(member.zone);
+  out.Text(member.service).Array(2 * member.labels.size());
+  for (const auto& [name, value] : member.labels) {
+    out.Text(name).Text(value);
+  }
+  out.Text(member.data_address).Number(member.incarnation).Number(member.boot_id);
+  out.Number(static_cast<std::uint64_t>(member.state)).Number(member.slots);
+}
+
+Member ReadMember(CborReader& in) {
+  const auto text = [&in] { return std::string(in.Text(kMaxNameBytes)); };
+  Member member;
+  in.ExpectArray(kMemberFields);
+  member.id = text();
+  member.region = text();
+  member.zone = text();
+  member.service = text();
+  const std::size_t label_texts = in.ArraySize(2 * kMaxLabels);
+  if (label_texts % 2 != 0) {
+    in.FailWith(ErrorCode::kMessageMalformed);
+  }
+  for (std::size_t i = 0; i < label_texts / 2 && !in.Error(); ++i) {
+    std::string name = text();
+    member.labels[std::move(name)] = text();
+  }
+  member.data_address = text();
+  member.incarnation = in.Number();
+  member.boot_id = in.Number();
+  member.state =
+      static_cast<MemberState>(in.Number(static_cast<std::uint64_t>(MemberState::kDead)));
+  member.slots = in.Number32();
+  return member;
+}
+
+void Write(CborWriter& out, const UpdateRequest& m) {
+  out.Array(5).Number(static_cast<std::uint64_t>(MessageType::kUpdateRequest)).Number(m.version);
+  out.Number(m.members.boot_id).Number(m.members.sequence).Flag(m.insist);
+}
+
+void Write(CborWriter& out, const Update& m) {
+  out.Array(8).Number(static_cast<std::uint64_t>(MessageType::kUpdate)).Flag(m.healthy);
+  out.Number(m.version).Bytes(m.configuration);
+  out.Number(m.members_since)
+      .Number(m.members_until.boot_id)
+      .Number(m.members_until.sequence)
+      .Array(m.members.size());
+  for (const Member& member : m.members) {
+    Write(out, member);
+  }
+}
+
+void Write(CborWriter& out, const ReaderNotice& m) {
+  out.Array(2).Number(static_cast<std::uint64_t>(MessageType::kReaderNotice)).Text(m.reader);
+}
+
+Message ReadUpdateRequest(CborReader& in) {
+  UpdateRequest m;
+  m.version = in.Number();
+  m.members.boot_id = in.Number();
+  m.members.sequence = in.Number();
+  m.insist = in.Flag();
+  return m;
+}
+
+Message ReadUpdate(CborReader& in) {
+  Update m;
+  m.healthy = in.Flag();
+  m.version = in.Number();
+  m.configuration = std::string(in.Bytes(kMaxChangeBytes));
+  m.members_since = in.Number();
+  m.members_until.boot_id = in.Number();
+  m.members_until.sequence = in.Number();
+  const std::size_t members = in.ArraySize(kMaxMembers);
+  for (std::size_t i = 0; i < members && !in.Error(); ++i) {
+    m.members.push_back(ReadMember(in));
+  }
+  return m;
+}
+
+Message ReadReaderNotice(CborReader& in) {
+  return ReaderNotice{std::string(in.Text(kMaxNameBytes))};
+}
+
+struct Layout {
+  // Number of elements of the array, with the type.
+  std::size_t size = 0;
+  Message (*read)(CborReader&) = nullptr;
+};
+
+std::optional<Layout> LayoutOf(std::uint64_t type) {
+  switch (static_cast<MessageType>(type)) {
+    case MessageType::kUpdateRequest:
+      return Layout{5, &ReadUpdateRequest};
+    case MessageType::kUpdate:
+      return Layout{8, &ReadUpdate};
+    case MessageType::kReaderNotice:
+      return Layout{2, &ReadReaderNotice};
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string ToCbor(const Message& message) {
+  std::string bytes;
+  CborWriter out(bytes);
+  std::visit([&out](const auto& m) { Write(out, m); }, message);
+  return bytes;
+}
+
+utils::Result<Message> MessageFromCbor(std::string_view bytes) {
+  constexpr std::size_t kMaxFields = 16;
+  const auto fail = [](ErrorCode code) {
+    return utils::Fail(code, "directory message has a missing, extra or invalid field");
+  };
+  CborReader in(bytes);
+  const std::size_t size = in.ArraySize(kMaxFields);
+  const auto layout = LayoutOf(in.Number(UINT8_MAX));
+  if (in.Error() || !layout || layout->size != size) {
+    return fail(ErrorCode::kMessageMalformed);
+  }
+  Message message = layout->read(in);
+  if (in.Error()) {
+    return fail(*in.Error());
+  }
+  if (!in.AtEnd()) {
+    return fail(ErrorCode::kMessageMalformed);
+  }
+  return message;
+}
+
+}  // namespace amaranthlatch::directory
--- a/libs/directory/src/own_entry.h
+++ b/libs/directory/src/own_entry.h
@@ -18,6 +18,9 @@
   // The record that the register should hold.
   const membership::Member& Record() const { return this->record; }
 
+  // The record of the latest write.
+  const membership::Member& Written() const { return this->written; }
+
   // Update the record. The incarnation is incremented unless the only change is to a later state.
   void SetBackendServer(std::string service, std::map<std::string, std::string> labels,
                         std::uint32_t slots);
--- a/libs/directory/tests/directory_test.cc
+++ b/libs/directory/tests/directory_test.cc
@@ -31,6 +31,7 @@
   options.data_address = "10.0.0.1:2";
   options.boot_id = 77;
   options.seed = 1;
+  options.share_reads = false;
   return options;
 }
 
--- /dev/null
+++ b/libs/directory/tests/shared_reads_mesh.h
@@ -0,0 +1,108 @@
+// A simulated mesh of directory reducers: a register, zones of nodes, messages between them, and
+// faults. Time is simulated; runs of one seed are the same.
+
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "amaranthlatch/directory/directory.h"
+#include "amaranthlatch/utils/random.h"
+
+namespace amaranthlatch::directory::testing {
+
+class SharedReadsMesh {
+ public:
+  struct Node {
+    Options options;
+    std::optional<Directory> directory;
+    // Distinguishes processes; events of an earlier one are dropped.
+    std::uint64_t process = 0;
+    std::uint64_t incarnations = 0;
+    // The node neither handles events nor sends messages; they are delivered later.
+    bool frozen = false;
+    std::vector<Event> frozen_events;
+    // Requests to the register, and connections to other nodes, hang.
+    bool cut_from_register = false;
+    bool cut_from_peers = false;
+    // Read in flight on each stream; 0 for none.
+    std::array<std::uint64_t, kStreamCount> reads{};
+    std::optional<utils::Timestamp> wake;
+    // Highest version in force of this process.
+    document::Version version = 0;
+  };
+
+  SharedReadsMesh(std::uint64_t seed, std::size_t zones, std::size_t nodes_per_zone, bool is_new);
+
+  // Starts a node whose backend server announces itself within 1.5 s.
+  void Start(std::size_t node, bool is_new);
+  void Kill(std::size_t node);
+  void Freeze(std::size_t node) { this->nodes[node].frozen = true; }
+  void Thaw(std::size_t node);
+  void Drain(std::size_t node) { this->Dispatch(node, DrainStarted{}); }
+  void Publish(document::Version version);
+  // While the register is down, all requests fail.
+  void SetRegisterDown(bool down) { this->register_down = down; }
+  // The register loses all records but the newest of each key.
+  void Compact();
+  // Stores a record under the id of a node, as a late write of an earlier process would.
+  void StoreRecord(const membership::Member& member);
+
+  void Run(utils::Duration time);
+  // Each node in the mesh learns of the versions of others, as from calls.
+  void ShareVersions();
+
+  std::vector<std::size_t> Readers(std::size_t zone) const;
+  // Whether the node has the newest configuration and the newest record of every live node.
+  bool IsUpToDate(std::size_t node) const;
+  bool AllUpToDate() const;
+  const Node& At(std::size_t node) const { return this->nodes[node]; }
+  Node& At(std::size_t node) { return this->nodes[node]; }
+  std::size_t Size() const { return this->nodes.size(); }
+  std::uint64_t RegisterCalls() const { return this->register_calls; }
+  const std::string& FirstError() const { return this->first_error; }
+  const membership::Member* NewestRecord(const std::string& id) const;
+
+ private:
+  struct PendingRead {
+    std::size_t node = 0;
+    std::uint64_t process = 0;
+    ReadStream read;
+    utils::Timestamp expires{};
+  };
+
+  void At(utils::Duration delay, std::function<void()> action);
+  void Dispatch(std::size_t node, const Event& event);
+  void Perform(std::size_t node, const Effect& effect);
+  void ScheduleWake(std::size_t node);
+  void StartRead(std::size_t node, const ReadStream& read);
+  // Answers the read if there are records; returns whether it did.
+  bool AnswerRead(std::uint64_t id, const PendingRead& pending);
+  void AnswerWaitingReads();
+  void Reply(std::size_t node, std::uint64_t process, const Event& event);
+  std::optional<std::size_t> FindNode(const std::string& id) const;
+
+  utils::Random random;
+  std::vector<Node> nodes;
+  std::multimap<utils::Timestamp, std::function<void()>> events;
+  utils::Timestamp now{utils::Seconds(100)};
+  std::vector<document::Version> configurations;
+  std::vector<membership::Member> records;
+  // Records before this position are no longer readable.
+  std::array<Position, kStreamCount> first_positions{};
+  std::map<std::uint64_t, PendingRead> pending_reads;
+  std::uint64_t last_read = 0;
+  std::uint64_t register_calls = 0;
+  bool register_down = false;
+  std::string first_error;
+};
+
+}  // namespace amaranthlatch::directory::testing
--- a/libs/node/include/amaranthlatch/node/message.h
+++ b/libs/node/include/amaranthlatch/node/message.h
@@ -5,11 +5,13 @@
 #include <variant>
 
 #include "amaranthlatch/calls/message.h"
+#include "amaranthlatch/directory/message.h"
 #include "amaranthlatch/distribution/message.h"
 #include "amaranthlatch/membership/message.h"
 
 namespace amaranthlatch::node {
 
-using Message = std::variant<membership::Message, distribution::Message, calls::Message>;
+using Message =
+    std::variant<membership::Message, distribution::Message, calls::Message, directory::Message>;
 
 }  // namespace amaranthlatch::node
--- a/libs/node/include/amaranthlatch/node/register_node.h
+++ b/libs/node/include/amaranthlatch/node/register_node.h
@@ -44,8 +44,8 @@
     std::variant<SendMessage, InvariantViolated, CallerIntakeClosed, directory::ReadStream,
                  directory::WriteMember, directory::ConfigurationActivated,
                  directory::MemberChanged, directory::RegisterReachabilityChanged,
-                 calls::AnswerCaller, calls::RunOnBackendServer, calls::CancelOnBackendServer,
-                 calls::DrainFinished, calls::QuarantineChanged>;
+                 directory::ReadSourceChanged, calls::AnswerCaller, calls::RunOnBackendServer,
+                 calls::CancelOnBackendServer, calls::DrainFinished, calls::QuarantineChanged>;
 
 class RegisterNode {
  public:
@@ -65,6 +65,7 @@
   directory::MeshConfiguration::Pointer Configuration() const;
   const membership::MemberView& Members() const;
   const directory::Counters& DirectoryCounters() const;
+  directory::Gauges DirectoryGauges() const;
   const calls::Counters& CallCounters() const;
   calls::Gauges CallGauges() const;
 
--- a/libs/node/src/message_codec.cc
+++ b/libs/node/src/message_codec.cc
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "amaranthlatch/calls/message_codec.h"
+#include "amaranthlatch/directory/message_codec.h"
 #include "amaranthlatch/distribution/message_codec.h"
 #include "amaranthlatch/document/json_guard.h"
 #include "amaranthlatch/membership/message_codec.h"
@@ -46,6 +47,8 @@
 
 std::string Encode(const calls::Message& message) { return calls::ToCbor(message); }
 
+std::string Encode(const directory::Message& message) { return directory::ToCbor(message); }
+
 }  // namespace
 
 EncodedMessage EncodeMessage(const Message& message) {
@@ -63,6 +66,8 @@
       return DecodeTree<distribution::Message>(payload, &distribution::MessageFromJson);
     case 2:
       return ToMessage(calls::MessageFromCbor(payload));
+    case 3:
+      return ToMessage(directory::MessageFromCbor(payload));
     default:
       return utils::Fail(ErrorCode::kMessageMalformed, "unknown module number");
   }
--- a/libs/node/src/register_node.cc
+++ b/libs/node/src/register_node.cc
@@ -64,6 +64,9 @@
   void HandleEffect(calls::SendMessage effect) {
     this->effects.emplace_back(SendMessage{std::move(effect.to), std::move(effect.message)});
   }
+  void HandleEffect(directory::SendToPeer effect) {
+    this->effects.emplace_back(SendMessage{std::move(effect.to), std::move(effect.message)});
+  }
   void HandleEffect(calls::AnswerCaller effect) {
     this->invariants.OnCallAnswered(effect.call, this->violations);
     this->effects.emplace_back(std::move(effect));
@@ -154,6 +157,8 @@
   if (const auto* call = std::get_if<calls::Message>(&event.message)) {
     this->ReportNewerVersion(*call);
     this->DispatchToCalls(calls::PeerMessage{event.from, *call});
+  } else if (const auto* message = std::get_if<directory::Message>(&event.message)) {
+    this->DispatchToDirectory(directory::PeerMessageReceived{event.from, *message});
   }
 }
 
@@ -169,10 +174,13 @@
   const auto* const request = call == nullptr ? nullptr : std::get_if<calls::CallRequest>(call);
   if (request != nullptr) {
     this->DispatchToCalls(calls::AttemptNotSent{request->id});
+  } else if (std::holds_alternative<directory::Message>(event.message)) {
+    this->DispatchToDirectory(directory::PeerUnreachable{event.to});
   }
 }
 
 void RegisterNode::Impl::Handle(const PeerUnreachable& event) {
+  this->DispatchToDirectory(directory::PeerUnreachable{event.id});
   this->DispatchToCalls(calls::PeerUnreachable{event.id});
 }
 
@@ -292,6 +300,10 @@
   return this->impl->directory.GetCounters();
 }
 
+directory::Gauges RegisterNode::DirectoryGauges() const {
+  return this->impl->directory.GetGauges();
+}
+
 const calls::Counters& RegisterNode::CallCounters() const {
   return this->impl->calls.GetCounters();
 }
--- a/libs/node/tests/register_node_test.cc
+++ b/libs/node/tests/register_node_test.cc
@@ -45,6 +45,7 @@
   options.directory.region = "north";
   options.directory.zone = "ondangwa";
   options.directory.boot_id = 7;
+  options.directory.share_reads = false;
   options.calls.gate.adaptive_concurrency_limit = false;
   return options;
 }
--- a/libs/runtime/include/amaranthlatch/runtime/register_settings.h
+++ b/libs/runtime/include/amaranthlatch/runtime/register_settings.h
@@ -13,6 +13,9 @@
 
 namespace amaranthlatch::runtime {
 
+// Whether the whole mesh starts for the first time, or this node joins one that runs.
+enum class MeshStart : std::uint8_t { kRunning = 0, kNew = 1 };
+
 struct RegisterSettings {
   // Addresses are "ip:port".
   std::string node_address;
@@ -28,6 +31,7 @@
   std::string backend_address;
   std::string secret;
   LogLevel log_level = LogLevel::kInfo;
+  MeshStart mesh_start = MeshStart::kRunning;
   // Backend arrivals beyond the first of each request: a share of the requests and, over all nodes
   // and for each budget window, this many more.
   double retry_ratio = 0.0;
--- a/libs/runtime/src/node_metrics.cc
+++ b/libs/runtime/src/node_metrics.cc
@@ -112,7 +112,14 @@
   text.Gauge("http_connections", static_cast<double>(server.connections), label);
 }
 
-void AppendDirectory(MetricsText& text, const directory::Counters& directory) {
+void AppendDirectory(MetricsText& text, const directory::Counters& directory,
+                     const directory::Gauges& gauges) {
+  text.Gauge("register_reader", gauges.reading ? 1 : 0);
+  text.Gauge("register_subscribers", static_cast<double>(gauges.subscribers));
+  text.Counter("register_source_changes_total", directory.source_changes);
+  text.Counter("register_updates_sent_total", directory.updates_sent);
+  text.Counter("register_updates_received_total", directory.updates_received);
+  text.Counter("register_updates_unusable_total", directory.updates_unusable);
   text.Counter("register_reads_total", directory.reads);
   text.Counter("register_reads_failed_total", directory.reads_failed);
   text.Counter("register_listings_total", directory.listings);
@@ -137,7 +144,7 @@
   MetricsText text;
   text.Gauge("ready", metrics.ready ? 1 : 0);
   text.Gauge("configuration_version", static_cast<double>(metrics.version));
-  AppendDirectory(text, metrics.directory);
+  AppendDirectory(text, metrics.directory, metrics.directory_gauges);
   AppendCalls(text, metrics.calls, metrics.gauges);
   AppendTransport(text, metrics.transport, metrics.envelope);
   AppendServer(text, metrics.data_server, R"(address="data")");
--- a/libs/runtime/src/register_host.cc
+++ b/libs/runtime/src/register_host.cc
@@ -246,6 +246,7 @@
     }
     details::RegisterMetrics metrics;
     metrics.directory = this->node->DirectoryCounters();
+    metrics.directory_gauges = this->node->DirectoryGauges();
     metrics.calls = this->node->CallCounters();
     metrics.gauges = this->node->CallGauges();
     metrics.envelope = this->envelope->GetCounters();
@@ -365,6 +366,13 @@
         .Warn();
   }
 
+  void Perform(const directory::ReadSourceChanged& effect) {
+    LogLine("register-reader")
+        .Add("reader", effect.reader.empty() ? this->settings.node_address : effect.reader)
+        .Add("self", effect.reader.empty() ? "true" : "false")
+        .Info();
+  }
+
   void Perform(calls::AnswerCaller& effect) { this->gateway.Answer(std::move(effect)); }
   void Perform(const calls::RunOnBackendServer& effect) { this->backend_server->Run(effect); }
   void Perform(const calls::CancelOnBackendServer& effect) {
--- a/libs/runtime/src/register_metrics.h
+++ b/libs/runtime/src/register_metrics.h
@@ -16,6 +16,7 @@
 
 struct RegisterMetrics {
   directory::Counters directory;
+  directory::Gauges directory_gauges;
   calls::Counters calls;
   calls::Gauges gauges;
   node::Envelope::Counters envelope;
--- a/libs/runtime/src/register_options.cc
+++ b/libs/runtime/src/register_options.cc
@@ -43,6 +43,10 @@
 constexpr double kRetryShare = 0.5;
 constexpr double kPercent = 100.0;
 
+// In a new mesh the backend servers announce themselves first, within their heartbeat interval.
+constexpr utils::Duration kNewMeshDiscoveryTime = utils::Milliseconds(1500);
+constexpr utils::Duration kNewMeshDiscoverySpread = utils::Milliseconds(2500);
+
 // A crowded gate empties within a few answers; anything else takes a record of the register.
 constexpr utils::Duration kCrowdedAdvice = utils::Milliseconds(200);
 constexpr utils::Duration kOtherAdvice = utils::Milliseconds(400);
@@ -71,6 +75,12 @@
   options.directory.data_address = settings.data_address;
   options.directory.boot_id = boot_id;
   options.directory.seed = seed;
+  options.directory.service_defaults = MakeServiceDefaults(settings);
+  options.directory.mesh_is_new = settings.mesh_start == MeshStart::kNew;
+  if (options.directory.mesh_is_new) {
+    options.directory.discovery_time = kNewMeshDiscoveryTime;
+    options.directory.discovery_spread = kNewMeshDiscoverySpread;
+  }
 
   calls::Options& calls = options.calls;
   calls.seed = seed + 1;
--- a/libs/runtime/src/register_settings.cc
+++ b/libs/runtime/src/register_settings.cc
@@ -45,6 +45,14 @@
        0,
        0,
        {"error", "warn", "info", "debug"}},
+      {"mesh_start",
+       SettingType::kChoice,
+       "choice",
+       R"("running")",
+       false,
+       0,
+       0,
+       {"running", "new"}},
       {"retry_ratio", SettingType::kNumber, "ratio", "0.1", false, 0, 1, {}},
       {"retry_slack", SettingType::kNumber, "calls", "20", false, 0, kMaxSlack, {}},
       {"shutdown_limit",
@@ -87,6 +95,7 @@
   settings.backend_address = value("backend_address");
   settings.secret = value("secret");
   settings.log_level = details::ChoiceOf<LogLevel>(*object, AllRegisterSettings(), "log_level");
+  settings.mesh_start = details::ChoiceOf<MeshStart>(*object, AllRegisterSettings(), "mesh_start");
   settings.retry_ratio = (*object)["retry_ratio"].get<double>();
   settings.retry_slack = (*object)["retry_slack"].get<double>();
   settings.shutdown_limit = *details::ParseTime(value("shutdown_limit"));
--- a/libs/runtime/src/traffic.cc
+++ b/libs/runtime/src/traffic.cc
@@ -47,9 +47,16 @@
     {"crash-cleared", true, false},
 }};
 
+constexpr std::array<MessageKind, std::variant_size_v<directory::Message>> kDirectory = {{
+    {"update-request", false, true},
+    {"update", false, false},
+    {"reader-notice", false, false},
+}};
+
 MessageKind Find(const membership::Message& message) { return kMembership.at(message.index()); }
 MessageKind Find(const distribution::Message& message) { return kDistribution.at(message.index()); }
 MessageKind Find(const calls::Message& message) { return kCalls.at(message.index()); }
+MessageKind Find(const directory::Message& message) { return kDirectory.at(message.index()); }
 
 std::string Label(std::string_view name, std::string_view value) {
   return std::string(name).append("=\"").append(LabelValue(value)).append("\"");
