Decide admission and waits by the service times of the route

Entries refused the internal calls of stockdesk (22 ms of work) without sending them, because they took the wait for (calls ahead / slots) x the mean latency of all calls, which contains long ones and their waits; each refusal failed a parent whose work was done: 16,247 of 23,654 runs of stockdesk ended as 500 in the first 12 s. Gates refused and queued short calls like long ones. Change: calls::ServiceTimes keeps means by route, at gates (admission, expiry in the queue) and entries (time at the backend server, which answers already carry); within a priority class the queue takes the earliest latency deadline first; an entry estimates up to the deadline for internal calls. A call to the backend server of the same instance needs no messages and is preferred by 10 ms. Candidates keep a pointer to their observations in place of a lookup by id for each choice.

--- a/libs/calls/include/amaranthlatch/calls/balance_policy.h
+++ b/libs/calls/include/amaranthlatch/calls/balance_policy.h
@@ -13,7 +13,7 @@
 namespace amaranthlatch::calls {
 
 // Locality of a backend server relative to this node.
-enum class Distance : std::uint8_t { kZone, kRegion, kOtherRegion };
+enum class Distance : std::uint8_t { kInstance, kZone, kRegion, kOtherRegion };
 
 // A backend server with the state that this node has observed or received about it.
 struct Candidate {
@@ -21,6 +21,9 @@
   std::uint32_t in_flight = 0;
   // Moving average of the latency in microseconds; 0 before the first answer.
   double latency_us = 0.0;
+  // Moving average of the time at the backend server alone, for calls of the same route, in
+  // microseconds; 0 if it is not known.
+  double service_time_us = 0.0;
   // Number of recent refusals and failures, with exponential decay.
   double failure_score = 0.0;
   // Share of its normal load that a newly started backend server receives, in (0, 1].
@@ -53,13 +56,16 @@
   std::size_t Choose(std::span<const Candidate> candidates, utils::Random& random) override;
 };
 
-// Chooses the lowest expected cost in time. Crossing a zone or a region adds a fixed cost, so a
-// call leaves its zone only if the wait there exceeds the cost of the transfer.
+// Chooses the lowest expected cost in time. Leaving the instance, the zone or the region adds a
+// fixed cost, so a call leaves them only if the wait there exceeds the cost of the transfer.
 class ExpectedTimePolicy : public BalancePolicy {
  public:
   struct Costs {
-    // Added to the expected wait of a candidate in another zone or region.
-    utils::Duration cross_zone = utils::Milliseconds(20);
+    // Added to the expected wait of a candidate on another instance of the zone: a call to the
+    // backend server of this instance costs no messages, which take processor time of two nodes.
+    utils::Duration cross_instance = utils::Milliseconds(10);
+    // Added instead for a candidate in another zone or region.
+    utils::Duration cross_zone = utils::Milliseconds(30);
     utils::Duration cross_region = utils::Milliseconds(150);
     // Added for each recent failure of the candidate.
     utils::Duration failure = utils::Milliseconds(150);
--- a/libs/calls/include/amaranthlatch/calls/request.h
+++ b/libs/calls/include/amaranthlatch/calls/request.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "amaranthlatch/utils/error_code.h"
+#include "amaranthlatch/utils/time.h"
 
 namespace amaranthlatch::calls {
 
@@ -44,6 +46,13 @@
   kUnknown,
 };
 
+// Header field in which a node passes on how long its backend server worked on the request, in
+// microseconds.
+inline constexpr const char* kBackendTimeField = "amaranthlatch-backend-us";
+
+// Value of the field; empty without the field or with another value than a number.
+std::optional<utils::Duration> BackendTimeOf(const HttpResponse& response);
+
 struct Answer {
   ResultKind kind = ResultKind::kUnknown;
   utils::ErrorCode code = utils::ErrorCode::kOk;
--- a/libs/calls/src/balance_policy.cc
+++ b/libs/calls/src/balance_policy.cc
@@ -46,20 +46,26 @@
 }
 
 utils::Duration ExpectedTimePolicy::ExpectedWait(const Candidate& candidate) const {
-  const double latency = candidate.latency_us > 0.0 ? candidate.latency_us : kDefaultServiceTimeUs;
+  // The latency contains waits, so that it overestimates the wait of a call that overtakes others.
+  double service_time = candidate.service_time_us;
+  if (service_time == 0.0) {
+    service_time = candidate.latency_us > 0.0 ? candidate.latency_us : kDefaultServiceTimeUs;
+  }
   const double slots =
       std::max<std::uint32_t>(1, candidate.member->slots) * candidate.slow_start_factor;
   const double load = candidate.calls_ahead + 1.0;
   // Calls wait once the slots are in use; the margin avoids servers that are nearly full.
   const double waiting = std::max(0.0, load - kFreeSlotShare * slots) / slots;
-  return utils::Duration(static_cast<utils::Duration::rep>(waiting * latency));
+  return utils::Duration(static_cast<utils::Duration::rep>(waiting * service_time));
 }
 
 double ExpectedTimePolicy::ExpectedCostUs(const Candidate& candidate) const {
   const auto count = [](utils::Duration duration) { return static_cast<double>(duration.count()); };
   double expected =
       count(this->ExpectedWait(candidate)) + candidate.failure_score * count(this->costs.failure);
-  if (candidate.distance == Distance::kRegion) {
+  if (candidate.distance == Distance::kZone) {
+    expected += count(this->costs.cross_instance);
+  } else if (candidate.distance == Distance::kRegion) {
     expected += count(this->costs.cross_zone);
   } else if (candidate.distance == Distance::kOtherRegion) {
     expected += count(this->costs.cross_region);
--- a/libs/calls/src/balancer.cc
+++ b/libs/calls/src/balancer.cc
@@ -15,7 +15,6 @@
 using membership::MemberState;
 using membership::NodeId;
 
-constexpr double kLatencySmoothing = 0.2;
 constexpr double kMinSlowStartFactor = 0.1;
 constexpr double kPercent = 100.0;
 
@@ -46,7 +45,10 @@
   if (member.region != self.region) {
     return Distance::kOtherRegion;
   }
-  return member.zone == self.zone ? Distance::kZone : Distance::kRegion;
+  if (member.zone != self.zone) {
+    return Distance::kRegion;
+  }
+  return member.id == self.id ? Distance::kInstance : Distance::kZone;
 }
 
 // Remaining weight of an observation of this age.
@@ -81,6 +83,7 @@
   }
   // If a target has no ready backend server, its share goes to the next one unless the split is
   // strict.
+  const Demand demand{route.priority, RouteKeyOf(route)};
   const std::size_t count = route.strict_split ? 1 : route.split.size();
   for (std::size_t i = 0; i < count; ++i) {
     const std::size_t index = (*target + i) % route.split.size();
@@ -88,7 +91,7 @@
       continue;
     }
     if (const Member* member =
-            this->ChooseTarget(context, route.split[index], route.priority, tried, max_wait)) {
+            this->ChooseTarget(context, route.split[index], demand, tried, max_wait)) {
       target = index;
       return member;
     }
@@ -114,7 +117,7 @@
 }
 
 const Member* Balancer::ChooseTarget(const Context& context, const document::SplitTarget& target,
-                                     document::Priority priority, const std::vector<NodeId>& tried,
+                                     const Demand& demand, const std::vector<NodeId>& tried,
                                      utils::Duration max_wait) {
   const auto document = context.routes.Find(target.service);
   if (!document) {
@@ -124,8 +127,8 @@
   if (version == document->versions.end()) {
     return nullptr;
   }
-  if (!this->Collect(context, *document, version->second, priority, tried) &&
-      (tried.empty() || !this->Collect(context, *document, version->second, priority, {}))) {
+  if (!this->Collect(context, *document, version->second, demand, tried) &&
+      (tried.empty() || !this->Collect(context, *document, version->second, demand, {}))) {
     return nullptr;
   }
   const std::vector<Candidate>& level = this->levels[this->ChooseLevel(document->locality)];
@@ -138,27 +141,29 @@
 }
 
 bool Balancer::Collect(const Context& context, const document::ServiceDocument& document,
-                       const document::VersionSelector& selector, document::Priority priority,
+                       const document::VersionSelector& selector, const Demand& demand,
                        const std::vector<NodeId>& tried) {
   for (auto& level : this->levels) {
     level.clear();
   }
   const Member& self = context.members.Self();
   this->service_members = context.members.ServiceMembers(document.service);
+  const ServicePeers& service = this->FindPeers(document.service, this->service_members);
   bool found = false;
-  for (const Member& member : *this->service_members) {
+  for (std::size_t i = 0; i < service.peers.size(); ++i) {
+    const Member& member = (*service.members)[i];
+    Peer& peer = *service.peers[i];
     if (member.state != MemberState::kReady || member.slots == 0 ||
         !HasLabels(member, selector.labels) ||
         std::find(tried.begin(), tried.end(), member.id) != tried.end()) {
       continue;
     }
-    const Peer& peer = this->GetPeer(member.id);
     if (peer.replaced_boot_id != 0 && peer.replaced_boot_id == member.boot_id) {
       continue;
     }
     const std::size_t level = this->LevelForPolicy(self, member, document.locality.prefer);
     Candidate candidate =
-        this->MakeCandidate(member, document.protection.slow_start, priority, context.now);
+        this->MakeCandidate(member, peer, document.protection.slow_start, demand, context.now);
     candidate.distance = DistanceOf(self, member);
     this->levels[level].push_back(candidate);
     found = true;
@@ -171,9 +176,24 @@
   return this->policy->WeighsDistance() ? 0 : LocalityLevel(self, member, prefer);
 }
 
-Candidate Balancer::MakeCandidate(const Member& member, utils::Duration slow_start,
-                                  document::Priority priority, utils::Timestamp now) {
-  Peer& peer = this->GetPeer(member.id);
+const Balancer::ServicePeers& Balancer::FindPeers(const std::string& service,
+                                                  const membership::MemberList& members) {
+  const auto found = this->peers_by_service.find(service);
+  if (found != this->peers_by_service.end() && found->second.members == members) {
+    return found->second;
+  }
+  this->MakeRoom(members->size());
+  ServicePeers& known = this->peers_by_service[service];
+  known.members = members;
+  known.peers.clear();
+  for (const Member& member : *members) {
+    known.peers.push_back(&this->peers[member.id]);
+  }
+  return known;
+}
+
+Candidate Balancer::MakeCandidate(const Member& member, Peer& peer, utils::Duration slow_start,
+                                  const Demand& demand, utils::Timestamp now) {
   if (peer.ready_boot_id != member.boot_id || peer.ready_incarnation != member.incarnation) {
     peer.ready_boot_id = member.boot_id;
     peer.ready_incarnation = member.incarnation;
@@ -184,7 +204,9 @@
   candidate.member = &member;
   candidate.in_flight = peer.in_flight;
   // The latency decays, so that a backend server that was slow is eventually tried again.
-  candidate.latency_us = peer.latency_us * Decay(now - peer.latency_at, options.latency_half_life);
+  candidate.latency_us = static_cast<double>(peer.latencies.Mean(demand.route).count()) *
+                         Decay(now - peer.latency_at, options.latency_half_life);
+  candidate.service_time_us = static_cast<double>(peer.service_times.Mean(demand.route).count());
   candidate.failure_score = this->DecayedFailureScore(peer, now);
   if (peer.awaiting_reply && now - peer.awaiting_since > options.silence_interval) {
     candidate.failure_score +=
@@ -192,8 +214,9 @@
   }
   candidate.calls_ahead = peer.in_flight;
   if (now - peer.load_at < options.load_report_lifetime) {
-    candidate.reported_load = peer.load.CallsAhead(priority);
-    const auto end = peer.sent_since_report.begin() + static_cast<std::ptrdiff_t>(priority) + 1;
+    candidate.reported_load = peer.load.CallsAhead(demand.priority);
+    const auto end =
+        peer.sent_since_report.begin() + static_cast<std::ptrdiff_t>(demand.priority) + 1;
     candidate.calls_ahead =
         std::accumulate(peer.sent_since_report.begin(), end, candidate.reported_load);
   }
@@ -234,12 +257,21 @@
 }
 
 Balancer::Peer& Balancer::GetPeer(const NodeId& id) {
-  if (this->peers.size() >= this->shared.options.balance.capacity) {
-    std::erase_if(this->peers, [](const auto& entry) { return entry.second.in_flight == 0; });
+  const auto found = this->peers.find(id);
+  if (found != this->peers.end()) {
+    return found->second;
   }
+  this->MakeRoom(1);
   return this->peers[id];
 }
 
+void Balancer::MakeRoom(std::size_t count) {
+  if (this->peers.size() + count > this->shared.options.balance.capacity) {
+    this->peers_by_service.clear();
+    std::erase_if(this->peers, [](const auto& entry) { return entry.second.in_flight == 0; });
+  }
+}
+
 void Balancer::OnSent(const NodeId& gate, document::Priority priority, utils::Timestamp now) {
   Peer& peer = this->GetPeer(gate);
   ++peer.in_flight;
@@ -250,24 +282,25 @@
   }
 }
 
-void Balancer::OnEnded(const NodeId& gate, AttemptOutcome outcome, utils::Duration latency,
-                       utils::Timestamp now) {
+void Balancer::OnEnded(const NodeId& gate, RouteKey route, AttemptOutcome outcome,
+                       utils::Duration latency, utils::Timestamp now) {
   Peer& peer = this->GetPeer(gate);
   this->shared.Require(peer.in_flight > 0, "balancer: an attempt ended that was not sent");
   --peer.in_flight;
   peer.awaiting_reply = peer.awaiting_reply && peer.in_flight > 0;
   if (outcome == AttemptOutcome::kAnswered) {
-    const auto sample = static_cast<double>(latency.count()) + 1.0;
     peer.latency_at = now;
-    peer.latency_us = peer.latency_us == 0.0
-                          ? sample
-                          : peer.latency_us + kLatencySmoothing * (sample - peer.latency_us);
+    peer.latencies.Record(route, latency);
   } else if (outcome == AttemptOutcome::kFailed) {
     peer.failure_score = this->DecayedFailureScore(peer, now) + 1.0;
     peer.failure_score_at = now;
   }
 }
 
+void Balancer::OnServiceTime(const NodeId& gate, RouteKey route, utils::Duration time) {
+  this->GetPeer(gate).service_times.Record(route, time);
+}
+
 void Balancer::OnLoadReport(const NodeId& gate, const GateLoad& load, utils::Timestamp now) {
   Peer& peer = this->GetPeer(gate);
   peer.load = load;
--- a/libs/calls/src/balancer.h
+++ b/libs/calls/src/balancer.h
@@ -12,6 +12,7 @@
 
 #include "amaranthlatch/calls/balance_policy.h"
 #include "context.h"
+#include "service_times.h"
 
 namespace amaranthlatch::calls::details {
 
@@ -43,16 +44,25 @@
   std::optional<std::size_t> DrawTarget(const document::Route& route);
 
   void OnSent(const membership::NodeId& gate, document::Priority priority, utils::Timestamp now);
-  void OnEnded(const membership::NodeId& gate, AttemptOutcome outcome, utils::Duration latency,
-               utils::Timestamp now);
+  // `latency` counts only if the attempt was answered.
+  void OnEnded(const membership::NodeId& gate, RouteKey route, AttemptOutcome outcome,
+               utils::Duration latency, utils::Timestamp now);
+  // The backend server of the gate worked this long on a call.
+  void OnServiceTime(const membership::NodeId& gate, RouteKey route, utils::Duration time);
   void OnLoadReport(const membership::NodeId& gate, const GateLoad& load, utils::Timestamp now);
   // The process with this boot id has been replaced, although the member list may still name it.
   void OnProcessReplaced(const membership::NodeId& gate, std::uint64_t boot);
 
  private:
+  // Weight of a new sample in the latency of a gate.
+  static constexpr double kLatencySmoothing = 0.2;
+
   struct Peer {
     std::uint32_t in_flight = 0;
-    double latency_us = 0.0;
+    // From the sending of an attempt to its answer, with the wait at the gate.
+    ServiceTimes latencies{kLatencySmoothing};
+    // Times at the backend server alone.
+    ServiceTimes service_times{kLatencySmoothing};
     utils::Timestamp latency_at{};
     double failure_score = 0.0;
     utils::Timestamp failure_score_at{};
@@ -69,26 +79,39 @@
     utils::Timestamp ready_at{};
     std::uint64_t replaced_boot_id = 0;
   };
+  // The peer of each member of a list, so that a choice needs no lookups by id.
+  struct ServicePeers {
+    membership::MemberList members;
+    std::vector<Peer*> peers;
+  };
   // Locality levels: this instance, its zone, its region, other regions.
   static constexpr std::size_t kLevels = 4;
   using Levels = std::array<std::vector<Candidate>, kLevels>;
 
+  // What the calls of one choice have in common.
+  struct Demand {
+    document::Priority priority = document::Priority::kNormal;
+    RouteKey route = 0;
+  };
+
   const membership::Member* ChooseTarget(const Context& context,
-                                         const document::SplitTarget& target,
-                                         document::Priority priority,
+                                         const document::SplitTarget& target, const Demand& demand,
                                          const std::vector<membership::NodeId>& tried,
                                          utils::Duration max_wait);
   // Fills `levels`; returns false if there is no candidate.
   bool Collect(const Context& context, const document::ServiceDocument& document,
-               const document::VersionSelector& selector, document::Priority priority,
+               const document::VersionSelector& selector, const Demand& demand,
                const std::vector<membership::NodeId>& tried);
   std::size_t LevelForPolicy(const membership::Member& self, const membership::Member& member,
                              document::LocalityPreference prefer) const;
-  Candidate MakeCandidate(const membership::Member& member, utils::Duration slow_start,
-                          document::Priority priority, utils::Timestamp now);
+  const ServicePeers& FindPeers(const std::string& service, const membership::MemberList& members);
+  Candidate MakeCandidate(const membership::Member& member, Peer& peer, utils::Duration slow_start,
+                          const Demand& demand, utils::Timestamp now);
   std::size_t ChooseLevel(const document::Locality& locality) const;
   double DecayedFailureScore(const Peer& peer, utils::Timestamp now) const;
   Peer& GetPeer(const membership::NodeId& id);
+  // Removes peers without calls if there is no room for `count` more.
+  void MakeRoom(std::size_t count);
 
   SharedState& shared;
   std::unique_ptr<BalancePolicy> policy;
@@ -96,6 +119,8 @@
   // Members to reuse their memory. The candidates point into `service_members`.
   Levels levels;
   membership::MemberList service_members;
+  // Cleared when peers are removed, to which it points.
+  std::unordered_map<std::string, ServicePeers> peers_by_service;
   bool overloaded = false;
 };
 
--- a/libs/calls/src/entry.cc
+++ b/libs/calls/src/entry.cc
@@ -39,6 +39,10 @@
 }
 }  // namespace
 
+RouteKey RouteKeyOf(const OpenCall& call) {
+  return call.match ? RouteKeyOf(*call.match->route) : RouteKey{0};
+}
+
 Entry::Entry(SharedState& shared, Balancer& balancer)
     : shared(shared),
       balancer(balancer),
@@ -65,7 +69,10 @@
     call.max_attempts = std::max<std::uint32_t>(
         1, route_max_attempts != 0 ? route_max_attempts : protection.max_attempts);
     call.budget_service = call.match->document->service;
-    if (call.match->route->target_latency.count() > 0) {
+    // An internal call is part of another call, which fails without it after its work was done: it
+    // may wait until its deadline.
+    if (call.match->route->target_latency.count() > 0 &&
+        call.match->route->priority != document::Priority::kInternal) {
       call.latency_deadline = context.now + call.match->route->target_latency;
     }
   }
@@ -163,9 +170,7 @@
     tried.push_back(attempt.gate);
   }
   const Duration latency_budget =
-      call.latency_deadline == Timestamp::max()
-          ? Duration::max()
-          : std::max(call.latency_deadline - context.now, kMinLatencyBudget);
+      std::max(std::min(call.latency_deadline, call.deadline) - context.now, kMinLatencyBudget);
   return this->balancer.Choose(context, *call.match->route, tried, call.target, latency_budget);
 }
 
@@ -251,15 +256,19 @@
     this->balancer.OnProcessReplaced(attempt->gate, attempt->gate_boot_id);
   }
   if (answer.kind == ResultKind::kAnswered) {
-    this->balancer.OnEnded(attempt->gate, AttemptOutcome::kAnswered, context.now - attempt->sent,
-                           context.now);
+    this->balancer.OnEnded(attempt->gate, RouteKeyOf(*call), AttemptOutcome::kAnswered,
+                           context.now - attempt->sent, context.now);
+    if (const auto time = BackendTimeOf(answer.response)) {
+      this->balancer.OnServiceTime(attempt->gate, RouteKeyOf(*call), *time);
+    }
     attempt->stage = AttemptStage::kUnknown;
     this->Finish(context, *call, answer);
     return;
   }
   if (call->permit && answer.kind == ResultKind::kNotRun) {
     // The gate has invalidated the permit, so no copy of the request has run or will run.
-    this->balancer.OnEnded(attempt->gate, AttemptOutcome::kFailed, {}, context.now);
+    this->balancer.OnEnded(attempt->gate, RouteKeyOf(*call), AttemptOutcome::kFailed, {},
+                           context.now);
     attempt->stage = AttemptStage::kNotRun;
     this->Finish(context, *call, answer);
     return;
@@ -335,7 +344,8 @@
     if (attempt.stage != AttemptStage::kOpen) {
       continue;
     }
-    this->balancer.OnEnded(attempt.gate, AttemptOutcome::kAbandoned, {}, context.now);
+    this->balancer.OnEnded(attempt.gate, RouteKeyOf(call), AttemptOutcome::kAbandoned, {},
+                           context.now);
     if (answer.kind == ResultKind::kAnswered && !call.permit) {
       this->Fence(context, call, attempt, true);
     }
--- a/libs/calls/src/entry.h
+++ b/libs/calls/src/entry.h
@@ -75,6 +75,9 @@
   utils::Timestamp wake = utils::Timestamp::max();
 };
 
+// Key of the route of the call in ServiceTimes; 0 without a route.
+RouteKey RouteKeyOf(const OpenCall& call);
+
 class Entry {
  public:
   Entry(SharedState& shared, Balancer& balancer);
--- a/libs/calls/src/entry_retry.cc
+++ b/libs/calls/src/entry_retry.cc
@@ -160,7 +160,7 @@
   attempt.stage = stage;
   attempt.reached_backend =
       stage == AttemptStage::kUnknown || failure.code == ErrorCode::kBackendShed;
-  this->balancer.OnEnded(attempt.gate, AttemptOutcome::kFailed, {}, context.now);
+  this->balancer.OnEnded(attempt.gate, RouteKeyOf(call), AttemptOutcome::kFailed, {}, context.now);
   // Once the deadline has passed, the caller gets kDeadlineExceeded whatever an attempt returns.
   if (!call.closing_until) {
     call.failure = failure;
--- a/libs/calls/src/gate.cc
+++ b/libs/calls/src/gate.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "amaranthlatch/calls/message_codec.h"
+#include "amaranthlatch/utils/hash.h"
 
 namespace amaranthlatch::calls::details {
 
@@ -81,6 +82,7 @@
     call.latency_deadline = context.now + request.latency_budget;
   }
   call.request = std::move(request);
+  call.route = utils::Hash64(call.request.route);
   if (!call.request.permit.empty() && !this->CheckPermit(context, call)) {
     return;
   }
@@ -134,15 +136,21 @@
   if (!this->shared.options.gate.bound_queue_by_deadline) {
     return ErrorCode::kOk;
   }
-  const utils::Duration mean = this->limit.MeanLatency();
-  const auto queue_position = static_cast<utils::Duration::rep>(this->queue.Ahead(priority) + 1);
-  const utils::Duration wait =
-      mean * queue_position / std::max<std::uint32_t>(1, this->limit.Get());
-  return context.now + wait + mean > std::min(call.deadline, call.latency_deadline)
+  const utils::Duration expected = this->ExpectedWait(call) + this->service_times.Mean(call.route);
+  return context.now + expected > std::min(call.deadline, call.latency_deadline)
              ? ErrorCode::kQueueFull
              : ErrorCode::kOk;
 }
 
+utils::Duration Gate::ExpectedWait(const AdmittedCall& call) const {
+  // The work of the calls ahead, and of one that runs.
+  utils::Duration work = this->service_times.Mean();
+  this->queue.ForEachAhead(
+      call.request.priority, call.latency_deadline,
+      [this, &work](const AdmittedCall& ahead) { work += this->service_times.Mean(ahead.route); });
+  return work / std::max<std::uint32_t>(1, this->limit.Get());
+}
+
 void Gate::Admit(const Context& context, AdmittedCall call) {
   ErrorCode code = this->CheckAdmission(call.request.service);
   membership::NodeId redirect;
@@ -182,7 +190,8 @@
   }
   if (call.latency_deadline != Timestamp::max()) {
     // A call dequeued later than this would be answered late.
-    call.expiry = std::min(call.expiry, call.latency_deadline - this->limit.MeanLatency() / 2);
+    call.expiry =
+        std::min(call.expiry, call.latency_deadline - this->service_times.Mean(call.route) / 2);
   }
   this->queue.Push(std::move(call));
 }
@@ -234,6 +243,7 @@
   run.max_response_bytes = call.request.max_response_bytes;
   run.started = context.now;
   run.deadline = call.deadline;
+  run.route = call.route;
   this->runs.emplace(run_id, std::move(run));
   this->run_by_key.emplace(call.key, run_id);
   this->run_deadlines.emplace(call.deadline, run_id);
@@ -351,6 +361,7 @@
   const HttpResponse& response = answered.response;
   if (response.status != kStatusUnavailable) {
     this->limit.OnCompleted(context.now - run->started, run->saturated, context.now);
+    this->service_times.Record(run->route, context.now - run->started);
   } else if (this->limit.OnShed(context.now)) {
     ++this->shared.counters.limit_decreases;
   }
--- a/libs/calls/src/gate.h
+++ b/libs/calls/src/gate.h
@@ -18,9 +18,13 @@
 #include "permit_ledger.h"
 #include "priority_queue.h"
 #include "quarantine.h"
+#include "service_times.h"
 
 namespace amaranthlatch::calls::details {
 
+// Weight of a new sample in the service times of the backend server.
+inline constexpr double kServiceTimeSmoothing = 0.1;
+
 class Gate {
  public:
   explicit Gate(SharedState& shared);
@@ -54,6 +58,7 @@
     std::uint64_t max_response_bytes = 0;
     utils::Timestamp started{};
     utils::Timestamp deadline{};
+    RouteKey route = 0;
     // Reason for the cancellation; kOk if the run was not cancelled.
     utils::ErrorCode cancelled = utils::ErrorCode::kOk;
     // Whether all slots of the concurrency limit were in use when the run ended.
@@ -73,6 +78,8 @@
   utils::ErrorCode CheckQuarantine(const Context& context, std::uint64_t fingerprint,
                                    membership::NodeId& redirect) const;
   // Returns kOk, or the reason why the call cannot be queued.
+  // Expected time until a slot is free for a new call.
+  utils::Duration ExpectedWait(const AdmittedCall& call) const;
   utils::ErrorCode CheckQueueCapacity(const Context& context, const AdmittedCall& call) const;
 
   // Returns true if the call may proceed to admission; otherwise the call has been replied to,
@@ -108,6 +115,7 @@
   PermitLedger ledger;
   PriorityQueue queue;
   ConcurrencyLimit limit;
+  ServiceTimes service_times{kServiceTimeSmoothing};
   Quarantine quarantine;
 
   std::string service;
--- a/libs/calls/src/priority_queue.cc
+++ b/libs/calls/src/priority_queue.cc
@@ -6,7 +6,7 @@
 
 void PriorityQueue::Push(AdmittedCall call) {
   const auto priority = static_cast<std::size_t>(call.request.priority);
-  const Order order = ++this->next_order;
+  const Order order{call.latency_deadline, ++this->arrivals};
   this->positions[call.key] = Position{priority, order};
   this->expiries.emplace(call.expiry, call.key);
   this->classes[priority].emplace(order, std::move(call));
@@ -30,8 +30,8 @@
     this->pops = 0;
     for (std::size_t i = first + 1; i < this->classes.size(); ++i) {
       const bool has_call = !this->classes[i].empty();
-      if (has_call && (selected == first ||
-                       this->classes[i].begin()->first < this->classes[selected].begin()->first)) {
+      if (has_call && (selected == first || this->classes[i].begin()->first.arrival <
+                                                this->classes[selected].begin()->first.arrival)) {
         selected = i;
       }
     }
@@ -74,12 +74,4 @@
   return this->classes[static_cast<std::size_t>(priority)].size();
 }
 
-std::size_t PriorityQueue::Ahead(document::Priority priority) const {
-  std::size_t ahead = 0;
-  for (std::size_t i = 0; i <= static_cast<std::size_t>(priority); ++i) {
-    ahead += this->classes[i].size();
-  }
-  return ahead;
-}
-
 }  // namespace amaranthlatch::calls::details
--- a/libs/calls/src/priority_queue.h
+++ b/libs/calls/src/priority_queue.h
@@ -1,8 +1,10 @@
-// Queue of admitted calls that wait for a slot, with one FIFO queue per priority class.
+// Queue of admitted calls that wait for a slot: one queue per priority class, each in the order of
+// the latency deadlines of its calls. A class may hold short internal calls beside long ones.
 
 #pragma once
 
 #include <array>
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -15,6 +17,7 @@
 #include "amaranthlatch/calls/message.h"
 #include "amaranthlatch/document/service_document.h"
 #include "amaranthlatch/utils/time.h"
+#include "service_times.h"
 
 namespace amaranthlatch::calls::details {
 
@@ -22,6 +25,8 @@
 struct AdmittedCall {
   std::uint64_t key = 0;
   CallRequest request;
+  // Key of the route in ServiceTimes.
+  RouteKey route = 0;
   utils::Timestamp deadline;
   // Time by which an answer meets the target latency of the route; max() if the route has none.
   utils::Timestamp latency_deadline = utils::Timestamp::max();
@@ -35,8 +40,8 @@
 
 class PriorityQueue {
  public:
-  // Every `fairness_interval`-th Pop takes the oldest call below the highest non-empty class, so
-  // that lower classes do not starve.
+  // Every `fairness_interval`-th Pop takes the oldest first call below the highest non-empty class,
+  // so that lower classes do not starve.
   explicit PriorityQueue(std::uint32_t fairness_interval) : interval(fairness_interval) {}
 
   void Push(AdmittedCall call);
@@ -48,16 +53,32 @@
   std::optional<utils::Timestamp> NextExpiry() const;
   std::size_t Size() const { return this->positions.size(); }
   std::size_t Size(document::Priority priority) const;
-  // Returns the number of queued calls of this class and all higher ones.
-  std::size_t Ahead(document::Priority priority) const;
+  // Calls `visit` for each call that is dequeued before a new one of this class and deadline.
+  template <typename Visitor>
+  void ForEachAhead(document::Priority priority, utils::Timestamp latency_deadline,
+                    Visitor visit) const {
+    const auto last = static_cast<std::size_t>(priority);
+    for (std::size_t i = 0; i <= last; ++i) {
+      for (const auto& [order, call] : this->classes.at(i)) {
+        if (i == last && order.latency_deadline > latency_deadline) {
+          break;
+        }
+        visit(call);
+      }
+    }
+  }
 
  private:
-  // Arrival number across all classes.
-  using Order = std::uint64_t;
+  struct Order {
+    utils::Timestamp latency_deadline{};
+    // Arrival number across all classes.
+    std::uint64_t arrival = 0;
+    auto operator<=>(const Order&) const = default;
+  };
   using ClassQueue = std::map<Order, AdmittedCall>;
   struct Position {
     std::size_t priority = 0;
-    Order order = 0;
+    Order order;
   };
 
   AdmittedCall RemoveAt(std::size_t priority, Order order);
@@ -66,7 +87,7 @@
 
   std::uint32_t interval;
   std::uint32_t pops = 0;
-  Order next_order = 0;
+  std::uint64_t arrivals = 0;
   std::array<ClassQueue, document::kPriorityCount> classes;
   // Every queued call has one entry in each.
   std::unordered_map<std::uint64_t, Position> positions;
--- a/libs/calls/tests/balancer_test.cc
+++ b/libs/calls/tests/balancer_test.cc
@@ -133,7 +133,7 @@
   }
   const auto end = [this](const std::string& id, AttemptOutcome outcome, utils::Duration latency) {
     this->balancer.OnSent(id, document::Priority::kNormal, this->now);
-    this->balancer.OnEnded(id, outcome, latency, this->now);
+    this->balancer.OnEnded(id, 1, outcome, latency, this->now);
   };
   for (const char* id : {"a", "b", "c", "d"}) {
     end(id, AttemptOutcome::kAnswered, Milliseconds(id[0] == 'a' ? 50 : 5));
--- a/libs/runtime/include/amaranthlatch/runtime/backend_server_link.h
+++ b/libs/runtime/include/amaranthlatch/runtime/backend_server_link.h
@@ -37,10 +37,6 @@
 // Strict; fails with kBadRequest and a pointer.
 utils::Result<BackendServer> ParseBackendServer(const std::string& json);
 
-// Field of a backend server's answer in which the gate tells the entry node how long the run took,
-// in microseconds. The entry node removes it and counts what the mesh added.
-inline constexpr const char* kBackendTimeField = "amaranthlatch-backend-us";
-
 // How requests are put to a backend server, and what its answers mean.
 class BackendDialect {
  public:
--- a/libs/runtime/src/backend_server_link.cc
+++ b/libs/runtime/src/backend_server_link.cc
@@ -227,7 +227,7 @@
     this->report(calls::BackendServerFailed{run, calls::BackendFailure::kConnectionLost, false});
     return;
   }
-  response->headers.emplace_back(kBackendTimeField, std::to_string(time.count()));
+  response->headers.emplace_back(calls::kBackendTimeField, std::to_string(time.count()));
   this->report(calls::BackendServerAnswered{run, std::move(*response)});
 }
 
--- a/libs/runtime/src/caller_gateway.cc
+++ b/libs/runtime/src/caller_gateway.cc
@@ -130,7 +130,7 @@
 }
 
 void CallerGateway::CountTimes(std::uint64_t call, calls::HttpResponse& response) {
-  const std::string backend_text = TakeField(response.headers, kBackendTimeField);
+  const std::string backend_text = TakeField(response.headers, calls::kBackendTimeField);
   const auto found = this->begun.find(call);
   if (found == this->begun.end()) {
     return;
--- a/libs/runtime/src/dialect_gateway.cc
+++ b/libs/runtime/src/dialect_gateway.cc
@@ -3,7 +3,6 @@
 #include "dialect_gateway.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include "amaranthlatch/runtime/log_line.h"
@@ -63,19 +62,12 @@
 void DialectGateway::CountTimes(const OpenCall& call, calls::HttpResponse& response) {
   const utils::Duration time = this->clock.Now() - call.begun;
   this->call_times.Add(time);
-  const auto field =
-      std::find_if(response.headers.begin(), response.headers.end(),
-                   [](const auto& entry) { return entry.first == kBackendTimeField; });
-  if (field == response.headers.end()) {
-    return;
-  }
-  std::int64_t backend_us = 0;
-  const std::string& text = field->second;
-  const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), backend_us);
-  if (status == std::errc() && utils::Duration(backend_us) <= time) {
-    this->added_times.Add(time - utils::Duration(backend_us));
+  const std::optional<utils::Duration> backend_time = calls::BackendTimeOf(response);
+  if (backend_time && *backend_time <= time) {
+    this->added_times.Add(time - *backend_time);
   }
-  response.headers.erase(field);
+  std::erase_if(response.headers,
+                [](const auto& entry) { return entry.first == calls::kBackendTimeField; });
 }
 
 void DialectGateway::LogFailure(const OpenCall& call, const calls::Answer& answer) {
