Let an arriving response of the register finish

A reader counts as silent after three request intervals and as outdated after 1.5 s, so that busy links move fewer nodes to reads of their own.

--- a/libs/directory/include/amaranthlatch/directory/options.h
+++ b/libs/directory/include/amaranthlatch/directory/options.h
@@ -57,7 +57,7 @@
   utils::Duration reader_answer_timeout = utils::Milliseconds(700);
   // Time after which a newer version that other nodes use shows that the reader is outdated. Must
   // exceed the read delay of the reader.
-  utils::Duration stale_reader_timeout = utils::Milliseconds(1200);
+  utils::Duration stale_reader_timeout = utils::Milliseconds(1500);
   // For how long candidates are avoided that gave no answer, or whose reads fail.
   utils::Duration silent_reader_avoidance = utils::Seconds(10);
   utils::Duration failing_reader_avoidance = utils::Seconds(3);
--- a/libs/directory/src/reader_selection.cc
+++ b/libs/directory/src/reader_selection.cc
@@ -313,7 +313,7 @@
 }
 
 Duration ReaderSelection::SilenceTimeout(const membership::MemberView& view) const {
-  return 2 * this->RequestInterval(view) + this->options.min_request_interval;
+  return 3 * this->RequestInterval(view) + this->options.min_request_interval;
 }
 
 }  // namespace amaranthlatch::directory::details
--- a/libs/runtime/include/amaranthlatch/runtime/curl_http_client.h
+++ b/libs/runtime/include/amaranthlatch/runtime/curl_http_client.h
@@ -32,6 +32,7 @@
 
   void Start(std::uint64_t id, HttpExchange exchange, Done done) override;
   void LimitConnections(std::size_t max_connections) override;
+  bool IsReceiving(std::uint64_t id) const override;
   void Cancel(std::uint64_t id) override;
 
  private:
--- a/libs/runtime/include/amaranthlatch/runtime/http_client.h
+++ b/libs/runtime/include/amaranthlatch/runtime/http_client.h
@@ -58,6 +58,9 @@
   // Connections open at once; further exchanges wait for one.
   virtual void LimitConnections(std::size_t max_connections) = 0;
 
+  // Whether the answer of the exchange has begun to arrive; false for an unknown id.
+  virtual bool IsReceiving(std::uint64_t id) const = 0;
+
   // Ends the exchange with kCancelled and closes its connection; no effect on an unknown id.
   virtual void Cancel(std::uint64_t id) = 0;
 };
--- a/libs/runtime/src/curl_http_client.cc
+++ b/libs/runtime/src/curl_http_client.cc
@@ -66,6 +66,11 @@
 
   void LimitConnections(std::size_t max_connections) { this->multi.Limit(max_connections); }
 
+  bool IsReceiving(std::uint64_t id) const {
+    const auto found = this->pending.find(id);
+    return found != this->pending.end() && found->second->transfer.HasFirstByte();
+  }
+
   void Cancel(std::uint64_t id) {
     const auto found = this->pending.find(id);
     if (found == this->pending.end()) {
@@ -231,6 +236,8 @@
   this->impl->LimitConnections(max_connections);
 }
 
+bool CurlHttpClient::IsReceiving(std::uint64_t id) const { return this->impl->IsReceiving(id); }
+
 void CurlHttpClient::Cancel(std::uint64_t id) { this->impl->Cancel(id); }
 
 }  // namespace amaranthlatch::runtime
--- a/libs/runtime/tests/log_client_test.cc
+++ b/libs/runtime/tests/log_client_test.cc
@@ -40,6 +40,7 @@
     done(outcome);
   }
   void LimitConnections(std::size_t) override {}
+  bool IsReceiving(std::uint64_t /*id*/) const override { return false; }
   void Cancel(std::uint64_t) override {}
 
   std::deque<HttpOutcome> outcomes;
