--- a/libs/calls/src/priority_queue.h
+++ b/libs/calls/src/priority_queue.h
@@ -4,7 +4,6 @@
 #pragma once
 
 #include <array>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -73,7 +72,10 @@
     utils::Timestamp latency_deadline{};
     // Arrival number across all classes.
     std::uint64_t arrival = 0;
-    auto operator<=>(const Order&) const = default;
+    bool operator<(const Order& other) const {
+      return std::tie(this->latency_deadline, this->arrival) <
+             std::tie(other.latency_deadline, other.arrival);
+    }
   };
   using ClassQueue = std::map<Order, AdmittedCall>;
   struct Position {
--- a/libs/calls/tests/call_components_test.cc
+++ b/libs/calls/tests/call_components_test.cc
@@ -4,6 +4,7 @@
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
 
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
--- a/libs/directory/src/configuration_change.cc
+++ b/libs/directory/src/configuration_change.cc
@@ -97,7 +97,7 @@
 }
 
 utils::Result<std::string> Decompress(std::string_view bytes) {
-  const unsigned long long size = ZSTD_getFrameContentSize(bytes.data(), bytes.size());
+  const std::uint64_t size = ZSTD_getFrameContentSize(bytes.data(), bytes.size());
   if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN) {
     return utils::Fail(ErrorCode::kMessageMalformed, "configuration change is not compressed data");
   }
--- a/libs/directory/tests/shared_reads_test.cc
+++ b/libs/directory/tests/shared_reads_test.cc
@@ -264,10 +264,12 @@
     faulty.Run(Seconds(24));
     const std::string text = "seed " + std::to_string(seed);
     CHECK_TRUE_TEXT(faulty.AllUpToDate(), text.c_str());
+    // Two readers with two streams each.
+    constexpr std::uint64_t kMaxCalls = 32;
     const std::uint64_t calls = faulty.RegisterCalls();
     faulty.Run(Seconds(40));
     CHECK_TRUE_TEXT(faulty.Readers(0).size() == 1 && faulty.Readers(1).size() == 1, text.c_str());
-    CHECK_TRUE_TEXT(faulty.RegisterCalls() - calls <= 2 * 2 * 8, text.c_str());
+    CHECK_TRUE_TEXT(faulty.RegisterCalls() - calls <= kMaxCalls, text.c_str());
     STRCMP_EQUAL_TEXT("", faulty.FirstError().c_str(), text.c_str());
   }
 }
