Bound the memory of all answers that are being received

Cause: one answer may hold 64 MB; a server in trouble that sends bodies without end on its eight connections takes 512 MB, above the 160 to 512 MB of an instance, so that the node is ended. Change: 48 MB for all answers of a client at once; above it the answers that hold more than their equal share fail, small ones are received.

--- a/libs/runtime/include/amaranthlatch/runtime/curl_http_client.h
+++ b/libs/runtime/include/amaranthlatch/runtime/curl_http_client.h
@@ -19,6 +19,8 @@
 struct CurlHttpClientOptions {
   std::size_t max_connections = 256;
   std::size_t max_header_bytes = 65536;
+  // Memory of the bodies of all answers that are being received.
+  std::size_t max_buffered_bytes = std::size_t{48} * 1024 * 1024;
   utils::Duration connect_limit = utils::Milliseconds(1000);
   // A connection whose peer leaves sent bytes unacknowledged for this long is lost.
   utils::Duration acknowledge_limit = utils::Milliseconds(2000);
--- a/libs/runtime/src/curl_http_client.cc
+++ b/libs/runtime/src/curl_http_client.cc
@@ -29,6 +29,7 @@
   Impl(asio::io_context& context, CurlHttpClientOptions options)
       : context(context),
         options(options),
+        buffers(options.max_buffered_bytes),
         multi(context, options.max_connections, options.acknowledge_limit,
               [this](CURL* easy, CURLcode result) { this->OnFinished(easy, result); }) {}
 
@@ -52,7 +53,8 @@
       this->Fail(std::move(done), {BackendFailure::kNotConnected, false, "out of memory"});
       return;
     }
-    auto entry = std::make_unique<Pending>(this->context, easy, std::move(exchange), this->options);
+    auto entry = std::make_unique<Pending>(this->context, easy, std::move(exchange), this->buffers,
+                                           this->options);
     entry->done = std::move(done);
     if (!this->multi.Add(easy)) {
       curl_easy_cleanup(easy);
@@ -84,8 +86,9 @@
  private:
   struct Pending {
     Pending(asio::io_context& context, CURL* easy, HttpExchange exchange,
-            const CurlHttpClientOptions& options)
-        : transfer(easy, std::move(exchange), options.max_header_bytes, options.connect_limit),
+            details::ResponseBuffers& buffers, const CurlHttpClientOptions& options)
+        : transfer(easy, std::move(exchange), buffers, options.max_header_bytes,
+                   options.connect_limit),
           silence_timer(context) {}
 
     details::CurlTransfer transfer;
@@ -207,6 +210,7 @@
 
   asio::io_context& context;
   CurlHttpClientOptions options;
+  details::ResponseBuffers buffers;
   details::CurlMulti multi;
   std::unordered_map<std::uint64_t, std::unique_ptr<Pending>> pending;
   std::unordered_map<CURL*, std::uint64_t> ids;
--- a/libs/runtime/src/curl_transfer.cc
+++ b/libs/runtime/src/curl_transfer.cc
@@ -35,9 +35,13 @@
 
 }  // namespace
 
-CurlTransfer::CurlTransfer(CURL* easy, HttpExchange exchange, std::size_t max_header_bytes,
-                           utils::Duration connect_limit)
-    : easy(easy), exchange(std::move(exchange)), max_header_bytes(max_header_bytes) {
+CurlTransfer::CurlTransfer(CURL* easy, HttpExchange exchange, ResponseBuffers& buffers,
+                           std::size_t max_header_bytes, utils::Duration connect_limit)
+    : easy(easy),
+      exchange(std::move(exchange)),
+      buffers(buffers),
+      max_header_bytes(max_header_bytes) {
+  this->buffers.Open();
   curl_easy_setopt(easy, CURLOPT_PRIVATE, this);
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
@@ -58,6 +62,8 @@
   this->SetRequest();
 }
 
+CurlTransfer::~CurlTransfer() { this->buffers.Close(this->body_bytes); }
+
 void CurlTransfer::SetRequest() {
   const std::string url = "http://" + this->exchange.address + "/";
   curl_easy_setopt(this->easy, CURLOPT_URL, url.c_str());
@@ -178,10 +184,12 @@
 std::size_t CurlTransfer::OnBody(char* data, std::size_t size, std::size_t count, void* self) {
   auto* const transfer = static_cast<CurlTransfer*>(self);
   const std::size_t bytes = size * count;
-  if (transfer->response.body.size() + bytes > transfer->exchange.max_response_bytes) {
+  if (transfer->body_bytes + bytes > transfer->exchange.max_response_bytes ||
+      !transfer->buffers.Take(transfer->body_bytes, bytes)) {
     transfer->too_large = true;
     return 0;
   }
+  transfer->body_bytes += bytes;
   transfer->response.body.append(data, bytes);
   return bytes;
 }
--- a/libs/runtime/src/curl_transfer.h
+++ b/libs/runtime/src/curl_transfer.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "amaranthlatch/runtime/http_client.h"
+#include "response_buffers.h"
 
 namespace amaranthlatch::runtime::details {
 
@@ -20,9 +21,10 @@
 
 class CurlTransfer {
  public:
-  // `easy` is borrowed and fresh or reset.
-  CurlTransfer(CURL* easy, HttpExchange exchange, std::size_t max_header_bytes,
-               utils::Duration connect_limit);
+  // `easy` is borrowed and fresh or reset; `buffers` must outlive the transfer.
+  CurlTransfer(CURL* easy, HttpExchange exchange, ResponseBuffers& buffers,
+               std::size_t max_header_bytes, utils::Duration connect_limit);
+  ~CurlTransfer();
   CurlTransfer(const CurlTransfer&) = delete;
   CurlTransfer& operator=(const CurlTransfer&) = delete;
 
@@ -54,6 +56,9 @@
 
   CURL* easy;
   HttpExchange exchange;
+  ResponseBuffers& buffers;
+  // Bytes taken from `buffers`.
+  std::size_t body_bytes = 0;
   std::size_t max_header_bytes;
   std::unique_ptr<curl_slist, SlistDeleter> headers;
   calls::HttpResponse response;
--- a/libs/runtime/tests/http_client_test.cc
+++ b/libs/runtime/tests/http_client_test.cc
@@ -114,6 +114,62 @@
   }
 }
 
+// Guards against a head without end: one line, many lines, interim answers, chunk extensions and
+// trailers. Memory is bounded, and the connection is closed.
+TEST(HttpClientTest, RefusesHeadsWithoutEnd) {
+  const std::string line = "X-Odd: " + std::string(1000, 'x') + "\r\n";
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::pair<std::string, std::string>> endless = {
+      {"HTTP/1.1 200 OK\r\nX-Odd: ", std::string(1000, 'x')},
+      {"HTTP/1.1 200 OK\r\n", line},
+      {"", "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n"},
+      {chunked + "0\r\n", line},
+      {chunked + "5;", std::string(1000, 'x')},
+  };
+  for (const auto& answer : endless) {
+    ScriptedServer server(context, [&answer](ScriptedServer::Connection& connection, int) {
+      std::string bytes = answer.first;
+      for (int i = 0; i < 500; ++i) {
+        bytes += answer.second;
+      }
+      connection.Write(bytes);
+    });
+    HttpExchange exchange = Exchange(server, "GET", "");
+    exchange.time_limit = utils::Seconds(2);
+    CHECK_FALSE_TEXT(Run(exchange).has_value(), answer.first.c_str());
+  }
+}
+
+// Guards against bodies without end on many connections, each below the limit of one answer, that
+// together take the memory of the process; and against small answers that fail with them.
+TEST(HttpClientTest, BoundsTheMemoryOfAllAnswers) {
+  CurlHttpClientOptions options;
+  options.max_buffered_bytes = 2'000'000;
+  client = *CurlHttpClient::Create(context, options);
+  ScriptedServer endless(context, [](ScriptedServer::Connection& connection, int) {
+    connection.Write("HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n" +
+                     std::string(3'000'000, 'x'));
+  });
+  ScriptedServer small(context, [](ScriptedServer::Connection& connection, int) {
+    connection.Write("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" +
+                     std::string(100'000, 'x'));
+  });
+  std::vector<HttpOutcome> large_outcomes;
+  for (int i = 0; i < 4; ++i) {
+    HttpExchange exchange = Exchange(endless, "GET", "");
+    exchange.max_response_bytes = 64'000'000;
+    client->Start(++last_id, exchange, [&large_outcomes](HttpOutcome outcome) {
+      large_outcomes.push_back(std::move(outcome));
+    });
+  }
+  CHECK_TRUE(RunUntil(context, [&large_outcomes] { return !large_outcomes.empty(); }));
+  CHECK_TRUE(large_outcomes.front().error().failure == BackendFailure::kTooLarge);
+  HttpExchange exchange = Exchange(small, "GET", "");
+  exchange.max_response_bytes = 64'000'000;
+  CHECK_TRUE(Run(exchange).has_value());
+  CHECK_TRUE(RunUntil(context, [&large_outcomes] { return large_outcomes.size() == 4; }));
+}
+
 // Guards against a silent connection that holds an idempotent call until its deadline.
 TEST(HttpClientTest, FindsSilentConnections) {
   ScriptedServer server(context, [](ScriptedServer::Connection&, int) {});
