Announce a reader only after its reads have succeeded

A subscriber of a failing reader that began to read counted as listed from an earlier time, announced itself, was adopted by its zone, and failed in turn; each candidate cost the zone over half a second. A healthy node that was not the best candidate did not announce itself at all. Change: a node that begins to read lists anew and answers or announces success only after that; any node whose reads succeed announces itself once, and members without a working reader adopt it; a reader whose reads fail says so at once to who asks; subscribers wait at most 1 s before they try themselves.

--- a/libs/directory/include/amaranthlatch/directory/options.h
+++ b/libs/directory/include/amaranthlatch/directory/options.h
@@ -64,7 +64,8 @@
   // Time of failing reads after which a reader says so, and after which the subscribers try to
   // read, one after the other.
   utils::Duration failing_reads_tolerance = utils::Milliseconds(500);
-  utils::Duration failing_reader_step = utils::Milliseconds(300);
+  utils::Duration failing_reader_step = utils::Milliseconds(200);
+  utils::Duration max_failover_delay = utils::Milliseconds(1000);
   // How often a node that reads without subscribers looks for a reader, and how often a reader
   // announces itself to members that do not subscribe.
   utils::Duration reader_search_interval = utils::Seconds(2);
--- a/libs/directory/src/directory.cc
+++ b/libs/directory/src/directory.cc
@@ -194,9 +194,9 @@
   return this->IsReading() || (stream == Stream::kMembers && !this->IsPredecessorKnown());
 }
 
-bool Directory::Impl::IsListed() const {
-  return this->GetFollower(Stream::kConfiguration).IsListed() &&
-         this->GetFollower(Stream::kMembers).IsListed();
+bool Directory::Impl::IsCurrent() const {
+  return this->GetFollower(Stream::kConfiguration).IsCurrent() &&
+         this->GetFollower(Stream::kMembers).IsCurrent();
 }
 
 bool Directory::Impl::IsPredecessorKnown() const {
--- a/libs/directory/src/directory_impl.h
+++ b/libs/directory/src/directory_impl.h
@@ -63,8 +63,8 @@
   bool IsReading() const { return this->selection.Mode() == details::ReadMode::kReading; }
   // Whether the node reads this stream itself now.
   bool Reads(Stream stream) const;
-  // Whether both streams have been listed.
-  bool IsListed() const;
+  // Whether both streams have been read since this node began to read.
+  bool IsCurrent() const;
   // Whether the records that the register holds for earlier processes of this node are known.
   bool IsPredecessorKnown() const;
 
@@ -77,10 +77,15 @@
   // When failing reads become known to the subscribers; none if they already are, or succeed.
   std::optional<utils::Timestamp> FailingReadsDeadline() const;
   bool ReadsFail() const;
+  // Whether there is something to tell subscribers: success, or failure.
+  bool CanAnswer() const {
+    return this->IsReading() && (this->IsCurrent() || this->reads_failing_since);
+  }
+  bool IsHealthy() const { return this->IsCurrent() && !this->ReadsFail(); }
   // Sends each subscriber what it lacks if anything changed.
   void PushUpdates();
   void SendUpdate(const membership::NodeId& to);
-  bool Announces() const { return this->IsReading() && this->IsListed() && !this->draining; }
+  bool Announces() const { return this->IsReading() && this->IsCurrent() && !this->draining; }
   // Tells members that do not subscribe that this node reads.
   void Announce();
   // Names another reader to all subscribers, which this node no longer serves.
@@ -123,6 +128,9 @@
   PushedState pushed;
   utils::Timestamp next_announcement{};
   std::uint64_t announced_generation = 0;
+  // Whether the reads of this node had succeeded, and it could announce itself, at the last event.
+  bool could_serve = false;
+  bool was_subscribed = false;
   bool backend_server_ready = false;
   bool draining = false;
   bool started = false;
--- a/libs/directory/src/directory_relay.cc
+++ b/libs/directory/src/directory_relay.cc
@@ -40,7 +40,7 @@
   }
   this->subscribers.OnRequest(from, request, this->now);
   // A node that has just started answers after its first listing.
-  if (this->IsReading() && this->IsListed()) {
+  if (this->CanAnswer()) {
     this->SendUpdate(from);
   }
 }
@@ -102,7 +102,7 @@
   situation.view = &this->members;
   situation.has_subscribers = !this->subscribers.Empty();
   situation.has_insistent_subscribers = this->subscribers.HasInsistent(this->now);
-  situation.reads_fail = this->ReadsFail();
+  situation.reads_fail = this->reads_failing_since.has_value() || !this->IsCurrent();
   situation.request.version =
       this->configuration == nullptr ? 0 : this->configuration->GetVersion();
   situation.request.members = this->members_until;
@@ -125,6 +125,12 @@
   this->selection.Poll(this->MakeSituation(), messages);
   this->SendAll(std::move(messages));
   this->ReportSource();
+  if (this->IsReading() && this->was_subscribed) {
+    for (details::StreamFollower& follower : this->followers) {
+      follower.Resume(this->now);
+    }
+  }
+  this->was_subscribed = this->selection.Mode() == ReadMode::kSubscribed;
   switch (this->selection.Mode()) {
     case ReadMode::kDiscovering:
       break;
@@ -133,6 +139,7 @@
       this->Announce();
       break;
     case ReadMode::kSubscribed:
+      this->could_serve = false;
       if (!this->selection.Reader().empty()) {
         this->DismissSubscribers(this->selection.Reader());
       }
@@ -174,11 +181,11 @@
 }
 
 void Directory::Impl::PushUpdates() {
-  if (!this->IsListed()) {
+  if (!this->CanAnswer()) {
     return;
   }
   const PushedState state{this->configuration == nullptr ? 0 : this->configuration->GetVersion(),
-                          this->subscribers.LastChange(), !this->ReadsFail()};
+                          this->subscribers.LastChange(), this->IsHealthy()};
   if (state == this->pushed) {
     return;
   }
@@ -191,19 +198,24 @@
 void Directory::Impl::SendUpdate(const NodeId& to) {
   ++this->counters.updates_sent;
   this->effects.emplace_back(
-      SendToPeer{to, this->subscribers.MakeUpdate(to, !this->ReadsFail(), this->members)});
+      SendToPeer{to, this->subscribers.MakeUpdate(to, this->IsHealthy(), this->members)});
 }
 
 void Directory::Impl::Announce() {
+  const bool can_serve = this->Announces() && this->IsHealthy();
+  // Members whose reader fails wait for any node that reads with success.
+  const bool has_started = can_serve && !this->could_serve;
+  this->could_serve = can_serve;
   const bool due = this->now >= this->next_announcement;
   const bool changed = this->members.Generation() != this->announced_generation;
-  if (!this->Announces() || (!due && !changed)) {
+  if (!this->Announces() || (!due && !changed && !has_started)) {
     return;
   }
   this->announced_generation = this->members.Generation();
   this->next_announcement = this->now + this->options.announcement_interval;
-  if (this->ReadsFail() ||
-      (this->subscribers.Empty() && !this->selection.IsBest(this->MakeSituation()))) {
+  const bool is_preferred =
+      !this->subscribers.Empty() || this->selection.IsBest(this->MakeSituation());
+  if (!can_serve || (!has_started && !is_preferred)) {
     return;
   }
   for (const Member& member : *this->members.ZoneMembers(this->options.zone)) {
--- a/libs/directory/src/reader_selection.cc
+++ b/libs/directory/src/reader_selection.cc
@@ -104,8 +104,8 @@
     // The candidates try their own reads one after the other, in the order of their rank.
     const std::vector<NodeId> candidates = this->Candidates(situation);
     const auto own = std::find(candidates.begin(), candidates.end(), this->options.id);
-    this->failover_time =
-        situation.now + this->options.failing_reader_step * (1 + (own - candidates.begin()));
+    const Duration delay = this->options.failing_reader_step * (1 + (own - candidates.begin()));
+    this->failover_time = situation.now + std::min(delay, this->options.max_failover_delay);
   }
 }
 
--- a/libs/directory/src/reader_selection.h
+++ b/libs/directory/src/reader_selection.h
@@ -43,7 +43,7 @@
     // Whether this node has subscribers, and whether one of them insisted.
     bool has_subscribers = false;
     bool has_insistent_subscribers = false;
-    // Whether reads of this node have failed for some time.
+    // Whether the reads of this node fail, or have not succeeded yet.
     bool reads_fail = false;
     // Sent with each request, but for `insist`.
     UpdateRequest request;
--- a/libs/directory/src/stream_follower.cc
+++ b/libs/directory/src/stream_follower.cc
@@ -35,6 +35,7 @@
   const bool was_listing = !this->next_position;
   this->read_in_flight = false;
   this->listed = true;
+  this->current = true;
   this->consecutive_failures = 0;
   this->next_position = next;
   this->next_read_time = was_listing ? now : now + this->read_delay;
@@ -60,6 +61,14 @@
   return true;
 }
 
+void StreamFollower::Resume(utils::Timestamp now) {
+  this->read_in_flight = false;
+  this->current = false;
+  this->consecutive_failures = 0;
+  this->next_position.reset();
+  this->next_read_time = now;
+}
+
 std::optional<utils::Timestamp> StreamFollower::WaitingSince() const {
   if (!this->read_in_flight || !this->next_position) {
     return std::nullopt;
--- a/libs/directory/src/stream_follower.h
+++ b/libs/directory/src/stream_follower.h
@@ -24,6 +24,8 @@
   // Abandons a read that waits for changes and makes a listing due at once. Returns false if no
   // such read is in flight; a listing is not abandoned because it has its own short timeout.
   bool AbandonRead(utils::Timestamp now);
+  // Makes a listing due at once, in place of the read in flight, after a time without reads.
+  void Resume(utils::Timestamp now);
   void OnReadFailed(bool truncated, utils::Random& random, utils::Timestamp now);
 
   // When the read that waits for changes was started; none if no such read is in flight.
@@ -32,6 +34,8 @@
   std::optional<utils::Timestamp> NextWake() const;
   // Whether at least one listing has succeeded.
   bool IsListed() const { return this->listed; }
+  // Whether a read has succeeded since the follower was created or resumed.
+  bool IsCurrent() const { return this->current; }
   bool IsFailing() const { return this->consecutive_failures > 0; }
 
  private:
@@ -41,6 +45,7 @@
   // Position at which the next read starts; without one, the next read is a listing.
   std::optional<Position> next_position;
   bool listed = false;
+  bool current = false;
   bool read_in_flight = false;
   // Start of the latest read.
   utils::Timestamp read_start{};
--- a/libs/directory/tests/shared_reads_mesh.cc
+++ b/libs/directory/tests/shared_reads_mesh.cc
@@ -284,7 +284,7 @@
   }
   const bool truncated =
       pending.read.from && from < this->first_positions.at(static_cast<std::size_t>(stream));
-  if (this->register_down || truncated) {
+  if (this->register_down || this->nodes[pending.node].refused_by_register || truncated) {
     this->pending_reads.erase(id);
     this->Reply(pending.node, pending.process, StreamReadFailed{stream, truncated, {}});
     return true;
--- a/libs/directory/tests/shared_reads_mesh.h
+++ b/libs/directory/tests/shared_reads_mesh.h
@@ -33,6 +33,8 @@
     // Requests to the register, and connections to other nodes, hang.
     bool cut_from_register = false;
     bool cut_from_peers = false;
+    // The register turns this node away and serves the others.
+    bool refused_by_register = false;
     // Read in flight on each stream; 0 for none.
     std::array<std::uint64_t, kStreamCount> reads{};
     std::optional<utils::Timestamp> wake;
--- a/libs/directory/tests/shared_reads_test.cc
+++ b/libs/directory/tests/shared_reads_test.cc
@@ -146,6 +146,28 @@
   }
 }
 
+// Guards against a zone that stays behind because the register turns its reader and the next
+// candidates away, and serves the other nodes.
+TEST(SharedReads, RegisterThatRefusesSomeNodesDelaysChangesWithinBounds) {
+  for (const std::size_t zone_size : {8U, 30U}) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      SharedReadsMesh refusing(seed, 1, zone_size, true);
+      refusing.Run(Seconds(10));
+      utils::Random random(seed);
+      const std::size_t reader = refusing.Readers(0).front();
+      for (std::size_t i = 0; i < zone_size; ++i) {
+        refusing.At(i).refused_by_register = i == reader || random.Bernoulli(0.4);
+      }
+      refusing.Compact();
+      refusing.Publish(2);
+      refusing.Run(Milliseconds(2500));
+      for (std::size_t i = 0; i < zone_size; ++i) {
+        CHECK_TRUE_TEXT(refusing.At(i).version == 2, std::to_string(seed).c_str());
+      }
+    }
+  }
+}
+
 // Guards against a late write of an earlier process that remains the newest record because only the
 // reader sees it.
 TEST(SharedReads, OwnerReplacesOutdatedRecordSeenByItsReader) {
