Review, case 5: two crashes at once put an ordinary path out of service

CONFIG: a route that was added later is not served at all for ten minutes after two of fourteen servers crashed while both ran the same ordinary request.

--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -518,12 +518,12 @@
         try:
             outcome = await asyncio.wait_for(self._request(name, method, path, body, deadline_ms),
                                              deadline_ms / 1000.0)
+        except asyncio.TimeoutError:  # A subclass of OSError.
+            self.close()
+            outcome = Outcome(name, why="deadline")
         except (OSError, asyncio.IncompleteReadError) as error:
             self.close()
             outcome = Outcome(name, why="connection ended: %s" % type(error).__name__)
-        except asyncio.TimeoutError:
-            self.close()
-            outcome = Outcome(name, why="deadline")
         outcome.sent = sent
         outcome.ended = time.monotonic()
         record.line("client of %s sent %s %s %s, got %s after %d ms %s" % (
@@ -556,9 +556,10 @@
 # The whole.
 
 class Mesh:
-    """A small deployment: two zones, each with a machine of every service."""
+    """A small deployment: two zones, each with `machines` machines of every service."""
 
-    def __init__(self, record, services, zones=("zone-a", "zone-b"), region="region-a"):
+    def __init__(self, record, services, machines=1, zones=("zone-a", "zone-b"),
+                 region="region-a"):
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.store = Store(record)
@@ -566,9 +567,10 @@
         self.servers = {}
         for zone in zones:
             for service in services:
-                name = "%s-%s" % (zone, service)
-                self.nodes[name] = Node(self, name, region, zone, service)
-                self.servers[name] = Server(self, self.nodes[name])
+                for number in range(machines):
+                    name = "%s-%s" % (zone, service) + ("-%d" % number if number else "")
+                    self.nodes[name] = Node(self, name, region, zone, service)
+                    self.servers[name] = Server(self, self.nodes[name])
 
     async def start(self, config):
         if not os.access(os.path.join(ROOT, PROGRAM), os.X_OK):
@@ -601,13 +603,13 @@
         os.rmdir(self.folder)
 
 
-def run_case(case, services, folder):
+def run_case(case, services, folder, machines=1):
     """Runs `case(mesh, trouble)`, which returns a text if the rule was broken and None if not."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(os.path.join(folder, "record.txt"))
 
     async def run():
-        mesh = Mesh(record, services)
+        mesh = Mesh(record, services, machines)
         try:
             return await asyncio.wait_for(case(mesh, trouble), 110)
         finally:
