--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,7 +12,7 @@
 
 CLIENTS = 50  # on each machine
 FAULT_S = 5.5
-TIMES = 3
+TIMES = 7
 PAUSE_S = 3.0
 ANSWERS_BROKEN = 0.02
 
