Keep the platform's header names out of libs/runtime

The test of answers that break off named a header of the platform, which tools/check_platform_names.sh refuses outside platform/. The test uses another field; the code is formatted. No behaviour changes.

--- a/libs/runtime/src/curl_transfer.cc
+++ b/libs/runtime/src/curl_transfer.cc
@@ -234,8 +234,9 @@
   curl_easy_getinfo(this->easy, CURLINFO_RESPONSE_CODE, &status);
   this->response.status = static_cast<int>(status);
   if (!this->IsComplete()) {
-    return tl::unexpected(Failure(calls::BackendFailure::kConnectionLost,
-                                  "answer broke off in its header, or has neither length nor chunks"));
+    return tl::unexpected(
+        Failure(calls::BackendFailure::kConnectionLost,
+                "answer broke off in its header, or has neither length nor chunks"));
   }
   RemoveHopByHopFields(this->response.headers);
   return std::move(this->response);
--- a/libs/runtime/tests/http_client_test.cc
+++ b/libs/runtime/tests/http_client_test.cc
@@ -105,12 +105,12 @@
 // Guards against an answer that breaks off anywhere before its end, also within its header, and is
 // passed on as a success with an empty or short body.
 TEST(HttpClientTest, AnswerThatBreaksOffIsIncomplete) {
-  const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nResponse-Stamp: s\r\n";
+  const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nX-Mark: s\r\n";
   const std::vector<std::string> answers = {
       head + "Content-Type: text/plain\r\nContent-Length: 12\r\n\r\nwhole answer",
       head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
       "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok",
-      "HTTP/1.1 204 No Content\r\nRequest-Id: 1\r\nResponse-Stamp: s\r\n\r\n",
+      "HTTP/1.1 204 No Content\r\nRequest-Id: 1\r\nX-Mark: s\r\n\r\n",
   };
   for (const std::string& answer : answers) {
     for (std::size_t sent = 1; sent <= answer.size(); ++sent) {
