Keep the withdrawal of a backend server in the record of its node

Cause: departures lived in the memory of the process that acknowledged them; the next process of the node took a late heartbeat for a ready server. Change: the member record carries the latest withdrawal (process, start, sequence) as a label; a process that reads its predecessor's record rejects announcements sent before it and drops one that it took already. A server that only drains had the same fault and is covered.

--- a/libs/directory/include/amaranthlatch/directory/effect.h
+++ b/libs/directory/include/amaranthlatch/directory/effect.h
@@ -62,7 +62,15 @@
   bool operator==(const ReadSourceChanged&) const = default;
 };
 
+// The record of an earlier process of this node holds a withdrawal: announcements that the backend
+// server sent before it do not count.
+struct EarlierWithdrawalFound {
+  Withdrawal withdrawal;
+  bool operator==(const EarlierWithdrawalFound&) const = default;
+};
+
 using Effect = std::variant<ReadStream, WriteMember, ConfigurationActivated, MemberChanged,
-                            RegisterReachabilityChanged, SendToPeer, ReadSourceChanged>;
+                            RegisterReachabilityChanged, SendToPeer, ReadSourceChanged,
+                            EarlierWithdrawalFound>;
 
 }  // namespace amaranthlatch::directory
--- a/libs/directory/include/amaranthlatch/directory/event.h
+++ b/libs/directory/include/amaranthlatch/directory/event.h
@@ -4,12 +4,14 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "amaranthlatch/directory/mesh_configuration.h"
 #include "amaranthlatch/directory/message.h"
+#include "amaranthlatch/directory/withdrawal.h"
 #include "amaranthlatch/membership/member.h"
 #include "amaranthlatch/utils/result.h"
 
@@ -66,6 +68,8 @@
 
 // The local backend server accepts no further requests: it is draining, has left, or was lost.
 struct BackendServerUnavailable {
+  // What the record of this node keeps for its next process; none if the server was lost.
+  std::optional<Withdrawal> withdrawal;
   bool operator==(const BackendServerUnavailable&) const = default;
 };
 
--- a/libs/directory/src/directory.cc
+++ b/libs/directory/src/directory.cc
@@ -36,7 +36,7 @@
   }
   // Only the last record of this node counts: it replaced the earlier ones.
   if (own_record != nullptr) {
-    this->own_entry.OnRecordRead(*own_record);
+    this->ApplyOwnRecord(*own_record);
     this->subscribers.OnOwnRecordStored(*own_record);
   }
   if (event.stream == Stream::kMembers && this->options.share_reads) {
@@ -68,8 +68,11 @@
   this->backend_server_ready = true;
 }
 
-void Directory::Impl::Handle(const BackendServerUnavailable& /*event*/) {
+void Directory::Impl::Handle(const BackendServerUnavailable& event) {
   this->backend_server_ready = false;
+  if (event.withdrawal) {
+    this->own_entry.SetWithdrawal(*event.withdrawal);
+  }
 }
 
 void Directory::Impl::Handle(const NewerVersionObserved& event) {
@@ -112,6 +115,12 @@
       this->configuration->GetVersion(), previous_version, this->configuration->RouteCount()});
 }
 
+void Directory::Impl::ApplyOwnRecord(const Member& stored) {
+  if (const auto withdrawal = this->own_entry.OnRecordRead(stored)) {
+    this->effects.emplace_back(EarlierWithdrawalFound{*withdrawal});
+  }
+}
+
 void Directory::Impl::ApplyMember(const Member& member) {
   if (this->members.Merge(member, this->now) ==
       membership::details::MemberTable::MergeResult::kStored) {
--- a/libs/directory/src/directory_impl.h
+++ b/libs/directory/src/directory_impl.h
@@ -50,6 +50,8 @@
   void ApplyConfiguration(MeshConfiguration::Pointer read);
   // Applies the changes that a reader passed on.
   void ApplyConfigurationChange(const Update& update);
+  // Applies the record that the register holds for this node.
+  void ApplyOwnRecord(const membership::Member& stored);
   // Applies a record of this or another node.
   void ApplyMember(const membership::Member& member);
   void UpdateOwnState();
--- a/libs/directory/src/directory_relay.cc
+++ b/libs/directory/src/directory_relay.cc
@@ -50,7 +50,7 @@
   this->ApplyConfigurationChange(update);
   for (const Member& member : update.members) {
     if (member.id == this->options.id) {
-      this->own_entry.OnRecordRead(member);
+      this->ApplyOwnRecord(member);
     } else {
       this->ApplyMember(member);
     }
--- a/libs/directory/src/own_entry.cc
+++ b/libs/directory/src/own_entry.cc
@@ -23,6 +23,12 @@
 
 void OwnEntry::SetBackendServer(std::string service, std::map<std::string, std::string> labels,
                                 std::uint32_t slots) {
+  if (this->withdrawal) {
+    Member labelled;
+    labelled.labels = std::move(labels);
+    directory::SetWithdrawal(labelled, *this->withdrawal);
+    labels = std::move(labelled.labels);
+  }
   if (this->record.service == service && this->record.labels == labels &&
       this->record.slots == slots) {
     return;
@@ -47,16 +53,32 @@
   this->dirty = true;
 }
 
-void OwnEntry::OnRecordRead(const Member& stored) {
-  if (stored == this->record) {
+void OwnEntry::SetWithdrawal(const Withdrawal& next) {
+  if (this->withdrawal == next) {
     return;
   }
+  this->withdrawal = next;
+  directory::SetWithdrawal(this->record, next);
+  ++this->record.incarnation;
+  this->dirty = true;
+}
+
+std::optional<Withdrawal> OwnEntry::OnRecordRead(const Member& stored) {
+  if (stored == this->record) {
+    return std::nullopt;
+  }
   const bool is_same_process = stored.boot_id == this->record.boot_id;
   if (!is_same_process && stored.incarnation >= this->record.incarnation) {
     this->record.incarnation = stored.incarnation + 1;
   }
   // A write in flight already replaces the older record.
   this->dirty = this->dirty || !this->write_in_flight;
+  const std::optional<Withdrawal> stored_withdrawal = GetWithdrawal(stored);
+  if (is_same_process || this->withdrawal || !stored_withdrawal) {
+    return std::nullopt;
+  }
+  this->SetWithdrawal(*stored_withdrawal);
+  return stored_withdrawal;
 }
 
 std::optional<Member> OwnEntry::Poll(utils::Timestamp now) {
--- a/libs/directory/src/own_entry.h
+++ b/libs/directory/src/own_entry.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "amaranthlatch/directory/options.h"
+#include "amaranthlatch/directory/withdrawal.h"
 #include "amaranthlatch/membership/member.h"
 #include "amaranthlatch/utils/random.h"
 #include "amaranthlatch/utils/time.h"
@@ -25,23 +26,28 @@
   void SetBackendServer(std::string service, std::map<std::string, std::string> labels,
                         std::uint32_t slots);
   void SetState(membership::MemberState state);
+  void SetWithdrawal(const Withdrawal& withdrawal);
 
   // Handles the record that the register holds under the id of this node. A record of an earlier
-  // process, or an earlier record whose write was delayed, must be overwritten.
-  void OnRecordRead(const membership::Member& stored);
+  // process, or an earlier record whose write was delayed, must be overwritten. Returns the
+  // withdrawal that an earlier process left, if this process has none.
+  std::optional<Withdrawal> OnRecordRead(const membership::Member& stored);
 
-  // Returns the record to write now, if any. Nothing is written before a backend server is known.
+  // Returns the record to write now, if any. Nothing is written before a backend server, or the
+  // withdrawal of one, is known.
   std::optional<membership::Member> Poll(utils::Timestamp now);
   void OnWriteCompleted(bool written, utils::Random& random, utils::Timestamp now);
   std::optional<utils::Timestamp> NextWake() const;
 
  private:
   bool IsWriteDue() const {
-    return this->dirty && !this->write_in_flight && !this->record.service.empty();
+    return this->dirty && !this->write_in_flight &&
+           (!this->record.service.empty() || this->withdrawal);
   }
 
   const Options& options;
   membership::Member record;
+  std::optional<Withdrawal> withdrawal;
   // The register is not known to hold `record`.
   bool dirty = true;
   bool write_in_flight = false;
--- a/libs/directory/tests/directory_test.cc
+++ b/libs/directory/tests/directory_test.cc
@@ -5,6 +5,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <compare>
+#include <limits>
 #include <optional>
 #include <set>
 #include <utility>
@@ -257,6 +258,49 @@
   CHECK_EQUAL(77, write->member.boot_id);
 }
 
+// Guards against a departure of the backend server that ends with the process which acknowledged
+// it: its next process would take a late announcement of that server.
+TEST(Directory, WithdrawalOutlivesTheProcess) {
+  const Withdrawal departure{7, 1'000, std::numeric_limits<std::uint64_t>::max()};
+  this->StartWithoutMembers();
+  this->DispatchConfiguration(9, 1);
+  this->Dispatch(BackendServerReady{"fleet", {{"color", "red"}}, 6});
+  this->Dispatch(MemberWriteCompleted{true});
+  this->Dispatch(BackendServerUnavailable{departure});
+  const Member stored = this->TakeLast<WriteMember>()->member;
+  CHECK_TRUE(GetWithdrawal(stored) == departure);
+
+  Options options = MakeOptions();
+  options.boot_id = 78;
+  this->directory = *Directory::Create(options);
+  this->Dispatch(WakeUp{});
+  this->Dispatch(StreamReadSucceeded{Stream::kMembers, 1, nullptr, {stored}});
+  CHECK_TRUE(this->TakeLast<EarlierWithdrawalFound>()->withdrawal == departure);
+  // The process after that must find it as well, also if no backend server came meanwhile.
+  CHECK_TRUE(GetWithdrawal(this->TakeLast<WriteMember>()->member) == departure);
+  this->Dispatch(MemberWriteCompleted{true});
+  this->Dispatch(BackendServerReady{"fleet", {{"color", "blue"}}, 6});
+  const Member successor = this->TakeLast<WriteMember>()->member;
+  CHECK_TRUE(GetWithdrawal(successor) == departure);
+  STRCMP_EQUAL("blue", successor.labels.at("color").c_str());
+  this->Dispatch(MemberWriteCompleted{true});
+  this->Dispatch(BackendServerReady{"fleet", {{"color", "blue"}}, 6});
+  CHECK_FALSE(this->TakeLast<WriteMember>().has_value());
+}
+
+// Guards against a withdrawal that another writer garbled.
+TEST(Directory, UnreadableWithdrawalIsIgnored) {
+  Member member = MakeMember("10.0.0.1:1", 3, MemberState::kDraining);
+  SetWithdrawal(member, {1, 2, 3});
+  const std::string text = member.labels.begin()->second;
+  for (const std::string& bad :
+       {std::string(), std::string("1:2"), std::string("1:2:"), text + ":4", std::string("1:x:3"),
+        std::string("-1:2:3"), std::string("99999999999999999999:2:3")}) {
+    member.labels.begin()->second = bad;
+    CHECK_FALSE_TEXT(GetWithdrawal(member).has_value(), bad.c_str());
+  }
+}
+
 // Guards against a delayed write of the previous process that remains the newest record.
 TEST(Directory, OverwritesLateWriteOfPredecessor) {
   this->StartWithoutMembers();
--- a/libs/node/include/amaranthlatch/node/register_node.h
+++ b/libs/node/include/amaranthlatch/node/register_node.h
@@ -44,8 +44,9 @@
     std::variant<SendMessage, InvariantViolated, CallerIntakeClosed, directory::ReadStream,
                  directory::WriteMember, directory::ConfigurationActivated,
                  directory::MemberChanged, directory::RegisterReachabilityChanged,
-                 directory::ReadSourceChanged, calls::AnswerCaller, calls::RunOnBackendServer,
-                 calls::CancelOnBackendServer, calls::DrainFinished, calls::QuarantineChanged>;
+                 directory::ReadSourceChanged, directory::EarlierWithdrawalFound,
+                 calls::AnswerCaller, calls::RunOnBackendServer, calls::CancelOnBackendServer,
+                 calls::DrainFinished, calls::QuarantineChanged>;
 
 class RegisterNode {
  public:
--- a/libs/runtime/include/amaranthlatch/runtime/announcement.h
+++ b/libs/runtime/include/amaranthlatch/runtime/announcement.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <tuple>
 
+#include "amaranthlatch/directory/withdrawal.h"
 #include "amaranthlatch/runtime/backend_server_link.h"
 #include "amaranthlatch/utils/result.h"
 
@@ -39,6 +40,13 @@
   // the start of the process is not known, it began before that.
   bool TakeLeave(std::string_view process, std::uint64_t wall_ms);
 
+  // Rejects the announcements that the backend server sent before a withdrawal of which an earlier
+  // process of this node was told. True if the newest announcement is one of them and is dropped.
+  bool Restore(const directory::Withdrawal& withdrawal);
+
+  // The latest withdrawal taken; none before the first.
+  const std::optional<directory::Withdrawal>& LatestWithdrawal() const { return this->withdrawal; }
+
   // The newest announcement, none after its process has left.
   const std::optional<Announcement>& Newest() const { return this->newest; }
 
@@ -48,9 +56,10 @@
   std::optional<Announcement> newest;
   // Start and sequence of the newest announcement that was taken.
   std::tuple<std::uint64_t, std::uint64_t> last{};
-  // Processes that have left, with the latest start at which they can have begun: announcements of
-  // theirs with such a start are late ones.
-  std::map<std::string, std::uint64_t, std::less<>> left;
+  // Hashes of the names of processes that have left, with the latest start at which they can have
+  // begun: announcements of theirs with such a start are late ones.
+  std::map<std::uint64_t, std::uint64_t> left;
+  std::optional<directory::Withdrawal> withdrawal;
 };
 
 }  // namespace amaranthlatch::runtime
--- a/libs/runtime/src/register_host.cc
+++ b/libs/runtime/src/register_host.cc
@@ -157,7 +157,7 @@
     }
     if (announcement.draining) {
       this->backend_server->Leave();
-      this->Apply(directory::BackendServerUnavailable{});
+      this->Apply(directory::BackendServerUnavailable{this->announcements.LatestWithdrawal()});
     } else {
       this->backend_server->Announce(std::move(announcement.server));
     }
@@ -170,7 +170,7 @@
     }
     LogLine("backend-server-leaves").Add("process", process).Info();
     this->backend_server->Leave();
-    this->Apply(directory::BackendServerUnavailable{});
+    this->Apply(directory::BackendServerUnavailable{this->announcements.LatestWithdrawal()});
     return {};
   }
 
@@ -373,6 +373,20 @@
         .Info();
   }
 
+  void Perform(const directory::EarlierWithdrawalFound& effect) {
+    const bool is_withdrawn = this->announcements.Restore(effect.withdrawal);
+    LogLine("backend-server-withdrawn-before")
+        .Add("started_at_ms", effect.withdrawal.started_at_ms)
+        .Add("departed", effect.withdrawal.IsDeparture() ? "true" : "false")
+        .Add("was_announced", is_withdrawn ? "true" : "false")
+        .Info();
+    if (is_withdrawn) {
+      this->backend_server->Leave();
+      // Posted, because the effects of the current event are still being performed.
+      asio::post(this->context, [this] { this->Apply(directory::BackendServerUnavailable{}); });
+    }
+  }
+
   void Perform(calls::AnswerCaller& effect) { this->gateway.Answer(std::move(effect)); }
   void Perform(const calls::RunOnBackendServer& effect) { this->backend_server->Run(effect); }
   void Perform(const calls::CancelOnBackendServer& effect) {
--- a/libs/runtime/tests/announcement_test.cc
+++ b/libs/runtime/tests/announcement_test.cc
@@ -72,6 +72,40 @@
   CHECK_TRUE(this->Take(Make("a", kWallMs + 60'000, 1)));
 }
 
+// Guards against a server that has left and gets work again, because this node has restarted and an
+// announcement of before arrives only then.
+TEST(AnnouncementOrder, RestoredDepartureOutlivesARestart) {
+  CHECK_TRUE(this->Take(Make("a", 10, 1)));
+  CHECK_TRUE(this->order.TakeLeave("a", kWallMs));
+  const directory::Withdrawal departure = *this->order.LatestWithdrawal();
+  AnnouncementOrder next{"fleet", "10.0.0.1:80"};
+  CHECK_FALSE(next.Restore(departure));
+  CHECK_FALSE(next.Take(Make("a", 10, 2)).has_value());
+  CHECK_TRUE(next.Take(Make("a", 11, 1)).has_value());
+  // The announcement came before the record was read.
+  AnnouncementOrder late{"fleet", "10.0.0.1:80"};
+  CHECK_TRUE(late.Take(Make("a", 10, 2)).has_value());
+  CHECK_TRUE(late.Restore(departure));
+  CHECK_FALSE(late.Newest().has_value());
+  CHECK_FALSE(late.Take(Make("a", 10, 3)).has_value());
+}
+
+// Guards against the same for a server that only drains, and against one that cannot return.
+TEST(AnnouncementOrder, RestoredDrainOutlivesARestart) {
+  Announcement draining = Make("a", 10, 5);
+  draining.draining = true;
+  CHECK_TRUE(this->Take(draining));
+  const directory::Withdrawal drain = *this->order.LatestWithdrawal();
+  AnnouncementOrder next{"fleet", "10.0.0.1:80"};
+  CHECK_FALSE(next.Restore(drain));
+  CHECK_FALSE(next.Take(Make("a", 10, 4)).has_value());
+  CHECK_TRUE(next.Take(Make("a", 10, 6)).has_value());
+  AnnouncementOrder current{"fleet", "10.0.0.1:80"};
+  CHECK_TRUE(current.Take(Make("b", 20, 1)).has_value());
+  CHECK_FALSE(current.Restore(drain));
+  CHECK_TRUE(current.Newest().has_value());
+}
+
 // Guards against the departure of a predecessor that takes its successor away.
 TEST(AnnouncementOrder, DepartureOfAnotherProcessChangesNothing) {
   CHECK_TRUE(this->Take(Make("b", 20, 1)));
