Find lost answers to waiting reads, and notify other zones of versions

Cause: a waiting read whose answer is lost looks like one without changes for 21.5 s, and its reader called itself healthy. Change: reads of the configuration wait 0.8 to 2 s and are overdue 0.4 s after that; readers notify one node of each other zone of a new version; a node that knows of a newer version asks its user for the change. An abandoned read of the configuration also repeats the waiting read of members. The simulated register now keeps lost answers lost.

--- a/libs/directory/include/amaranthlatch/directory/directory.h
+++ b/libs/directory/include/amaranthlatch/directory/directory.h
@@ -23,8 +23,12 @@
 struct Counters {
   std::uint64_t reads = 0;
   std::uint64_t reads_failed = 0;
-  // Reads abandoned because they did not return a configuration version that another node uses.
+  // Reads abandoned because they did not return a configuration version that another node uses, or
+  // because their response is overdue.
   std::uint64_t reads_abandoned = 0;
+  std::uint64_t reads_overdue = 0;
+  // Configurations requested from nodes that use a newer one.
+  std::uint64_t configuration_requests = 0;
   // Listings requested; each reads the newest record of every key.
   std::uint64_t listings = 0;
   std::uint64_t writes = 0;
--- a/libs/directory/include/amaranthlatch/directory/event.h
+++ b/libs/directory/include/amaranthlatch/directory/event.h
@@ -77,6 +77,7 @@
 // force.
 struct NewerVersionObserved {
   document::Version version = 0;
+  membership::NodeId node;
   bool operator==(const NewerVersionObserved&) const = default;
 };
 
--- a/libs/directory/include/amaranthlatch/directory/message.h
+++ b/libs/directory/include/amaranthlatch/directory/message.h
@@ -60,6 +60,24 @@
   bool operator==(const ReaderNotice&) const = default;
 };
 
-using Message = std::variant<UpdateRequest, Update, ReaderNotice>;
+// From a reader to one node of each other zone: a version that has come into force. Subscribers
+// forward it to their reader.
+struct VersionNotice {
+  document::Version version = 0;
+  // The node that uses the version.
+  membership::NodeId node;
+  bool operator==(const VersionNotice&) const = default;
+};
+
+// Asks a node that uses a newer version for the configuration. Answered by an update without
+// members.
+struct ConfigurationRequest {
+  // Version of the configuration in force at the sender; 0 for none.
+  document::Version version = 0;
+  bool operator==(const ConfigurationRequest&) const = default;
+};
+
+using Message =
+    std::variant<UpdateRequest, Update, ReaderNotice, VersionNotice, ConfigurationRequest>;
 
 }  // namespace amaranthlatch::directory
--- a/libs/directory/include/amaranthlatch/directory/options.h
+++ b/libs/directory/include/amaranthlatch/directory/options.h
@@ -21,8 +21,15 @@
   // Seed of the retry jitter.
   std::uint64_t seed = 0;
 
-  // Longest time that the register holds a read open while there are no new records.
-  utils::Duration max_read_wait = utils::Seconds(20);
+  // Longest time that the register holds a read open while there are no new records. A lost
+  // response shows only after it, so reads of the configuration end early enough to find that in
+  // time. With more zones they may last longer, because readers notify each other of new versions.
+  utils::Duration configuration_read_wait_per_zone = utils::Milliseconds(400);
+  utils::Duration min_configuration_read_wait = utils::Milliseconds(800);
+  utils::Duration max_configuration_read_wait = utils::Seconds(2);
+  utils::Duration members_read_wait = utils::Seconds(20);
+  // Time after the end of the wait within which the response of the register must begin.
+  utils::Duration read_response_tolerance = utils::Milliseconds(400);
   // Delays between the end of a read and the start of the next, which batch changes in quick
   // succession. Delay plus transfer time must stay well below the time within which a change has to
   // take effect.
--- a/libs/directory/src/directory.cc
+++ b/libs/directory/src/directory.cc
@@ -23,8 +23,8 @@
     this->effects.emplace_back(RegisterReachabilityChanged{event.stream, true, {}});
   }
   follower.OnReadSucceeded(event.next, this->now);
-  if (event.configuration != nullptr) {
-    this->ApplyConfiguration(event.configuration);
+  if (event.configuration != nullptr && this->ApplyConfiguration(event.configuration)) {
+    this->NotifyOtherZones();
   }
   const Member* own_record = nullptr;
   for (const Member& member : event.members) {
@@ -76,9 +76,14 @@
 }
 
 void Directory::Impl::Handle(const NewerVersionObserved& event) {
-  if (!this->newer_version && this->configuration != nullptr &&
-      event.version > this->configuration->GetVersion()) {
-    this->newer_version = NewerVersion{event.version, this->now};
+  if (this->configuration == nullptr || event.version <= this->configuration->GetVersion()) {
+    return;
+  }
+  if (!this->newer_version) {
+    this->newer_version = NewerVersion{event.version, event.node, this->now};
+  } else if (event.version > this->newer_version->version) {
+    this->newer_version->version = event.version;
+    this->newer_version->node = event.node;
   }
 }
 
@@ -97,12 +102,12 @@
   }
 }
 
-void Directory::Impl::ApplyConfiguration(MeshConfiguration::Pointer read) {
+bool Directory::Impl::ApplyConfiguration(MeshConfiguration::Pointer read) {
   const document::Version previous_version =
       this->configuration == nullptr ? 0 : this->configuration->GetVersion();
   if (this->configuration != nullptr && read->GetVersion() <= previous_version) {
     ++this->counters.configurations_stale;
-    return;
+    return false;
   }
   ++this->counters.configurations_activated;
   this->configuration = std::move(read);
@@ -113,6 +118,7 @@
   }
   this->effects.emplace_back(ConfigurationActivated{
       this->configuration->GetVersion(), previous_version, this->configuration->RouteCount()});
+  return true;
 }
 
 void Directory::Impl::ApplyOwnRecord(const Member& stored) {
@@ -174,8 +180,10 @@
   if (delayed) {
     return;
   }
+  this->RequestNewerConfiguration();
   if (this->selection.Mode() != details::ReadMode::kSubscribed) {
-    this->AbandonStalledRead();
+    this->AbandonConfigurationRead("version " + std::to_string(this->newer_version->version) +
+                                   " is already in force on another node");
     return;
   }
   std::vector<details::OutgoingMessage> messages;
@@ -183,18 +191,44 @@
   this->SendAll(std::move(messages));
 }
 
-void Directory::Impl::AbandonStalledRead() {
+void Directory::Impl::HandleOverdueRead() {
+  details::StreamFollower& follower = this->GetFollower(Stream::kConfiguration);
+  const std::optional<Timestamp> deadline = follower.ResponseDeadline();
+  if (!this->IsReading() || !deadline || this->now < *deadline) {
+    return;
+  }
+  if (this->now - *deadline > this->options.max_wake_delay) {
+    // The node itself was delayed; the response may have been received meanwhile.
+    follower.ExtendRead(this->now, this->options.read_response_tolerance);
+    return;
+  }
+  ++this->counters.reads_overdue;
+  this->AbandonConfigurationRead("its response is overdue");
+  // Known to the subscribers at once: the time of the tolerance has passed already.
+  this->reads_failing_since = this->now - this->options.failing_reads_tolerance;
+}
+
+void Directory::Impl::AbandonConfigurationRead(const std::string& reason) {
   if (!this->GetFollower(Stream::kConfiguration).AbandonRead(this->now)) {
     return;
   }
   ++this->counters.reads_abandoned;
+  // Its response may have been lost together with the abandoned one.
+  this->GetFollower(Stream::kMembers).RestartRead(this->now);
   this->effects.emplace_back(RegisterReachabilityChanged{
       Stream::kConfiguration,
       false,
-      {utils::ErrorCode::kLogUnavailable,
-       "read abandoned without an answer: version " + std::to_string(this->newer_version->version) +
-           " is already in force on another node",
-       {}}});
+      {utils::ErrorCode::kLogUnavailable, "read abandoned without an answer: " + reason, {}}});
+}
+
+utils::Duration Directory::Impl::ReadWait(Stream stream) const {
+  if (stream == Stream::kMembers) {
+    return this->options.members_read_wait;
+  }
+  const auto zones = static_cast<utils::Duration::rep>(this->members.Zones().size());
+  return std::clamp(this->options.configuration_read_wait_per_zone * zones,
+                    this->options.min_configuration_read_wait,
+                    this->options.max_configuration_read_wait);
 }
 
 bool Directory::Impl::Reads(Stream stream) const {
@@ -217,7 +251,8 @@
     if (!this->Reads(stream)) {
       continue;
     }
-    if (std::optional<ReadStream> read = this->GetFollower(stream).Poll(this->now)) {
+    if (std::optional<ReadStream> read =
+            this->GetFollower(stream).Poll(this->now, this->ReadWait(stream))) {
       this->counters.listings += read->from ? 0 : 1;
       this->effects.emplace_back(*read);
     }
@@ -254,6 +289,7 @@
   std::visit([&reducer](const auto& value) { reducer.Handle(value); }, event);
   reducer.UpdateOwnState();
   reducer.HandleStalledRead();
+  reducer.HandleOverdueRead();
   reducer.PollSharedReads();
   reducer.Poll();
   return std::exchange(reducer.effects, {});
@@ -276,6 +312,9 @@
     }
   }
   keep_earliest(reducer.StalledReadTimeout());
+  if (reducer.IsReading()) {
+    keep_earliest(reducer.GetFollower(Stream::kConfiguration).ResponseDeadline());
+  }
   if (reducer.IsPredecessorKnown()) {
     keep_earliest(reducer.own_entry.NextWake());
   }
--- a/libs/directory/src/directory_impl.h
+++ b/libs/directory/src/directory_impl.h
@@ -46,8 +46,12 @@
   void HandleMessage(const membership::NodeId& from, const UpdateRequest& request);
   void HandleMessage(const membership::NodeId& from, const Update& update);
   void HandleMessage(const membership::NodeId& from, const ReaderNotice& notice);
+  // Messages of nodes of other zones.
+  void HandleMessage(const membership::NodeId& from, const VersionNotice& notice);
+  void HandleMessage(const membership::NodeId& from, const ConfigurationRequest& request);
 
-  void ApplyConfiguration(MeshConfiguration::Pointer read);
+  // Returns false if the configuration in force is not older.
+  bool ApplyConfiguration(MeshConfiguration::Pointer read);
   // Applies the changes that a reader passed on.
   void ApplyConfigurationChange(const Update& update);
   // Applies the record that the register holds for this node.
@@ -58,8 +62,16 @@
   // When the waiting read counts as lost; none if nothing newer than the configuration in force is
   // known.
   std::optional<utils::Timestamp> StalledReadTimeout() const;
-  void AbandonStalledRead();
   void HandleStalledRead();
+  // Abandons the read of the configuration if its response is overdue.
+  void HandleOverdueRead();
+  // `reason` completes "read abandoned: ".
+  void AbandonConfigurationRead(const std::string& reason);
+  // Asks the node that uses a newer version for it.
+  void RequestNewerConfiguration();
+  // Tells a node of each other zone the version in force.
+  void NotifyOtherZones();
+  utils::Duration ReadWait(Stream stream) const;
   // Emits the reads and writes that are due.
   void Poll();
   bool IsReading() const { return this->selection.Mode() == details::ReadMode::kReading; }
@@ -109,6 +121,7 @@
   // awaited.
   struct NewerVersion {
     document::Version version = 0;
+    membership::NodeId node;
     utils::Timestamp waiting_since{};
   };
   std::optional<NewerVersion> newer_version;
--- a/libs/directory/src/directory_relay.cc
+++ b/libs/directory/src/directory_relay.cc
@@ -75,6 +75,50 @@
   this->SendAll(std::move(messages));
 }
 
+void Directory::Impl::HandleMessage(const NodeId& /*from*/, const VersionNotice& notice) {
+  this->Handle(NewerVersionObserved{notice.version, notice.node});
+  const NodeId& reader = this->selection.Reader();
+  if (this->selection.Mode() == ReadMode::kSubscribed && !reader.empty() && this->newer_version) {
+    this->effects.emplace_back(SendToPeer{reader, notice});
+  }
+}
+
+void Directory::Impl::HandleMessage(const NodeId& from, const ConfigurationRequest& request) {
+  if (this->configuration != nullptr && request.version < this->configuration->GetVersion()) {
+    this->effects.emplace_back(
+        SendToPeer{from, this->subscribers.MakeConfigurationUpdate(request.version)});
+  }
+}
+
+void Directory::Impl::RequestNewerConfiguration() {
+  const NodeId& node = this->newer_version->node;
+  if (!this->options.share_reads || node.empty() || node == this->options.id) {
+    return;
+  }
+  ++this->counters.configuration_requests;
+  this->effects.emplace_back(
+      SendToPeer{node, ConfigurationRequest{this->configuration->GetVersion()}});
+}
+
+void Directory::Impl::NotifyOtherZones() {
+  if (!this->options.share_reads) {
+    return;
+  }
+  for (const std::string& zone : this->members.Zones()) {
+    std::vector<NodeId> candidates;
+    for (const Member& member : *this->members.ZoneMembers(zone)) {
+      if (zone != this->options.zone && member.state == membership::MemberState::kReady) {
+        candidates.push_back(member.id);
+      }
+    }
+    if (!candidates.empty()) {
+      this->effects.emplace_back(
+          SendToPeer{candidates[this->random.Uniform(candidates.size())],
+                     VersionNotice{this->configuration->GetVersion(), this->options.id}});
+    }
+  }
+}
+
 void Directory::Impl::ApplyConfigurationChange(const Update& update) {
   if (update.configuration.empty()) {
     return;
--- a/libs/directory/src/message_codec.cc
+++ b/libs/directory/src/message_codec.cc
@@ -18,7 +18,13 @@
 using utils::CborWriter;
 using utils::ErrorCode;
 
-enum class MessageType : std::uint8_t { kUpdateRequest = 1, kUpdate = 2, kReaderNotice = 3 };
+enum class MessageType : std::uint8_t {
+  kUpdateRequest = 1,
+  kUpdate = 2,
+  kReaderNotice = 3,
+  kVersionNotice = 4,
+  kConfigurationRequest = 5,
+};
 
 // Size limits; a message that exceeds one is rejected.
 constexpr std::size_t kMaxNameBytes = 256;
@@ -84,6 +90,16 @@
   out.Array(2).Number(static_cast<std::uint64_t>(MessageType::kReaderNotice)).Text(m.reader);
 }
 
+void Write(CborWriter& out, const VersionNotice& m) {
+  out.Array(3).Number(static_cast<std::uint64_t>(MessageType::kVersionNotice));
+  out.Number(m.version).Text(m.node);
+}
+
+void Write(CborWriter& out, const ConfigurationRequest& m) {
+  out.Array(2).Number(static_cast<std::uint64_t>(MessageType::kConfigurationRequest));
+  out.Number(m.version);
+}
+
 Message ReadUpdateRequest(CborReader& in) {
   UpdateRequest m;
   m.version = in.Number();
@@ -112,6 +128,15 @@
   return ReaderNotice{std::string(in.Text(kMaxNameBytes))};
 }
 
+Message ReadVersionNotice(CborReader& in) {
+  VersionNotice m;
+  m.version = in.Number();
+  m.node = std::string(in.Text(kMaxNameBytes));
+  return m;
+}
+
+Message ReadConfigurationRequest(CborReader& in) { return ConfigurationRequest{in.Number()}; }
+
 struct Layout {
   // Number of elements of the array, with the type.
   std::size_t size = 0;
@@ -126,6 +151,10 @@
       return Layout{8, &ReadUpdate};
     case MessageType::kReaderNotice:
       return Layout{2, &ReadReaderNotice};
+    case MessageType::kVersionNotice:
+      return Layout{3, &ReadVersionNotice};
+    case MessageType::kConfigurationRequest:
+      return Layout{2, &ReadConfigurationRequest};
   }
   return std::nullopt;
 }
--- a/libs/directory/src/stream_follower.cc
+++ b/libs/directory/src/stream_follower.cc
@@ -20,25 +20,28 @@
   return max_delay / 2 + random.Jitter(max_delay / 2);
 }
 
-std::optional<ReadStream> StreamFollower::Poll(utils::Timestamp now) {
+std::optional<ReadStream> StreamFollower::Poll(utils::Timestamp now, utils::Duration wait) {
   if (this->read_in_flight || now < this->next_read_time) {
     return std::nullopt;
   }
   this->read_in_flight = true;
   this->read_start = now;
+  this->response_deadline = now + wait + this->options.read_response_tolerance;
   return ReadStream{this->stream, this->next_position,
-                    this->next_position ? this->options.max_read_wait : utils::Duration{}};
+                    this->next_position ? wait : utils::Duration{}};
 }
 
 void StreamFollower::OnReadSucceeded(Position next, utils::Timestamp now) {
   // The read after a listing starts at once, so that changes made since are not delayed.
   const bool was_listing = !this->next_position;
+  // A read without changes leaves nothing to batch.
+  const bool is_unchanged = this->next_position == next;
   this->read_in_flight = false;
   this->listed = true;
   this->current = true;
   this->consecutive_failures = 0;
   this->next_position = next;
-  this->next_read_time = was_listing ? now : now + this->read_delay;
+  this->next_read_time = was_listing || is_unchanged ? now : now + this->read_delay;
 }
 
 void StreamFollower::OnReadFailed(bool truncated, utils::Random& random, utils::Timestamp now) {
@@ -61,6 +64,17 @@
   return true;
 }
 
+void StreamFollower::RestartRead(utils::Timestamp now) {
+  if (this->WaitingSince()) {
+    this->read_in_flight = false;
+    this->next_read_time = now;
+  }
+}
+
+void StreamFollower::ExtendRead(utils::Timestamp now, utils::Duration tolerance) {
+  this->response_deadline = now + tolerance;
+}
+
 void StreamFollower::Resume(utils::Timestamp now) {
   this->read_in_flight = false;
   this->current = false;
@@ -76,6 +90,10 @@
   return this->read_start;
 }
 
+std::optional<utils::Timestamp> StreamFollower::ResponseDeadline() const {
+  return this->WaitingSince() ? std::optional(this->response_deadline) : std::nullopt;
+}
+
 std::optional<utils::Timestamp> StreamFollower::NextWake() const {
   if (this->read_in_flight) {
     return std::nullopt;
--- a/libs/directory/src/stream_follower.h
+++ b/libs/directory/src/stream_follower.h
@@ -18,18 +18,24 @@
   StreamFollower(Stream stream, utils::Duration read_delay, const Options& options)
       : stream(stream), read_delay(read_delay), options(options) {}
 
-  // Returns the read to start now, if one is due.
-  std::optional<ReadStream> Poll(utils::Timestamp now);
+  // Returns the read to start now, if one is due. `wait`: how long the register may hold it open.
+  std::optional<ReadStream> Poll(utils::Timestamp now, utils::Duration wait);
   void OnReadSucceeded(Position next, utils::Timestamp now);
   // Abandons a read that waits for changes and makes a listing due at once. Returns false if no
   // such read is in flight; a listing is not abandoned because it has its own short timeout.
   bool AbandonRead(utils::Timestamp now);
+  // Makes a read that waits for changes due again at once, from the same position.
+  void RestartRead(utils::Timestamp now);
+  // Awaits the response of the read in flight for another `tolerance`.
+  void ExtendRead(utils::Timestamp now, utils::Duration tolerance);
   // Makes a listing due at once, in place of the read in flight, after a time without reads.
   void Resume(utils::Timestamp now);
   void OnReadFailed(bool truncated, utils::Random& random, utils::Timestamp now);
 
   // When the read that waits for changes was started; none if no such read is in flight.
   std::optional<utils::Timestamp> WaitingSince() const;
+  // When the response of the read that waits for changes is overdue; none without such a read.
+  std::optional<utils::Timestamp> ResponseDeadline() const;
   // When the next read is due; none while a read is in flight.
   std::optional<utils::Timestamp> NextWake() const;
   // Whether at least one listing has succeeded.
@@ -49,6 +55,7 @@
   bool read_in_flight = false;
   // Start of the latest read.
   utils::Timestamp read_start{};
+  utils::Timestamp response_deadline{};
   std::uint32_t consecutive_failures = 0;
   utils::Timestamp next_read_time{};
 };
--- a/libs/directory/src/subscribers.cc
+++ b/libs/directory/src/subscribers.cc
@@ -108,6 +108,13 @@
   return update;
 }
 
+Update Subscribers::MakeConfigurationUpdate(document::Version base) {
+  Update update;
+  update.version = this->configurations.back()->GetVersion();
+  update.configuration = this->EncodedChangeFrom(base);
+  return update;
+}
+
 const std::string& Subscribers::EncodedChangeFrom(document::Version base) {
   const auto known =
       std::find_if(this->configurations.begin(), this->configurations.end(),
--- a/libs/directory/src/subscribers.h
+++ b/libs/directory/src/subscribers.h
@@ -44,6 +44,8 @@
   // Returns what the subscriber lacks and takes it for delivered; the next request of the
   // subscriber corrects that.
   Update MakeUpdate(const membership::NodeId& id, bool healthy, const membership::MemberView& view);
+  // Returns an update with the configuration in force, which is newer than `base`, and no members.
+  Update MakeConfigurationUpdate(document::Version base);
 
  private:
   struct Subscriber {
--- a/libs/directory/tests/shared_reads_mesh.h
+++ b/libs/directory/tests/shared_reads_mesh.h
@@ -79,6 +79,8 @@
     std::uint64_t process = 0;
     ReadStream read;
     utils::Timestamp expires{};
+    // A response was lost: the connection stays silent, also when the node is no longer cut off.
+    bool lost = false;
   };
 
   void At(utils::Duration delay, std::function<void()> action);
--- a/libs/node/src/register_node.cc
+++ b/libs/node/src/register_node.cc
@@ -52,7 +52,7 @@
   void DispatchToDirectory(const directory::Event& event);
   void DispatchToCalls(const calls::Event& event);
   // Notifies the directory if a call was routed with a newer configuration.
-  void ReportNewerVersion(const calls::Message& message);
+  void ReportNewerVersion(const membership::NodeId& from, const calls::Message& message);
   // Reports changes of admission and of the backend server to the calls module.
   void UpdateCalls();
   void CloseCallerIntakeIfDue();
@@ -155,17 +155,18 @@
 
 void RegisterNode::Impl::Handle(const MessageReceived& event) {
   if (const auto* call = std::get_if<calls::Message>(&event.message)) {
-    this->ReportNewerVersion(*call);
+    this->ReportNewerVersion(event.from, *call);
     this->DispatchToCalls(calls::PeerMessage{event.from, *call});
   } else if (const auto* message = std::get_if<directory::Message>(&event.message)) {
     this->DispatchToDirectory(directory::PeerMessageReceived{event.from, *message});
   }
 }
 
-void RegisterNode::Impl::ReportNewerVersion(const calls::Message& message) {
+void RegisterNode::Impl::ReportNewerVersion(const membership::NodeId& from,
+                                            const calls::Message& message) {
   const auto* const request = std::get_if<calls::CallRequest>(&message);
   if (request != nullptr && request->version > this->highest_version) {
-    this->DispatchToDirectory(directory::NewerVersionObserved{request->version});
+    this->DispatchToDirectory(directory::NewerVersionObserved{request->version, from});
   }
 }
 
--- a/libs/runtime/src/node_metrics.cc
+++ b/libs/runtime/src/node_metrics.cc
@@ -126,6 +126,8 @@
   text.Counter("register_writes_total", directory.writes);
   text.Counter("register_writes_failed_total", directory.writes_failed);
   text.Counter("register_reads_abandoned_total", directory.reads_abandoned);
+  text.Counter("register_reads_overdue_total", directory.reads_overdue);
+  text.Counter("register_configuration_requests_total", directory.configuration_requests);
   text.Counter("configurations_in_force_total", directory.configurations_activated);
   text.Counter("configurations_stale_total", directory.configurations_stale);
   text.Counter("member_records_changed_total", directory.members_changed);
