Quarantine a request only after a crash on trial

Cause: two crash reports that name a fingerprint quarantined it, but servers crash together, and a path without parameters runs on most of them. Change: a crash makes suspects only; the owner gate runs a suspect on trial, a crash in the trial quarantines it (new message CrashConfirmed), completion clears it. Suspects that were on trial in one crash get the next trial alone. Evidence: SimultaneousCrashesDoNotQuarantineOrdinaryRequests failed before; with all trials of a crash taken for confirmed, ContestedTrialsAreDecidedOneByOne fails. calls_test 77 of 77. Changed check: CrashesCountOnceAndTheTableIsBounded asked for a quarantine after two reports, which is the fault; it now asks for a suspect there and for the quarantine after the confirmed trial.

--- a/libs/calls/include/amaranthlatch/calls/message.h
+++ b/libs/calls/include/amaranthlatch/calls/message.h
@@ -126,7 +126,14 @@
   bool operator==(const CrashCleared&) const = default;
 };
 
+// A suspect request crashed the backend server while it was the only suspect that ran there.
+struct CrashConfirmed {
+  std::string service;
+  std::uint64_t fingerprint = 0;
+  bool operator==(const CrashConfirmed&) const = default;
+};
+
 using Message = std::variant<CallRequest, CallReply, CallCancel, CallCancelReply, PermitRequest,
-                             PermitReply, CrashReport, CrashCleared>;
+                             PermitReply, CrashReport, CrashCleared, CrashConfirmed>;
 
 }  // namespace amaranthlatch::calls
--- a/libs/calls/src/calls.cc
+++ b/libs/calls/src/calls.cc
@@ -90,6 +90,7 @@
           [&](const PermitReply& reply) { this->permits.OnReply(context, reply); },
           [&](const CrashReport& report) { this->gate.OnCrashReport(context, report); },
           [&](const CrashCleared& cleared) { this->gate.OnCrashCleared(context, cleared); },
+          [&](const CrashConfirmed& confirmed) { this->gate.OnCrashConfirmed(context, confirmed); },
       },
       message);
 }
--- a/libs/calls/src/gate.cc
+++ b/libs/calls/src/gate.cc
@@ -120,11 +120,14 @@
     redirect = owner;
     return ErrorCode::kSuspectElsewhere;
   }
-  // The owner gate runs one copy of a suspect request at a time.
-  const bool running = std::any_of(this->runs.begin(), this->runs.end(), [&](const auto& entry) {
-    return entry.second.fingerprint == fingerprint;
+  const bool is_contested = this->quarantine.IsContested(this->service, fingerprint);
+  const bool is_busy = std::any_of(this->runs.begin(), this->runs.end(), [&](const auto& entry) {
+    const Run& run = entry.second;
+    const bool excludes =
+        is_contested || this->quarantine.IsContested(this->service, run.fingerprint);
+    return run.fingerprint == fingerprint || (run.is_trial && excludes);
   });
-  return running ? ErrorCode::kQueueFull : ErrorCode::kOk;
+  return is_busy ? ErrorCode::kQueueFull : ErrorCode::kOk;
 }
 
 ErrorCode Gate::CheckQueueCapacity(const Context& context, const AdmittedCall& call) const {
@@ -244,6 +247,8 @@
   run.started = context.now;
   run.deadline = call.deadline;
   run.route = call.route;
+  run.is_trial =
+      this->quarantine.StateOf(this->service, run.fingerprint) == QuarantineState::kSuspect;
   this->runs.emplace(run_id, std::move(run));
   this->run_by_key.emplace(call.key, run_id);
   this->run_deadlines.emplace(call.deadline, run_id);
@@ -390,7 +395,7 @@
   if (failed.process_dead) {
     this->OnProcessCrash(context, *run, failed.failure);
   } else if (failed.failure == BackendFailure::kConnectionLost) {
-    this->lost_connections.push_back(LostConnection{context.now, run->fingerprint});
+    this->lost_connections.push_back(LostConnection{context.now, run->fingerprint, run->is_trial});
   }
   if (failed.failure == BackendFailure::kNotConnected) {
     this->Finish(context, *run, NotRunAnswer(ErrorCode::kNoBackendServer), false);
@@ -412,25 +417,39 @@
     return;
   }
   std::vector<std::uint64_t> fingerprints;
+  std::set<std::uint64_t> trials;
+  const auto add = [&fingerprints, &trials](const auto& affected) {
+    fingerprints.push_back(affected.fingerprint);
+    if (affected.is_trial) {
+      trials.insert(affected.fingerprint);
+    }
+  };
   if (failure != BackendFailure::kNotConnected) {
-    fingerprints.push_back(run.fingerprint);
+    add(run);
   }
   for (auto& [id, other] : this->runs) {
     if (!other.crash_reported) {
-      fingerprints.push_back(other.fingerprint);
+      add(other);
       other.crash_reported = true;
     }
   }
   const utils::Duration window = this->shared.options.quarantine.crash_window;
   for (const LostConnection& lost : this->lost_connections) {
     if (context.now - lost.at < window) {
-      fingerprints.push_back(lost.fingerprint);
+      add(lost);
     }
   }
   this->lost_connections.clear();
   if (!fingerprints.empty()) {
     this->quarantine.ReportCrash(context, this->service, std::move(fingerprints));
   }
+  if (trials.size() == 1) {
+    this->quarantine.ReportConfirmed(context, this->service, *trials.begin());
+    return;
+  }
+  for (const std::uint64_t fingerprint : trials) {
+    this->quarantine.SetContested(this->service, fingerprint);
+  }
 }
 
 void Gate::Finish(const Context& context, const Run& run, const Answer& answer, bool ran) {
@@ -465,6 +484,10 @@
   this->quarantine.OnCleared(context, cleared);
 }
 
+void Gate::OnCrashConfirmed(const Context& context, const CrashConfirmed& confirmed) {
+  this->quarantine.OnConfirmed(context, confirmed);
+}
+
 void Gate::Reply(const Context& context, const AttemptId& id, Answer answer,
                  membership::NodeId redirect) const {
   CallReply reply;
--- a/libs/calls/src/gate.h
+++ b/libs/calls/src/gate.h
@@ -38,6 +38,7 @@
   void OnBackendServer(const Context& context, const BackendServerChanged& changed);
   void OnCrashReport(const Context& context, const CrashReport& report);
   void OnCrashCleared(const Context& context, const CrashCleared& cleared);
+  void OnCrashConfirmed(const Context& context, const CrashConfirmed& confirmed);
   void SetAdmission(bool open) { this->open = open; }
   void SetDraining() { this->draining = true; }
 
@@ -65,10 +66,13 @@
     bool saturated = false;
     // Whether the run was in flight during a crash that has already been reported.
     bool crash_reported = false;
+    // Whether the request was a suspect when the run started.
+    bool is_trial = false;
   };
   struct LostConnection {
     utils::Timestamp at{};
     std::uint64_t fingerprint = 0;
+    bool is_trial = false;
   };
 
   // Returns kOk, or the reason why the gate currently admits no calls for the service.
--- a/libs/calls/src/message_codec.cc
+++ b/libs/calls/src/message_codec.cc
@@ -25,6 +25,7 @@
   kPermitReply = 6,
   kCrashReport = 7,
   kCrashCleared = 8,
+  kCrashConfirmed = 9,
 };
 
 // Size limits; a message that exceeds one is rejected.
@@ -292,6 +293,11 @@
   return out.Text(m.service).Number(m.fingerprint).Take();
 }
 
+std::string Encode(const CrashConfirmed& m) {
+  Writer out(MessageType::kCrashConfirmed, 2, kReservedBytes);
+  return out.Text(m.service).Number(m.fingerprint).Take();
+}
+
 Message DecodeCallRequest(Reader& in) {
   CallRequest m;
   m.id = in.Id();
@@ -383,6 +389,13 @@
   return m;
 }
 
+Message DecodeCrashConfirmed(Reader& in) {
+  CrashConfirmed m;
+  m.service = in.Text(kMaxNameBytes);
+  m.fingerprint = in.Number();
+  return m;
+}
+
 Message Decode(MessageType type, Reader& in) {
   switch (type) {
     case MessageType::kCallRequest:
@@ -401,6 +414,8 @@
       return DecodeCrashReport(in);
     case MessageType::kCrashCleared:
       return DecodeCrashCleared(in);
+    case MessageType::kCrashConfirmed:
+      return DecodeCrashConfirmed(in);
   }
   in.FailWith(ErrorCode::kMessageMalformed);
   return CallCancel{};
--- a/libs/calls/src/quarantine.cc
+++ b/libs/calls/src/quarantine.cc
@@ -9,7 +9,8 @@
 namespace amaranthlatch::calls::details {
 
 namespace {
-constexpr std::size_t kCrashesToQuarantine = 2;
+// Crashes of a suspect beyond these are neither recorded nor relayed.
+constexpr std::size_t kMaxCrashIds = 16;
 }  // namespace
 
 std::uint64_t FingerprintOf(const std::string& service, const HttpRequest& request) {
@@ -27,8 +28,7 @@
   if (found == this->entries.end()) {
     return QuarantineState::kNone;
   }
-  return found->second.crash_ids.size() >= kCrashesToQuarantine ? QuarantineState::kQuarantined
-                                                                : QuarantineState::kSuspect;
+  return found->second.quarantined ? QuarantineState::kQuarantined : QuarantineState::kSuspect;
 }
 
 membership::NodeId Quarantine::OwnerOf(const Context& context, const std::string& service,
@@ -79,36 +79,76 @@
   }
 }
 
+void Quarantine::ReportConfirmed(const Context& context, const std::string& service,
+                                 std::uint64_t fingerprint) {
+  if (this->Confirm(context, Key{service, fingerprint})) {
+    this->Disseminate(context, service, CrashConfirmed{service, fingerprint}, true);
+  }
+}
+
+void Quarantine::OnConfirmed(const Context& context, const CrashConfirmed& confirmed) {
+  if (this->Confirm(context, Key{confirmed.service, confirmed.fingerprint})) {
+    this->Disseminate(context, confirmed.service, confirmed, false);
+  }
+}
+
+void Quarantine::SetContested(const std::string& service, std::uint64_t fingerprint) {
+  const auto found = this->entries.find(Key{service, fingerprint});
+  if (found != this->entries.end()) {
+    found->second.contested = true;
+  }
+}
+
+bool Quarantine::IsContested(const std::string& service, std::uint64_t fingerprint) const {
+  const auto found = this->entries.find(Key{service, fingerprint});
+  return found != this->entries.end() && found->second.contested;
+}
+
 bool Quarantine::RecordCrash(const Context& context, const Key& key, const CrashId& crash_id) {
+  const auto found = this->entries.find(key);
+  if (found != this->entries.end()) {
+    const Entry& known = found->second;
+    if (known.quarantined || known.crash_ids.size() >= kMaxCrashIds ||
+        known.crash_ids.contains(crash_id)) {
+      return false;
+    }
+  }
+  this->Renew(context, key).crash_ids.insert(crash_id);
+  return true;
+}
+
+bool Quarantine::Confirm(const Context& context, const Key& key) {
+  const auto found = this->entries.find(key);
+  if (found != this->entries.end() && found->second.quarantined) {
+    return false;
+  }
+  this->Renew(context, key).quarantined = true;
+  ++this->shared.counters.quarantined;
+  context.effects.emplace_back(QuarantineChanged{key.first, key.second, true});
+  return true;
+}
+
+Quarantine::Entry& Quarantine::Renew(const Context& context, const Key& key) {
   auto found = this->entries.find(key);
   if (found == this->entries.end()) {
     this->EvictIfFull(context);
     found = this->entries.emplace(key, Entry{}).first;
   } else {
-    Entry& known = found->second;
-    if (known.crash_ids.size() >= kCrashesToQuarantine || known.crash_ids.contains(crash_id)) {
-      return false;
-    }
-    this->expiries.erase({known.expiry, key});
+    this->expiries.erase({found->second.expiry, key});
   }
   Entry& entry = found->second;
-  entry.crash_ids.insert(crash_id);
   entry.expiry = context.now + this->shared.options.quarantine.duration;
   this->expiries.emplace(entry.expiry, key);
-  if (entry.crash_ids.size() == kCrashesToQuarantine) {
-    ++this->shared.counters.quarantined;
-    context.effects.emplace_back(QuarantineChanged{key.first, key.second, true});
-  }
-  return true;
+  return entry;
 }
 
 void Quarantine::EvictIfFull(const Context& context) {
   if (this->entries.size() < this->shared.options.quarantine.capacity) {
     return;
   }
-  auto victim = std::find_if(this->expiries.begin(), this->expiries.end(), [this](const auto& e) {
-    return this->entries.at(e.second).crash_ids.size() < kCrashesToQuarantine;
-  });
+  auto victim = std::find_if(
+      this->expiries.begin(), this->expiries.end(),
+      [this](const auto& expiry) { return !this->entries.at(expiry.second).quarantined; });
   if (victim == this->expiries.end()) {
     victim = this->expiries.begin();
   }
@@ -118,7 +158,7 @@
 
 void Quarantine::RemoveEntry(const Context& context, const Key& key) {
   const auto found = this->entries.find(key);
-  if (found->second.crash_ids.size() >= kCrashesToQuarantine) {
+  if (found->second.quarantined) {
     context.effects.emplace_back(QuarantineChanged{key.first, key.second, false});
   }
   this->expiries.erase({found->second.expiry, key});
@@ -127,7 +167,7 @@
 
 bool Quarantine::Clear(const Context& context, const Key& key) {
   const auto found = this->entries.find(key);
-  if (found == this->entries.end() || found->second.crash_ids.size() >= kCrashesToQuarantine) {
+  if (found == this->entries.end() || found->second.quarantined) {
     return false;
   }
   ++this->shared.counters.suspects_cleared;
--- a/libs/calls/src/quarantine.h
+++ b/libs/calls/src/quarantine.h
@@ -1,4 +1,10 @@
 // Quarantine of requests that crash backend servers.
+//
+// A crash makes suspects of all requests that ran on the server, but shows of none that it is the
+// cause: servers also crash for other reasons, several at a time, and an ordinary request may run
+// on all of them. So a suspect gets a trial: its owner gate runs one copy of it. It is cleared if
+// that completes, and quarantined if the server crashes while no other suspect is on trial there.
+// Suspects on trial in the same crash are contested: each of them gets its next trial alone.
 
 #pragma once
 
@@ -36,6 +42,16 @@
                    std::vector<std::uint64_t> fingerprints);
   void OnReport(const Context& context, const CrashReport& report);
 
+  // Quarantines a suspect request whose trial crashed the local backend server and notifies the
+  // other gates.
+  void ReportConfirmed(const Context& context, const std::string& service,
+                       std::uint64_t fingerprint);
+  void OnConfirmed(const Context& context, const CrashConfirmed& confirmed);
+
+  // The suspect was on trial with others when the local backend server crashed.
+  void SetContested(const std::string& service, std::uint64_t fingerprint);
+  bool IsContested(const std::string& service, std::uint64_t fingerprint) const;
+
   // Clears a suspect request that completed on this node and notifies the other gates.
   void ReportCompleted(const Context& context, const std::string& service,
                        std::uint64_t fingerprint);
@@ -50,13 +66,20 @@
   // Identifies a crash within the mesh: gate, boot id, crash number.
   using CrashId = std::tuple<membership::NodeId, std::uint64_t, std::uint64_t>;
   struct Entry {
-    // At most two: the second crash quarantines the request.
+    // Crashes already reported; the earliest ones are enough to stop repeated reports.
     std::set<CrashId> crash_ids;
+    bool quarantined = false;
+    // Known to the gate of the trial only.
+    bool contested = false;
     utils::Timestamp expiry{};
   };
 
   // Returns false if the crash is already recorded or the request is already quarantined.
   bool RecordCrash(const Context& context, const Key& key, const CrashId& crash_id);
+  // Returns false if the request is already quarantined.
+  bool Confirm(const Context& context, const Key& key);
+  // Returns the entry of the key, with a new expiry; a new entry if there is none.
+  Entry& Renew(const Context& context, const Key& key);
   void EvictIfFull(const Context& context);
   void RemoveEntry(const Context& context, const Key& key);
   bool Clear(const Context& context, const Key& key);
--- a/libs/calls/tests/call_components_test.cc
+++ b/libs/calls/tests/call_components_test.cc
@@ -83,6 +83,8 @@
       return PermitReply{*rc::gen::arbitrary<std::uint64_t>(), ErrorCode::kOk, "token", 5};
     case 6:
       return CrashReport{"fleet", *rc::gen::arbitrary<std::vector<std::uint64_t>>(), "a", 1, 2};
+    case 7:
+      return CrashConfirmed{"fleet", *rc::gen::arbitrary<std::uint64_t>()};
     default:
       return CrashCleared{"fleet", *rc::gen::arbitrary<std::uint64_t>()};
   }
--- a/libs/calls/tests/quarantine_test.cc
+++ b/libs/calls/tests/quarantine_test.cc
@@ -109,6 +109,79 @@
   CHECK_EQUAL(1, suspects);
 }
 
+// Guards against an ordinary request that is refused everywhere because two servers crashed at
+// nearly the same time while both ran a copy of it.
+TEST(Quarantine, SimultaneousCrashesDoNotQuarantineOrdinaryRequests) {
+  for (const int apart_ms : {0, 1, 20, 100}) {
+    for (Node& node : this->mesh.nodes) {
+      node.backend.service_time = Milliseconds(100);
+    }
+    for (std::size_t i = 0; i < 24; ++i) {
+      this->mesh.Call(i % this->mesh.nodes.size(), "/read", "status");
+    }
+    this->mesh.RunFor(Milliseconds(30));
+    CHECK_TRUE(this->mesh.nodes[0].backend.running.size() *
+                   this->mesh.nodes[1].backend.running.size() >
+               0);
+    this->mesh.KillBackend(0);
+    this->mesh.RunFor(Milliseconds(apart_ms));
+    this->mesh.KillBackend(1);
+    this->mesh.RunFor(Seconds(5));
+    this->RestartCrashedBackends();
+    this->mesh.Call(2, "/read", "status");
+    this->mesh.RunFor(Seconds(3));
+    std::vector<std::uint64_t> later;
+    for (std::size_t i = 0; i < this->mesh.nodes.size(); ++i) {
+      later.push_back(this->mesh.Call(i, "/read", "status"));
+    }
+    this->mesh.RunFor(Seconds(3));
+    for (const std::uint64_t call : later) {
+      CHECK_TRUE(this->mesh.AnswerOf(call).kind == ResultKind::kAnswered);
+    }
+  }
+}
+
+// Guards against an ordinary request that is quarantined because its trial runs beside that of the
+// request which crashes servers, and against a trial that is never decided.
+TEST(Quarantine, ContestedTrialsAreDecidedOneByOne) {
+  Mesh two{2, 7};
+  document::ServiceDocument document = FleetDocument();
+  document.locality.prefer = document::LocalityPreference::kNone;
+  two.routes.Set(document);
+  const auto restart = [&two] {
+    for (std::size_t i = 0; i < two.nodes.size(); ++i) {
+      two.nodes[i].backend.service_time = Milliseconds(100);
+      if (two.nodes[i].backend.mode == BackendMode::kDead) {
+        two.StartBackend(i);
+      }
+    }
+  };
+  for (int round = 0; round < 12; ++round) {
+    restart();
+    // Writes are not repeated at once, so that they are still suspects in the next round.
+    for (int path = 0; path < 6; ++path) {
+      two.Call(static_cast<std::size_t>(path) % 2, "/write", "status " + std::to_string(path));
+    }
+    two.RunFor(Milliseconds(20));
+    two.Call(0, "/write", "poison");
+    two.RunFor(Seconds(2));
+  }
+  CHECK_TRUE(two.backend_crashes <= 3);
+  restart();
+  std::vector<std::uint64_t> calls;
+  for (int path = 0; path < 6; ++path) {
+    calls.push_back(two.Call(0, "/write", "status " + std::to_string(path)));
+    two.RunFor(Seconds(1));
+  }
+  for (const std::uint64_t call : calls) {
+    CHECK_TRUE(two.AnswerOf(call).kind == ResultKind::kAnswered);
+  }
+  CHECK_TRUE(two.AnswerOf(two.Call(1, "/write", "poison")).kind != ResultKind::kAnswered);
+  two.RunFor(Seconds(1));
+  CHECK_TRUE(two.backend_crashes <= 3);
+  STRCMP_EQUAL("", two.FirstError().c_str());
+}
+
 // The quarantine of one gate of a service with 200 gates.
 TEST_GROUP(QuarantineTable) {
   details::SharedState shared{Options{}};
@@ -178,7 +251,10 @@
   report(1, 1);
   CHECK_TRUE(this->quarantine.StateOf("fleet", 1) == details::QuarantineState::kSuspect);
   CHECK_TRUE(this->quarantine.StateOf("claims", 1) == details::QuarantineState::kNone);
+  // A second crash may have the same cause as the first one, and need not be this request.
   report(1, 2);
+  CHECK_TRUE(this->quarantine.StateOf("fleet", 1) == details::QuarantineState::kSuspect);
+  this->quarantine.OnConfirmed(this->context, CrashConfirmed{"fleet", 1});
   CHECK_TRUE(this->quarantine.StateOf("fleet", 1) == details::QuarantineState::kQuarantined);
   this->quarantine.OnCleared(this->context, CrashCleared{"fleet", 1});
   CHECK_TRUE(this->quarantine.StateOf("fleet", 1) == details::QuarantineState::kQuarantined);
