Send a repeated request on a new connection

It could happen here: a refusal that a server writes once more on a kept connection was taken for the answer to the repeat of the same request, whose Request-Id is the same. Change: the client remembers the ids that it sent and repeats go out on a new connection.

--- a/libs/runtime/include/amaranthlatch/runtime/http_client.h
+++ b/libs/runtime/include/amaranthlatch/runtime/http_client.h
@@ -28,6 +28,7 @@
   bool repeatable = false;
   // Field of the answer that must repeat a value of the request; empty name for none. An answer
   // with another value belongs to another request: the exchange fails and its connection is closed.
+  // A value that was sent before gets a new connection, where no earlier answer can come.
   std::string echo_name;
   std::string echo_value;
   // An answer without length or chunks is complete when its connection ends in order.
--- a/libs/runtime/src/curl_http_client.cc
+++ b/libs/runtime/src/curl_http_client.cc
@@ -12,6 +12,7 @@
 #include "amaranthlatch/runtime/connection_probe.h"
 #include "curl_multi.h"
 #include "curl_transfer.h"
+#include "recent_names.h"
 
 namespace amaranthlatch::runtime {
 
@@ -56,6 +57,10 @@
     auto entry = std::make_unique<Pending>(this->context, easy, std::move(exchange), this->buffers,
                                            this->options);
     entry->done = std::move(done);
+    const HttpExchange& started = entry->transfer.Exchange();
+    if (!started.echo_name.empty() && this->echo_values.Add(started.echo_value)) {
+      entry->transfer.RequireNewConnection();
+    }
     if (!this->multi.Add(easy)) {
       curl_easy_cleanup(easy);
       this->Fail(std::move(entry->done), {BackendFailure::kNotConnected, false, "not started"});
@@ -215,6 +220,7 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<Pending>> pending;
   std::unordered_map<CURL*, std::uint64_t> ids;
   std::vector<CURL*> idle;
+  details::RecentNames echo_values;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/libs/runtime/src/curl_transfer.h
+++ b/libs/runtime/src/curl_transfer.h
@@ -28,6 +28,9 @@
   CurlTransfer(const CurlTransfer&) = delete;
   CurlTransfer& operator=(const CurlTransfer&) = delete;
 
+  // Must be called before the transfer starts.
+  void RequireNewConnection() { curl_easy_setopt(this->easy, CURLOPT_FRESH_CONNECT, 1L); }
+
   CURL* Easy() const { return this->easy; }
   const HttpExchange& Exchange() const { return this->exchange; }
   bool HasFirstByte() const { return this->first_byte; }
--- a/libs/runtime/tests/http_client_test.cc
+++ b/libs/runtime/tests/http_client_test.cc
@@ -279,6 +279,24 @@
   LONGS_EQUAL(3, server.connections);
 }
 
+// Guards against an earlier refusal, written once more on a kept connection, that is taken for the
+// answer to the repeated request, which the server runs meanwhile.
+TEST(HttpClientTest, RepeatedRequestGetsNoEarlierAnswer) {
+  const std::string refusal = "HTTP/1.1 503 Full\r\nRequest-Id: 1\r\nContent-Length: 0\r\n\r\n";
+  const std::string answer = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 2\r\n\r\nok";
+  const ScriptedServer::Connection* first = nullptr;
+  ScriptedServer server(context, [&](ScriptedServer::Connection& connection, int request) {
+    first = request == 1 ? &connection : first;
+    connection.Write(&connection == first ? refusal : answer);
+  });
+  HttpExchange exchange = Exchange(server, "POST", "block");
+  exchange.echo_name = "request-id";
+  exchange.echo_value = "1";
+  LONGS_EQUAL(503, Run(exchange)->status);
+  LONGS_EQUAL(200, Run(exchange)->status);
+  LONGS_EQUAL(2, server.connections);
+}
+
 // Guards against an answer without length that counts as complete where it was reset, or as
 // incomplete where its connection ended in order.
 TEST(HttpClientTest, AnswerThatEndsWithItsConnection) {
