--- a/libs/directory/tests/shared_reads_test.cc
+++ b/libs/directory/tests/shared_reads_test.cc
@@ -199,6 +199,28 @@
   }
 }
 
+// Guards against the worst moment of the same: the answer is lost that a read which has just begun
+// should get, so that it is overdue only after the bound. Other zones know of the version
+// meanwhile.
+TEST(SharedReads, NoticesOfOtherZonesReplaceALostAnswer) {
+  constexpr auto kConfiguration = static_cast<std::size_t>(Stream::kConfiguration);
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    SharedReadsMesh silent(seed, 6, 2 + seed % 4, true);
+    silent.Run(Seconds(12));
+    const std::size_t reader = silent.Readers(0).front();
+    const std::uint64_t read = silent.At(reader).reads[kConfiguration];
+    while (silent.At(reader).reads[kConfiguration] == read) {
+      silent.Run(Milliseconds(5));
+    }
+    silent.At(reader).cut_from_register = true;
+    silent.Publish(2);
+    silent.Run(Milliseconds(1500));
+    for (std::size_t i = 0; i < silent.Size(); ++i) {
+      CHECK_TRUE_TEXT(silent.At(i).version == 2, std::to_string(seed).c_str());
+    }
+  }
+}
+
 // Guards against readers that all wait on connections which the register has gone silent on, for
 // long after it serves again.
 TEST(SharedReads, ChangesDuringSilenceAreInForceSoonAfterIt) {
