Tell version, age of knowledge and framing of calls that fail

Counters of whole answers by framing, of incomplete and foreign ones, of notices sent and received, and the age of the knowledge. No logic of routing, reads or retries changes.

--- a/libs/directory/include/amaranthlatch/directory/directory.h
+++ b/libs/directory/include/amaranthlatch/directory/directory.h
@@ -29,6 +29,9 @@
   std::uint64_t reads_overdue = 0;
   // Configurations requested from nodes that use a newer one.
   std::uint64_t configuration_requests = 0;
+  // Notices of new versions sent to other zones, and received.
+  std::uint64_t notices_sent = 0;
+  std::uint64_t notices_received = 0;
   // Listings requested; each reads the newest record of every key.
   std::uint64_t listings = 0;
   std::uint64_t writes = 0;
@@ -56,6 +59,17 @@
   bool operator==(const Gauges&) const = default;
 };
 
+// What this node knows of the configuration that it has in force.
+struct ConfigurationStatus {
+  // 0 for none.
+  document::Version version = 0;
+  // When it came into force here.
+  utils::Timestamp in_force_since{};
+  // When the register, or a reader whose reads succeed, was last heard; none before the first time.
+  std::optional<utils::Timestamp> confirmed_at;
+  bool operator==(const ConfigurationStatus&) const = default;
+};
+
 class Directory {
  public:
   // Fails with kSettingsOutOfRange if `options` are invalid.
@@ -74,6 +88,7 @@
   const membership::MemberView& Members() const;
   // The configuration in force; null until the first one has been read.
   MeshConfiguration::Pointer Configuration() const;
+  ConfigurationStatus GetConfigurationStatus() const;
   const Counters& GetCounters() const;
   Gauges GetGauges() const;
 
--- a/libs/directory/include/amaranthlatch/directory/effect.h
+++ b/libs/directory/include/amaranthlatch/directory/effect.h
@@ -69,8 +69,17 @@
   bool operator==(const EarlierWithdrawalFound&) const = default;
 };
 
+// This node learned of a newer version some time ago and has not got it from its source.
+struct ConfigurationOutdated {
+  document::Version version = 0;
+  document::Version newer_version = 0;
+  // The node that uses the newer version.
+  membership::NodeId node;
+  bool operator==(const ConfigurationOutdated&) const = default;
+};
+
 using Effect = std::variant<ReadStream, WriteMember, ConfigurationActivated, MemberChanged,
                             RegisterReachabilityChanged, SendToPeer, ReadSourceChanged,
-                            EarlierWithdrawalFound>;
+                            EarlierWithdrawalFound, ConfigurationOutdated>;
 
 }  // namespace amaranthlatch::directory
--- a/libs/directory/include/amaranthlatch/directory/mesh_configuration.h
+++ b/libs/directory/include/amaranthlatch/directory/mesh_configuration.h
@@ -71,6 +71,8 @@
   const ServiceDefaults& Defaults() const { return this->defaults; }
   // The route of this host and prefix; null if there is none.
   HostRoutePointer FindRoute(std::string_view host, std::string_view path_prefix) const;
+  // Whether any route has this host.
+  bool HasHost(std::string_view host) const;
   // The longest deadline of all routes; 0 without routes.
   utils::Duration LongestDeadline() const;
   // Null if the configuration does not contain the service.
--- a/libs/directory/src/directory.cc
+++ b/libs/directory/src/directory.cc
@@ -23,6 +23,9 @@
     this->effects.emplace_back(RegisterReachabilityChanged{event.stream, true, {}});
   }
   follower.OnReadSucceeded(event.next, this->now);
+  if (event.stream == Stream::kConfiguration) {
+    this->configuration_confirmed_at = this->now;
+  }
   if (event.configuration != nullptr && this->ApplyConfiguration(event.configuration)) {
     this->NotifyOtherZones();
   }
@@ -180,6 +183,8 @@
   if (delayed) {
     return;
   }
+  this->effects.emplace_back(ConfigurationOutdated{
+      this->configuration->GetVersion(), this->newer_version->version, this->newer_version->node});
   this->RequestNewerConfiguration();
   if (this->selection.Mode() != details::ReadMode::kSubscribed) {
     this->AbandonConfigurationRead("version " + std::to_string(this->newer_version->version) +
@@ -333,6 +338,13 @@
 
 MeshConfiguration::Pointer Directory::Configuration() const { return this->impl->configuration; }
 
+ConfigurationStatus Directory::GetConfigurationStatus() const {
+  const Impl& reducer = *this->impl;
+  const document::Version version =
+      reducer.configuration == nullptr ? 0 : reducer.configuration->GetVersion();
+  return {version, reducer.configuration_changed_at, reducer.configuration_confirmed_at};
+}
+
 const Counters& Directory::GetCounters() const { return this->impl->counters; }
 
 Gauges Directory::GetGauges() const {
--- a/libs/directory/src/directory_impl.h
+++ b/libs/directory/src/directory_impl.h
@@ -133,6 +133,7 @@
   std::optional<membership::NodeId> reported_source;
   std::optional<utils::Timestamp> reads_failing_since;
   utils::Timestamp configuration_changed_at{};
+  std::optional<utils::Timestamp> configuration_confirmed_at;
   // State that the subscribers were told last.
   struct PushedState {
     document::Version version = 0;
--- a/libs/directory/src/directory_relay.cc
+++ b/libs/directory/src/directory_relay.cc
@@ -66,6 +66,9 @@
   this->selection.OnUpdate(from, update.healthy, this->MakeSituation());
   if (this->selection.Mode() == ReadMode::kSubscribed && this->selection.Reader() == from) {
     this->members_until = update.members_until;
+    if (update.healthy) {
+      this->configuration_confirmed_at = this->now;
+    }
   }
 }
 
@@ -76,6 +79,7 @@
 }
 
 void Directory::Impl::HandleMessage(const NodeId& /*from*/, const VersionNotice& notice) {
+  ++this->counters.notices_received;
   this->Handle(NewerVersionObserved{notice.version, notice.node});
   const NodeId& reader = this->selection.Reader();
   if (this->selection.Mode() == ReadMode::kSubscribed && !reader.empty() && this->newer_version) {
@@ -112,6 +116,7 @@
       }
     }
     if (!candidates.empty()) {
+      ++this->counters.notices_sent;
       this->effects.emplace_back(
           SendToPeer{candidates[this->random.Uniform(candidates.size())],
                      VersionNotice{this->configuration->GetVersion(), this->options.id}});
--- a/libs/directory/src/mesh_configuration.cc
+++ b/libs/directory/src/mesh_configuration.cc
@@ -111,6 +111,10 @@
   return found == index->second.end() ? nullptr : *found->second;
 }
 
+bool MeshConfiguration::HasHost(std::string_view host) const {
+  return this->routes_by_host.contains(document::NormalizeHost(host));
+}
+
 utils::Duration MeshConfiguration::LongestDeadline() const {
   utils::Duration longest{};
   for (const HostRoutePointer& host_route : this->routes) {
--- a/libs/node/include/amaranthlatch/node/register_node.h
+++ b/libs/node/include/amaranthlatch/node/register_node.h
@@ -45,8 +45,8 @@
                  directory::WriteMember, directory::ConfigurationActivated,
                  directory::MemberChanged, directory::RegisterReachabilityChanged,
                  directory::ReadSourceChanged, directory::EarlierWithdrawalFound,
-                 calls::AnswerCaller, calls::RunOnBackendServer, calls::CancelOnBackendServer,
-                 calls::DrainFinished, calls::QuarantineChanged>;
+                 directory::ConfigurationOutdated, calls::AnswerCaller, calls::RunOnBackendServer,
+                 calls::CancelOnBackendServer, calls::DrainFinished, calls::QuarantineChanged>;
 
 class RegisterNode {
  public:
@@ -64,6 +64,7 @@
   // Whether callers should use this node: a configuration is in force and no drain has started.
   bool Ready() const;
   directory::MeshConfiguration::Pointer Configuration() const;
+  directory::ConfigurationStatus ConfigurationStatus() const;
   const membership::MemberView& Members() const;
   const directory::Counters& DirectoryCounters() const;
   directory::Gauges DirectoryGauges() const;
--- a/libs/node/src/register_node.cc
+++ b/libs/node/src/register_node.cc
@@ -293,6 +293,10 @@
   return this->impl->directory.Configuration();
 }
 
+directory::ConfigurationStatus RegisterNode::ConfigurationStatus() const {
+  return this->impl->directory.GetConfigurationStatus();
+}
+
 const membership::MemberView& RegisterNode::Members() const {
   return this->impl->directory.Members();
 }
--- a/libs/runtime/include/amaranthlatch/runtime/backend_server_link.h
+++ b/libs/runtime/include/amaranthlatch/runtime/backend_server_link.h
@@ -14,6 +14,7 @@
 #include "amaranthlatch/document/service_document.h"
 #include "amaranthlatch/node/event.h"
 #include "amaranthlatch/runtime/http_client.h"
+#include "amaranthlatch/runtime/line_rate_limit.h"
 #include "amaranthlatch/runtime/metrics.h"
 #include "amaranthlatch/utils/clock.h"
 #include "amaranthlatch/utils/result.h"
@@ -79,12 +80,16 @@
   const DurationHistogram& RunTimes() const { return this->run_times; }
   // Answers that the dialect did not take.
   std::uint64_t BadAnswers() const { return this->bad_answers; }
+  // Lines of failed runs above the rate that is written.
+  std::uint64_t LinesDropped() const { return this->lines.Dropped(); }
 
  private:
   void ScheduleCheck();
   void Check();
   void OnProbed(bool accepted);
-  void OnOutcome(std::uint64_t run, utils::Timestamp begun, HttpOutcome outcome);
+  void OnOutcome(std::uint64_t run, const std::string& name, utils::Timestamp begun,
+                 HttpOutcome outcome);
+  void LogFailure(const std::string& name, const HttpFailure& failure);
 
   asio::io_context& context;
   const utils::Clock& clock;
@@ -99,6 +104,7 @@
   bool watching = false;
   DurationHistogram run_times;
   std::uint64_t bad_answers = 0;
+  LineRateLimit lines;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/libs/runtime/include/amaranthlatch/runtime/curl_http_client.h
+++ b/libs/runtime/include/amaranthlatch/runtime/curl_http_client.h
@@ -37,6 +37,8 @@
   bool IsReceiving(std::uint64_t id) const override;
   void Cancel(std::uint64_t id) override;
 
+  const HttpClientCounters& Counters() const;
+
  private:
   class Impl;
   explicit CurlHttpClient(std::unique_ptr<Impl> impl);
--- a/libs/runtime/include/amaranthlatch/runtime/http_client.h
+++ b/libs/runtime/include/amaranthlatch/runtime/http_client.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <tl/expected.hpp>
 
 #include "amaranthlatch/calls/event.h"
@@ -37,11 +38,29 @@
   utils::Duration max_idle = utils::Seconds(4);
 };
 
+// How the end of an answer's body shows.
+enum class Framing : std::uint8_t { kNone, kLength, kChunked, kConnectionEnd };
+std::string_view ToString(Framing framing);
+
 struct HttpFailure {
   calls::BackendFailure failure = calls::BackendFailure::kConnectionLost;
   // The server refuses new connections.
   bool process_dead = false;
   std::string detail;
+  // What had come of the answer. Without the end of a header its framing is kNone.
+  Framing framing = Framing::kNone;
+  std::uint64_t body_bytes = 0;
+};
+
+struct HttpClientCounters {
+  // Whole answers by framing.
+  std::uint64_t answers_with_length = 0;
+  std::uint64_t answers_chunked = 0;
+  std::uint64_t answers_until_connection_end = 0;
+  // Answers that broke off, and that belonged to another request.
+  std::uint64_t answers_incomplete = 0;
+  std::uint64_t answers_foreign = 0;
+  bool operator==(const HttpClientCounters&) const = default;
 };
 
 using HttpOutcome = tl::expected<calls::HttpResponse, HttpFailure>;
--- a/libs/runtime/src/backend_server_link.cc
+++ b/libs/runtime/src/backend_server_link.cc
@@ -11,6 +11,7 @@
 #include "amaranthlatch/document/json_guard.h"
 #include "amaranthlatch/runtime/connection_probe.h"
 #include "amaranthlatch/runtime/endpoint.h"
+#include "amaranthlatch/runtime/log_line.h"
 
 namespace amaranthlatch::runtime {
 
@@ -204,26 +205,48 @@
   exchange.max_response_bytes = run.max_response_bytes;
   exchange.silent_after = this->silent_after;
   exchange.repeatable = run.idempotent;
-  this->client.Start(
-      run.run, std::move(exchange),
-      [this, alive = this->alive, id = run.run, begun = this->clock.Now()](HttpOutcome outcome) {
-        if (*alive) {
-          this->OnOutcome(id, begun, std::move(outcome));
-        }
-      });
+  std::string name = exchange.echo_value;
+  this->client.Start(run.run, std::move(exchange),
+                     [this, alive = this->alive, id = run.run, name = std::move(name),
+                      begun = this->clock.Now()](HttpOutcome outcome) {
+                       if (*alive) {
+                         this->OnOutcome(id, name, begun, std::move(outcome));
+                       }
+                     });
 }
 
-void BackendServerLink::OnOutcome(std::uint64_t run, utils::Timestamp begun, HttpOutcome outcome) {
+void BackendServerLink::LogFailure(const std::string& name, const HttpFailure& failure) {
+  // A cancelled run says nothing about the backend server.
+  if (failure.failure == calls::BackendFailure::kCancelled ||
+      !this->lines.Permit(this->clock.Now())) {
+    return;
+  }
+  LogLine("run-failed")
+      .Add("request", name)
+      .Add("detail", failure.detail)
+      .Add("framing", ToString(failure.framing))
+      .Add("body_bytes", failure.body_bytes)
+      .Info();
+}
+
+void BackendServerLink::OnOutcome(std::uint64_t run, const std::string& name,
+                                  utils::Timestamp begun, HttpOutcome outcome) {
   if (!outcome) {
+    this->LogFailure(name, outcome.error());
     this->report(
         calls::BackendServerFailed{run, outcome.error().failure, outcome.error().process_dead});
     return;
   }
   const utils::Duration time = this->clock.Now() - begun;
   this->run_times.Add(time);
+  const std::uint64_t body_bytes = outcome->body.size();
   auto response = this->dialect.ReadResponse(std::move(*outcome));
   if (!response) {
     ++this->bad_answers;
+    HttpFailure failure;
+    failure.detail = response.error().message;
+    failure.body_bytes = body_bytes;
+    this->LogFailure(name, failure);
     this->report(calls::BackendServerFailed{run, calls::BackendFailure::kConnectionLost, false});
     return;
   }
--- a/libs/runtime/src/curl_http_client.cc
+++ b/libs/runtime/src/curl_http_client.cc
@@ -25,6 +25,20 @@
 
 }  // namespace
 
+std::string_view ToString(Framing framing) {
+  switch (framing) {
+    case Framing::kNone:
+      return "none";
+    case Framing::kLength:
+      return "length";
+    case Framing::kChunked:
+      return "chunked";
+    case Framing::kConnectionEnd:
+      return "connection-end";
+  }
+  return "unknown";
+}
+
 class CurlHttpClient::Impl {
  public:
   Impl(asio::io_context& context, CurlHttpClientOptions options)
@@ -73,6 +87,8 @@
 
   void LimitConnections(std::size_t max_connections) { this->multi.Limit(max_connections); }
 
+  const HttpClientCounters& Counters() const { return this->counters; }
+
   bool IsReceiving(std::uint64_t id) const {
     const auto found = this->pending.find(id);
     return found != this->pending.end() && found->second->transfer.HasFirstByte();
@@ -140,6 +156,7 @@
     }
     Pending& entry = *this->pending.at(id->second);
     HttpOutcome outcome = entry.transfer.Outcome(result);
+    this->Count(entry.transfer, outcome);
     const bool silent = entry.silent && !entry.transfer.HasFirstByte();
     const std::string address = entry.transfer.Exchange().address;
     Done done = std::move(entry.done);
@@ -151,6 +168,26 @@
     this->Report(std::move(done), std::move(outcome.error()), address, silent);
   }
 
+  void Count(const details::CurlTransfer& transfer, const HttpOutcome& outcome) {
+    if (!outcome) {
+      this->counters.answers_foreign += transfer.IsForeign() ? 1 : 0;
+      this->counters.answers_incomplete += transfer.HasFirstByte() && !transfer.IsForeign() ? 1 : 0;
+      return;
+    }
+    switch (transfer.GetFraming()) {
+      case Framing::kChunked:
+        ++this->counters.answers_chunked;
+        break;
+      case Framing::kConnectionEnd:
+        ++this->counters.answers_until_connection_end;
+        break;
+      case Framing::kNone:
+      case Framing::kLength:
+        ++this->counters.answers_with_length;
+        break;
+    }
+  }
+
   // Tells a lost connection from a dead process by trying a new connection.
   void Report(Done done, HttpFailure failure, const std::string& address, bool silent) {
     if (failure.failure == BackendFailure::kTooLarge) {
@@ -221,6 +258,7 @@
   std::unordered_map<CURL*, std::uint64_t> ids;
   std::vector<CURL*> idle;
   details::RecentNames echo_values;
+  HttpClientCounters counters;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
@@ -248,6 +286,8 @@
 
 bool CurlHttpClient::IsReceiving(std::uint64_t id) const { return this->impl->IsReceiving(id); }
 
+const HttpClientCounters& CurlHttpClient::Counters() const { return this->impl->Counters(); }
+
 void CurlHttpClient::Cancel(std::uint64_t id) { this->impl->Cancel(id); }
 
 }  // namespace amaranthlatch::runtime
--- a/libs/runtime/src/curl_transfer.cc
+++ b/libs/runtime/src/curl_transfer.cc
@@ -29,10 +29,6 @@
   return line;
 }
 
-HttpFailure Failure(calls::BackendFailure failure, std::string detail) {
-  return HttpFailure{failure, false, std::move(detail)};
-}
-
 }  // namespace
 
 CurlTransfer::CurlTransfer(CURL* easy, HttpExchange exchange, ResponseBuffers& buffers,
@@ -182,6 +178,7 @@
     return true;
   }
   this->header_complete = true;
+  this->framing = this->FramingOfHeader();
   this->foreign =
       !this->exchange.echo_name.empty() &&
       FindField(this->response.headers, this->exchange.echo_name) != this->exchange.echo_value;
@@ -206,6 +203,14 @@
          this->response.status == kStatusNotModified;
 }
 
+Framing CurlTransfer::FramingOfHeader() const {
+  if (ToLowerCase(FindField(this->response.headers, "transfer-encoding")).ends_with("chunked")) {
+    return Framing::kChunked;
+  }
+  return FindField(this->response.headers, "content-length").empty() ? Framing::kConnectionEnd
+                                                                     : Framing::kLength;
+}
+
 bool CurlTransfer::IsComplete() const {
   // libcurl reports success for a header that ends with its connection.
   if (!this->header_complete) {
@@ -213,30 +218,34 @@
   }
   // libcurl checks length and last chunk; an answer that ends with its connection shows neither.
   return this->HasNoBody() || this->exchange.ends_with_connection ||
-         !FindField(this->response.headers, "content-length").empty() ||
-         ToLowerCase(FindField(this->response.headers, "transfer-encoding")).ends_with("chunked");
+         this->framing != Framing::kConnectionEnd;
+}
+
+HttpFailure CurlTransfer::Failure(calls::BackendFailure failure, std::string detail) const {
+  return HttpFailure{failure, false, std::move(detail), this->framing, this->body_bytes};
 }
 
 HttpOutcome CurlTransfer::Outcome(CURLcode result) {
   if (this->too_large) {
-    return tl::unexpected(Failure(calls::BackendFailure::kTooLarge, "answer above the limit"));
+    return tl::unexpected(
+        this->Failure(calls::BackendFailure::kTooLarge, "answer above the limit"));
   }
   if (this->foreign) {
-    return tl::unexpected(
-        Failure(calls::BackendFailure::kConnectionLost, "the answer belongs to another request"));
+    return tl::unexpected(this->Failure(calls::BackendFailure::kConnectionLost,
+                                        "the answer belongs to another request"));
   }
   if (result != CURLE_OK) {
     const auto failure = this->MayBeSent() ? calls::BackendFailure::kConnectionLost
                                            : calls::BackendFailure::kNotConnected;
-    return tl::unexpected(Failure(failure, curl_easy_strerror(result)));
+    return tl::unexpected(this->Failure(failure, curl_easy_strerror(result)));
   }
   long status = 0;  // NOLINT(google-runtime-int): libcurl's type.
   curl_easy_getinfo(this->easy, CURLINFO_RESPONSE_CODE, &status);
   this->response.status = static_cast<int>(status);
   if (!this->IsComplete()) {
     return tl::unexpected(
-        Failure(calls::BackendFailure::kConnectionLost,
-                "answer broke off in its header, or has neither length nor chunks"));
+        this->Failure(calls::BackendFailure::kConnectionLost,
+                      "answer broke off in its header, or has neither length nor chunks"));
   }
   RemoveHopByHopFields(this->response.headers);
   return std::move(this->response);
--- a/libs/runtime/src/curl_transfer.h
+++ b/libs/runtime/src/curl_transfer.h
@@ -34,6 +34,10 @@
   CURL* Easy() const { return this->easy; }
   const HttpExchange& Exchange() const { return this->exchange; }
   bool HasFirstByte() const { return this->first_byte; }
+  // Whether the answer belongs to another request.
+  bool IsForeign() const { return this->foreign; }
+  // kNone before the end of the header.
+  Framing GetFraming() const { return this->framing; }
 
   // Whether a byte of the request may have been written.
   bool MayBeSent() const;
@@ -54,8 +58,10 @@
   bool AddHeaderLine(std::string_view line);
   // Returns false if the answer does not repeat what it must.
   bool HandleEndOfHeader();
+  Framing FramingOfHeader() const;
   bool IsComplete() const;
   bool HasNoBody() const;
+  HttpFailure Failure(calls::BackendFailure failure, std::string detail) const;
 
   CURL* easy;
   HttpExchange exchange;
@@ -71,6 +77,7 @@
   bool first_byte = false;
   // The empty line that ends the header of the final answer has been read.
   bool header_complete = false;
+  Framing framing = Framing::kNone;
   bool too_large = false;
   bool foreign = false;
 };
--- a/libs/runtime/src/dialect_gateway.cc
+++ b/libs/runtime/src/dialect_gateway.cc
@@ -5,23 +5,50 @@
 #include <algorithm>
 #include <utility>
 
-#include "amaranthlatch/runtime/log_line.h"
-
 namespace amaranthlatch::runtime::details {
 
 namespace {
-// A node whose calls all fail writes no more than this; the rest is counted.
-constexpr std::uint32_t kLinesPerSecond = 20;
+std::uint64_t MillisecondsSince(utils::Timestamp since, utils::Timestamp now) {
+  return static_cast<std::uint64_t>(utils::ToMilliseconds(now - since));
+}
 }  // namespace
 
 using calls::ResultKind;
 
+LogLine DescribeFailure(const OpenCall& call, const calls::Answer& answer,
+                        const ConfigurationView& configuration, utils::Timestamp now) {
+  LogLine line("call-failed");
+  line.Add("request", call.name)
+      .Add("host", call.host)
+      .Add("target", call.target)
+      .Add("result", ToString(answer.kind))
+      .Add("code", utils::ToNumber(answer.code))
+      .Add("name", utils::ToString(answer.code))
+      .Add("after_ms", MillisecondsSince(call.begun, now))
+      .Add("version", call.configuration.version);
+  if (call.configuration.version != 0) {
+    line.Add("in_force_ms", MillisecondsSince(call.configuration.in_force_since, call.begun));
+  }
+  if (call.configuration.confirmed_at) {
+    line.Add("confirmed_ms", MillisecondsSince(*call.configuration.confirmed_at, call.begun));
+  }
+  if (answer.code == utils::ErrorCode::kNoRoute) {
+    line.Add("host_known", configuration.HasHost(call.host) ? "true" : "false");
+  }
+  return line;
+}
+
 DialectGateway::DialectGateway(const utils::Clock& clock, const CallerDialect& dialect,
-                               Received received, Gone gone)
-    : clock(clock), dialect(dialect), received(std::move(received)), gone(std::move(gone)) {}
+                               const ConfigurationView& configuration, Received received, Gone gone)
+    : clock(clock),
+      dialect(dialect),
+      configuration(configuration),
+      received(std::move(received)),
+      gone(std::move(gone)) {}
 
 void DialectGateway::OnRequest(std::uint64_t request, calls::HttpRequest content) {
-  OpenCall call{this->clock.Now(), std::string(this->dialect.NameOf(content)), content.target};
+  OpenCall call{this->clock.Now(), std::string(this->dialect.NameOf(content)), content.host,
+                content.target, this->configuration.Status()};
   auto read = this->dialect.ReadCall(request, std::move(content));
   this->open.emplace(request, std::move(call));
   if (read) {
@@ -48,8 +75,9 @@
   }
   const OpenCall call = std::move(found->second);
   this->open.erase(found);
-  if (effect.answer.kind != ResultKind::kAnswered) {
-    this->LogFailure(call, effect.answer);
+  const utils::Timestamp now = this->clock.Now();
+  if (effect.answer.kind != ResultKind::kAnswered && this->lines.Permit(now)) {
+    DescribeFailure(call, effect.answer, this->configuration, now).Info();
   }
   ServerResponse response;
   response.kind = effect.answer.kind;
@@ -70,26 +98,4 @@
                 [](const auto& entry) { return entry.first == calls::kBackendTimeField; });
 }
 
-void DialectGateway::LogFailure(const OpenCall& call, const calls::Answer& answer) {
-  const utils::Timestamp second =
-      std::chrono::time_point_cast<std::chrono::seconds>(this->clock.Now());
-  if (second != this->log_second) {
-    this->log_second = second;
-    this->logged = 0;
-  }
-  if (++this->logged > kLinesPerSecond) {
-    ++this->lines_dropped;
-    return;
-  }
-  LogLine("call-failed")
-      .Add("request", call.name)
-      .Add("target", call.target)
-      .Add("result", ToString(answer.kind))
-      .Add("code", utils::ToNumber(answer.code))
-      .Add("name", utils::ToString(answer.code))
-      .Add("after_ms",
-           static_cast<std::uint64_t>(utils::ToMilliseconds(this->clock.Now() - call.begun)))
-      .Info();
-}
-
 }  // namespace amaranthlatch::runtime::details
--- a/libs/runtime/src/node_metrics.cc
+++ b/libs/runtime/src/node_metrics.cc
@@ -128,6 +128,8 @@
   text.Counter("register_reads_abandoned_total", directory.reads_abandoned);
   text.Counter("register_reads_overdue_total", directory.reads_overdue);
   text.Counter("register_configuration_requests_total", directory.configuration_requests);
+  text.Counter("register_notices_sent_total", directory.notices_sent);
+  text.Counter("register_notices_received_total", directory.notices_received);
   text.Counter("configurations_in_force_total", directory.configurations_activated);
   text.Counter("configurations_stale_total", directory.configurations_stale);
   text.Counter("member_records_changed_total", directory.members_changed);
@@ -146,10 +148,21 @@
   MetricsText text;
   text.Gauge("ready", metrics.ready ? 1 : 0);
   text.Gauge("configuration_version", static_cast<double>(metrics.version));
+  if (metrics.configuration_confirmed_age) {
+    text.Gauge("configuration_confirmed_age_seconds",
+               std::chrono::duration<double>(*metrics.configuration_confirmed_age).count());
+  }
   AppendDirectory(text, metrics.directory, metrics.directory_gauges);
   AppendCalls(text, metrics.calls, metrics.gauges);
   AppendTransport(text, metrics.transport, metrics.envelope);
   AppendServer(text, metrics.data_server, R"(address="data")");
+  const HttpClientCounters& answers = metrics.backend_client;
+  text.Counter("backend_answers_total", answers.answers_with_length, R"(framing="length")");
+  text.Counter("backend_answers_total", answers.answers_chunked, R"(framing="chunked")");
+  text.Counter("backend_answers_total", answers.answers_until_connection_end,
+               R"(framing="connection-end")");
+  text.Counter("backend_answers_incomplete_total", answers.answers_incomplete);
+  text.Counter("backend_answers_foreign_total", answers.answers_foreign);
   text.Counter("backend_answers_not_taken_total", metrics.bad_answers);
   text.Counter("announcements_refused_total", metrics.announcements_refused);
   text.Counter("log_lines_dropped_total", metrics.call_lines_dropped, R"(reason="rate")");
--- a/libs/runtime/src/register_host.cc
+++ b/libs/runtime/src/register_host.cc
@@ -60,7 +60,9 @@
 
 }  // namespace
 
-class RegisterHost::Impl final : public TransportListener, public NodeGate {
+class RegisterHost::Impl final : public TransportListener,
+                                 public NodeGate,
+                                 public details::ConfigurationView {
  public:
   Impl(asio::io_context& context, const RegisterSettings& settings, Adapter& adapter,
        std::function<void(StopReason)> on_stopped)
@@ -71,7 +73,7 @@
         wake_timer(context),
         drain_timer(context),
         gateway(
-            this->clock, adapter.Callers(),
+            this->clock, adapter.Callers(), *this,
             [this](const calls::CallReceived& call) { this->Apply(call); },
             [this](const calls::CallerGone& gone) { this->Apply(gone); }),
         announcements(settings.backend_service, settings.backend_address),
@@ -137,6 +139,15 @@
     this->Apply(node::PeerUnreachable{peer});
   }
 
+  directory::ConfigurationStatus Status() const override {
+    return this->node->ConfigurationStatus();
+  }
+
+  bool HasHost(std::string_view host) const override {
+    const auto configuration = this->node->Configuration();
+    return configuration != nullptr && configuration->HasHost(host);
+  }
+
   bool Ready() const override { return this->node->Ready() && !this->stopped; }
 
   utils::Result<void> Announce(Announcement announcement) override {
@@ -256,11 +267,16 @@
     metrics.added_times = &this->gateway.AddedTimes();
     metrics.run_times = &this->backend_server->RunTimes();
     metrics.ready = this->Ready();
-    const auto configuration = this->node->Configuration();
-    metrics.version = configuration == nullptr ? 0 : configuration->GetVersion();
+    const directory::ConfigurationStatus status = this->Status();
+    metrics.version = status.version;
+    if (status.confirmed_at) {
+      metrics.configuration_confirmed_age = this->clock.Now() - *status.confirmed_at;
+    }
+    metrics.backend_client = this->backend_client->Counters();
     metrics.bad_answers = this->backend_server->BadAnswers();
     metrics.announcements_refused = this->announcements_refused;
-    metrics.call_lines_dropped = this->gateway.LinesDropped();
+    metrics.call_lines_dropped =
+        this->gateway.LinesDropped() + this->backend_server->LinesDropped();
     return {200, {{"content-type", "text/plain; version=0.0.4"}}, details::ToPrometheus(metrics)};
   }
 
@@ -373,6 +389,14 @@
         .Info();
   }
 
+  void Perform(const directory::ConfigurationOutdated& effect) {
+    LogLine("configuration-outdated")
+        .Add("version", effect.version)
+        .Add("newer", effect.newer_version)
+        .Add("known_from", effect.node)
+        .Warn();
+  }
+
   void Perform(const directory::EarlierWithdrawalFound& effect) {
     const bool is_withdrawn = this->announcements.Restore(effect.withdrawal);
     LogLine("backend-server-withdrawn-before")
--- a/libs/runtime/src/register_metrics.h
+++ b/libs/runtime/src/register_metrics.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "amaranthlatch/calls/counters.h"
 #include "amaranthlatch/directory/directory.h"
 #include "amaranthlatch/node/envelope.h"
+#include "amaranthlatch/runtime/http_client.h"
 #include "amaranthlatch/runtime/http_server.h"
 #include "amaranthlatch/runtime/metrics.h"
 #include "amaranthlatch/runtime/transport.h"
@@ -28,6 +30,10 @@
   bool ready = false;
   // Of the configuration in force; 0 for none.
   std::uint64_t version = 0;
+  // Since the register, or a reader whose reads succeed, was last heard; none before that.
+  std::optional<utils::Duration> configuration_confirmed_age;
+  // Exchanges with the backend server.
+  HttpClientCounters backend_client;
   std::uint64_t bad_answers = 0;
   std::uint64_t announcements_refused = 0;
   // Lines of failed calls above the rate that is written.
--- a/libs/runtime/tests/http_client_test.cc
+++ b/libs/runtime/tests/http_client_test.cc
@@ -99,6 +99,13 @@
     const HttpOutcome outcome = Run(Exchange(server, "GET", ""));
     CHECK_FALSE_TEXT(outcome.has_value(), answer.c_str());
     CHECK_TRUE(outcome.error().failure == BackendFailure::kConnectionLost);
+    const std::uint64_t bytes = answer.ends_with("abc") || answer.ends_with("abc\r\n") ? 3 : 0;
+    LONGS_EQUAL_TEXT(bytes, outcome.error().body_bytes, answer.c_str());
+    CHECK_TRUE(outcome.error().framing ==
+               (bytes == 0                                           ? Framing::kNone
+                : answer.find("chunked") != std::string::npos        ? Framing::kChunked
+                : answer.find("Content-Length") != std::string::npos ? Framing::kLength
+                                                                     : Framing::kConnectionEnd));
   }
 }
 
