Find links that go silent in one direction

Cause: each direction between two nodes is a connection of its own. NoteHeard took any message of the peer, which comes over the peer's connection, for proof of the own one; and a link that carried only answers, updates or notices was never probed. So the node that asked made its sound link anew again and again, and the silent one, the peer's, stayed. Class: liveness of one channel inferred from another. Change: a link counts as working only after an answer to what was sent on it; all messages are probed, those without an answer after 2 s; the probe of a peer has the own link probed at once. A peer that sends gets 1.75 s to answer probes instead of 0.75 s, because it may only be slow.

--- a/libs/runtime/include/amaranthlatch/runtime/nng_transport.h
+++ b/libs/runtime/include/amaranthlatch/runtime/nng_transport.h
@@ -4,9 +4,13 @@
 // reported as not sent if the link cannot be made, or if too many wait. When a link is lost its
 // socket is closed, so that nng does not deliver old messages over a later connection.
 //
-// PUSH links carry nothing back. A peer that owes an answer and from which nothing was heard for an
-// interval gets a keep-alive message over the same link and answers over its own. After three more
-// intervals without any message the link is closed and reported as lost; the next Send dials anew.
+// PUSH links carry nothing back, and each direction between two nodes is a connection of its own
+// that can go silent alone. A link counts as working only after an answer to what was sent on it.
+// One that has carried messages without an answer for some time gets a keep-alive message, which
+// the peer answers over its own link. After three more intervals without an answer, or seven if the
+// peer itself still sends, the link is closed and reported as lost; the next Send dials anew. A
+// keep-alive message also shows that the peer may not hear this node, so that the link to it is
+// probed as well.
 
 #pragma once
 
@@ -48,6 +52,7 @@
 
   void Send(const membership::NodeId& to, OutgoingMessage message) override;
   void NoteHeard(const membership::NodeId& peer) override;
+  void NoteAnswered(const membership::NodeId& peer) override;
   const TransportCounters& Counters() const override;
 
   // Links that stand or are being made.
--- a/libs/runtime/include/amaranthlatch/runtime/traffic.h
+++ b/libs/runtime/include/amaranthlatch/runtime/traffic.h
@@ -20,6 +20,8 @@
   bool is_call = false;
   // The receiver answers with a message of its own.
   bool expects_answer = false;
+  // Sent only as an answer to a message of the receiver.
+  bool is_answer = false;
 };
 
 MessageKind KindOf(const node::Message& message);
--- a/libs/runtime/include/amaranthlatch/runtime/transport.h
+++ b/libs/runtime/include/amaranthlatch/runtime/transport.h
@@ -23,7 +23,7 @@
 
 struct OutgoingMessage {
   std::string bytes;
-  // A link is found silent only while an answer is expected on it.
+  // The peer answers at once, so that a link without an answer is probed soon; others later.
   bool answer_expected = false;
   // Called later if the message has not left the process and never will.
   std::function<void()> not_sent;
@@ -51,9 +51,13 @@
   // Queues the message; never blocks.
   virtual void Send(const membership::NodeId& to, OutgoingMessage message) = 0;
 
-  // The host has verified that a message came from this peer: its link is not silent.
+  // The host has verified that a message came from this peer. The peer runs, but its messages come
+  // over a connection of its own: they show nothing about the link to it.
   virtual void NoteHeard(const membership::NodeId& peer) = 0;
 
+  // The host has verified an answer of this peer to a message sent to it: the link works.
+  virtual void NoteAnswered(const membership::NodeId& peer) = 0;
+
   virtual const TransportCounters& Counters() const = 0;
 };
 
--- a/libs/runtime/src/host.cc
+++ b/libs/runtime/src/host.cc
@@ -121,7 +121,11 @@
     if (!opened || this->stopped) {
       return;
     }
-    this->transport->NoteHeard(opened->sender);
+    if (KindOf(opened->message).is_answer) {
+      this->transport->NoteAnswered(opened->sender);
+    } else {
+      this->transport->NoteHeard(opened->sender);
+    }
     this->traffic.Count(Direction::kReceived, opened->message, this->RegionOf(opened->sender),
                         bytes.size());
     this->Apply(node::MessageReceived{std::move(opened->sender), std::move(opened->message)});
--- a/libs/runtime/src/nng_transport.cc
+++ b/libs/runtime/src/nng_transport.cc
@@ -27,6 +27,12 @@
 
 // Keep-alive messages without an answer after which a link counts as silent.
 constexpr int kSilentIntervals = 3;
+// The same while the peer sends: it may be slow to answer.
+constexpr int kSilentIntervalsOfSender = 7;
+// Intervals until a link is probed that carried only messages without an answer.
+constexpr int kUnansweredIntervals = 8;
+// Intervals for which a working link needs no probe on account of its peer's.
+constexpr int kProvenIntervals = 4;
 
 // A link within a zone stands after about 2 ms; one that does not by this time is probed.
 constexpr utils::Duration kProbeDelay = utils::Milliseconds(20);
@@ -84,17 +90,23 @@
       return;
     }
     ++this->counters.messages_sent;
-    if (message.answer_expected && !peer->unheard_since) {
-      peer->unheard_since = std::chrono::steady_clock::now();
-      this->ScheduleTick();
-    }
+    this->ProbeWithin(*peer, this->options.keep_alive_interval *
+                                 (message.answer_expected ? 1 : kUnansweredIntervals));
   }
 
   void NoteHeard(const membership::NodeId& id) {
     const auto found = this->links.find(id);
     if (found != this->links.end()) {
-      found->second.unheard_since.reset();
+      found->second.heard_at = std::chrono::steady_clock::now();
+    }
+  }
+
+  void NoteAnswered(const membership::NodeId& id) {
+    const auto found = this->links.find(id);
+    if (found != this->links.end()) {
+      found->second.probe_at.reset();
       found->second.keep_alives = 0;
+      found->second.answered_at = std::chrono::steady_clock::now();
     }
   }
 
@@ -110,9 +122,12 @@
     std::unique_ptr<details::NngLink> link;
     std::unique_ptr<asio::steady_timer> dial_timer;
     std::list<membership::NodeId>::iterator use;
-    // When an answer became due, if nothing was heard from the peer since.
-    std::optional<SteadyTime> unheard_since;
+    // When the first keep-alive message is due; none while all that was sent is answered.
+    std::optional<SteadyTime> probe_at;
+    // Sent without an answer since then.
     int keep_alives = 0;
+    SteadyTime heard_at{};
+    SteadyTime answered_at{};
     std::uint64_t nonce = 0;
     std::uint64_t serial = 0;
   };
@@ -255,15 +270,33 @@
       Peer* const peer = this->FindOrDial(message.from);
       if (peer != nullptr) {
         this->SendKeepAlive(*peer, details::FrameKind::kKeepAliveAnswer, message.nonce);
+        this->ProbeOnAccountOfPeer(*peer);
       }
       return;
     }
     const auto found = this->links.find(message.from);
     if (found != this->links.end() && found->second.nonce == message.nonce) {
-      this->NoteHeard(message.from);
+      this->NoteAnswered(message.from);
     }
   }
 
+  // The peer lacks an answer: what this node sent may not have arrived.
+  void ProbeOnAccountOfPeer(Peer& peer) {
+    const SteadyTime now = std::chrono::steady_clock::now();
+    peer.heard_at = now;
+    if (now - peer.answered_at >= kProvenIntervals * this->options.keep_alive_interval) {
+      this->ProbeWithin(peer, utils::Duration{});
+    }
+  }
+
+  void ProbeWithin(Peer& peer, utils::Duration time) {
+    const SteadyTime due = std::chrono::steady_clock::now() + time;
+    if (!peer.probe_at || due < *peer.probe_at) {
+      peer.probe_at = due;
+    }
+    this->ScheduleTick();
+  }
+
   void SendKeepAlive(Peer& peer, details::FrameKind kind, std::uint64_t nonce) {
     std::string frame = this->codec.Encode({kind, this->options.address, nonce});
     const std::size_t bytes = frame.size();
@@ -287,14 +320,15 @@
     std::vector<membership::NodeId> silent;
     bool waiting = false;
     for (auto& [id, peer] : this->links) {
-      if (!peer.unheard_since) {
+      if (!peer.probe_at) {
         continue;
       }
       waiting = true;
-      if (now - *peer.unheard_since < this->options.keep_alive_interval || !peer.link->IsUp()) {
+      if (now < *peer.probe_at || !peer.link->IsUp()) {
         continue;
       }
-      if (peer.keep_alives >= kSilentIntervals) {
+      const bool is_sending = now - peer.heard_at < this->options.keep_alive_interval;
+      if (peer.keep_alives >= (is_sending ? kSilentIntervalsOfSender : kSilentIntervals)) {
         silent.push_back(id);
         continue;
       }
@@ -348,6 +382,8 @@
 
 void NngTransport::NoteHeard(const membership::NodeId& peer) { this->impl->NoteHeard(peer); }
 
+void NngTransport::NoteAnswered(const membership::NodeId& peer) { this->impl->NoteAnswered(peer); }
+
 const TransportCounters& NngTransport::Counters() const { return this->impl->Counters(); }
 
 std::size_t NngTransport::LinkCount() const { return this->impl->LinkCount(); }
--- a/libs/runtime/src/register_host.cc
+++ b/libs/runtime/src/register_host.cc
@@ -18,6 +18,7 @@
 #include "amaranthlatch/runtime/log_line.h"
 #include "amaranthlatch/runtime/nng_transport.h"
 #include "amaranthlatch/runtime/restinio_server.h"
+#include "amaranthlatch/runtime/traffic.h"
 #include "amaranthlatch/runtime/wall_clock.h"
 #include "control_listener.h"
 #include "dialect_gateway.h"
@@ -130,7 +131,11 @@
     if (!opened || this->stopped) {
       return;
     }
-    this->transport->NoteHeard(opened->sender);
+    if (KindOf(opened->message).is_answer) {
+      this->transport->NoteAnswered(opened->sender);
+    } else {
+      this->transport->NoteHeard(opened->sender);
+    }
     this->Apply(node::MessageReceived{std::move(opened->sender), std::move(opened->message)});
   }
 
--- a/libs/runtime/src/traffic.cc
+++ b/libs/runtime/src/traffic.cc
@@ -14,18 +14,18 @@
 // One row for each alternative of the module's variant, in its order.
 constexpr std::array<MessageKind, std::variant_size_v<membership::Message>> kMembership = {{
     {"probe", false, true},
-    {"probe-ack", false, false},
+    {"probe-ack", false, false, true},
     {"indirect-probe", false, false},
     {"member-updates", false, false},
     {"join-request", false, true},
-    {"join-reply", false, false},
+    {"join-reply", false, false, true},
     {"zone-records-request", false, true},
     {"zone-records", false, false},
 }};
 
 constexpr std::array<MessageKind, std::variant_size_v<distribution::Message>> kDistribution = {{
     {"entries-push", false, true},
-    {"entries-ack", false, false},
+    {"entries-ack", false, false, true},
     {"digest", false, false},
     {"entries-request", false, true},
     {"snapshot-request", false, true},
@@ -33,24 +33,27 @@
     {"snapshot-retry-later", false, false},
     {"reader-heartbeat", false, false},
     {"held-query", false, true},
-    {"held-reply", false, false},
+    {"held-reply", false, false, true},
 }};
 
 constexpr std::array<MessageKind, std::variant_size_v<calls::Message>> kCalls = {{
     {"call-request", true, true},
-    {"call-reply", true, false},
+    {"call-reply", true, false, true},
     {"call-cancel", true, true},
-    {"call-cancel-reply", true, false},
+    {"call-cancel-reply", true, false, true},
     {"permit-request", true, true},
-    {"permit-reply", true, false},
+    {"permit-reply", true, false, true},
     {"crash-report", true, false},
     {"crash-cleared", true, false},
+    {"crash-confirmed", true, false},
 }};
 
 constexpr std::array<MessageKind, std::variant_size_v<directory::Message>> kDirectory = {{
     {"update-request", false, true},
     {"update", false, false},
     {"reader-notice", false, false},
+    {"version-notice", false, false},
+    {"configuration-request", false, false},
 }};
 
 MessageKind Find(const membership::Message& message) { return kMembership.at(message.index()); }
--- a/libs/runtime/tests/transport_test.cc
+++ b/libs/runtime/tests/transport_test.cc
@@ -39,6 +39,28 @@
   std::unique_ptr<NngTransport> transport;
 };
 
+// Takes bytes and never answers: a link that went silent after the handshake, in which each side
+// sends the 8 bytes of its protocol header.
+class SilentPeer {
+ public:
+  explicit SilentPeer(asio::io_context& context)
+      : server(context, [](ScriptedServer::Connection&, int) {}) {}
+
+  std::string Address() const { return this->server.Address(); }
+
+  // Ends the handshakes of connections that came since the last call.
+  void Greet() {
+    const std::string pull_header("\0SP\0\0\x51\0\0", 8);
+    for (; this->greeted < this->server.open.size(); ++this->greeted) {
+      this->server.open[this->greeted]->Write(pull_header);
+    }
+  }
+
+ private:
+  ScriptedServer server;
+  std::size_t greeted = 0;
+};
+
 }  // namespace
 
 TEST_GROUP(TransportTest) { asio::io_context context; };
@@ -136,16 +158,41 @@
   first.Send(second.address, "call", true);
   RunFor(context, std::chrono::milliseconds(300));
   LONGS_EQUAL(0, first.recorder.lost.size());
-  // A server that takes bytes and never answers stands for a link that went silent after the
-  // handshake, in which each side sends the 8 bytes of its protocol header.
-  ScriptedServer silent(context, [](ScriptedServer::Connection&, int) {});
+  SilentPeer silent(context);
   first.Send(silent.Address(), "call", true);
-  const std::string pull_header("\0SP\0\0\x51\0\0", 8);
-  std::size_t greeted = 0;
   CHECK_TRUE(RunUntil(context, [&] {
-    for (; greeted < silent.open.size(); ++greeted) {
-      silent.open[greeted]->Write(pull_header);
-    }
+    silent.Greet();
+    return !first.recorder.lost.empty();
+  }));
+  LONGS_EQUAL(1, first.transport->Counters().links_silent);
+}
+
+// Guards against a link that went silent and carries answers and notices only, so that nothing due
+// on it shows the loss: all of them vanished for good.
+TEST(TransportTest, SilentLinkOfAnswersIsReplaced) {
+  NngTransportOptions options;
+  options.keep_alive_interval = utils::Milliseconds(20);
+  TestNode first(context, options);
+  SilentPeer silent(context);
+  first.Send(silent.Address(), "answer", false);
+  CHECK_TRUE(RunUntil(context, [&] {
+    silent.Greet();
+    return !first.recorder.lost.empty();
+  }));
+  LONGS_EQUAL(1, first.transport->Counters().links_silent);
+}
+
+// Guards against a link that went silent in one direction and is kept because its peer, whose own
+// link works, goes on sending.
+TEST(TransportTest, SilentLinkIsReplacedWhileItsPeerSends) {
+  NngTransportOptions options;
+  options.keep_alive_interval = utils::Milliseconds(20);
+  TestNode first(context, options);
+  SilentPeer silent(context);
+  first.Send(silent.Address(), "call", true);
+  CHECK_TRUE(RunUntil(context, [&] {
+    silent.Greet();
+    first.transport->NoteHeard(silent.Address());
     return !first.recorder.lost.empty();
   }));
   LONGS_EQUAL(1, first.transport->Counters().links_silent);
