Refuse answers whose header leaves their end in doubt

Cause: libcurl frames answers leniently and CurlTransfer trusted it. It takes the digits before a fault ("5x" is 5), the last of several lengths, no length for a field whose name is damaged or that overflows, and the length of an interim answer for the final one.

ResponseHead checks each line and the framing: one status line, valid fields, no continued lines, equal plain lengths or exactly "chunked", not both, none in interim answers, and one echo of the request's id. The number of bytes received must be the stated one. All else is an unknown outcome.

--- a/libs/runtime/src/curl_transfer.cc
+++ b/libs/runtime/src/curl_transfer.cc
@@ -158,34 +158,28 @@
     return true;
   }
   const std::string_view text = TrimLine(line);
-  if (text.empty()) {
-    return this->HandleEndOfHeader();
-  }
-  if (text.starts_with("HTTP/")) {
-    // An interim answer (1xx) may have come before.
-    this->response.headers.clear();
-    return true;
-  }
-  const std::size_t colon = text.find(':');
-  if (colon == std::string_view::npos || colon == 0) {
-    return true;
-  }
-  const std::size_t value = std::min(text.find_first_not_of(" \t", colon + 1), text.size());
-  this->response.headers.emplace_back(ToLowerCase(text.substr(0, colon)), text.substr(value));
-  return true;
+  this->malformed = !(text.empty() ? this->HandleEndOfHeader() : this->head.Add(text));
+  return !this->malformed && !this->foreign;
 }
 
 bool CurlTransfer::HandleEndOfHeader() {
   long status = 0;  // NOLINT(google-runtime-int): libcurl's type.
   curl_easy_getinfo(this->easy, CURLINFO_RESPONSE_CODE, &status);
   if (status < kStatusOk) {
-    return true;
+    return this->head.EndInterim();
   }
   this->header_complete = true;
-  this->foreign =
-      !this->exchange.echo_name.empty() &&
-      FindField(this->response.headers, this->exchange.echo_name) != this->exchange.echo_value;
-  return !this->foreign;
+  this->foreign = !this->exchange.echo_name.empty() && !this->HasEcho();
+  return this->head.End();
+}
+
+bool CurlTransfer::HasEcho() const {
+  const calls::Headers& fields = this->head.Fields();
+  // A header with two of them is made of two answers.
+  return FindField(fields, this->exchange.echo_name) == this->exchange.echo_value &&
+         std::count_if(fields.begin(), fields.end(), [this](const auto& field) {
+           return field.first == this->exchange.echo_name;
+         }) <= 1;
 }
 
 std::size_t CurlTransfer::OnBody(char* data, std::size_t size, std::size_t count, void* self) {
@@ -211,10 +205,19 @@
   if (!this->header_complete) {
     return false;
   }
-  // libcurl checks length and last chunk; an answer that ends with its connection shows neither.
-  return this->HasNoBody() || this->exchange.ends_with_connection ||
-         !FindField(this->response.headers, "content-length").empty() ||
-         ToLowerCase(FindField(this->response.headers, "transfer-encoding")).ends_with("chunked");
+  if (this->HasNoBody()) {
+    return true;
+  }
+  switch (this->head.GetFraming()) {
+    case details::Framing::kLength:
+      return this->body_bytes == this->head.Length();
+    case details::Framing::kChunked:
+      // libcurl checks the last chunk.
+      return true;
+    case details::Framing::kConnection:
+      return this->exchange.ends_with_connection;
+  }
+  return false;
 }
 
 HttpOutcome CurlTransfer::Outcome(CURLcode result) {
@@ -225,6 +228,10 @@
     return tl::unexpected(
         Failure(calls::BackendFailure::kConnectionLost, "the answer belongs to another request"));
   }
+  if (this->malformed) {
+    return tl::unexpected(
+        Failure(calls::BackendFailure::kConnectionLost, "answer with a malformed header"));
+  }
   if (result != CURLE_OK) {
     const auto failure = this->MayBeSent() ? calls::BackendFailure::kConnectionLost
                                            : calls::BackendFailure::kNotConnected;
@@ -238,6 +245,7 @@
         Failure(calls::BackendFailure::kConnectionLost,
                 "answer broke off in its header, or has neither length nor chunks"));
   }
+  this->response.headers = this->head.TakeFields();
   RemoveHopByHopFields(this->response.headers);
   return std::move(this->response);
 }
--- a/libs/runtime/src/curl_transfer.h
+++ b/libs/runtime/src/curl_transfer.h
@@ -12,6 +12,7 @@
 
 #include "amaranthlatch/runtime/http_client.h"
 #include "response_buffers.h"
+#include "response_head.h"
 
 namespace amaranthlatch::runtime::details {
 
@@ -52,8 +53,10 @@
   void AddHeaders();
   void AddHeader(const std::string& line);
   bool AddHeaderLine(std::string_view line);
-  // Returns false if the answer does not repeat what it must.
+  // Returns false if the header is malformed.
   bool HandleEndOfHeader();
+  // Whether the answer repeats what it must.
+  bool HasEcho() const;
   bool IsComplete() const;
   bool HasNoBody() const;
 
@@ -64,6 +67,7 @@
   std::size_t body_bytes = 0;
   std::size_t max_header_bytes;
   std::unique_ptr<curl_slist, SlistDeleter> headers;
+  ResponseHead head;
   calls::HttpResponse response;
   std::size_t header_bytes = 0;
   // How often libcurl has begun to write the request.
@@ -73,6 +77,7 @@
   bool header_complete = false;
   bool too_large = false;
   bool foreign = false;
+  bool malformed = false;
 };
 
 }  // namespace amaranthlatch::runtime::details
