Divide the memory of a node among requests and answers

Endless answers of servers were bounded apart (48 MiB), at 188 MB of a machine's 260.

Cause: the bounds of request bodies, open calls, queues and answers were set each alone and without the memory of the machine; a request exists in up to seven copies, and RESTinio reads any body below the limit of one before the node is asked.

The setting memory_limit_bytes, lowered to the memory of the machine, is divided by MemoryPlan: requests from their header to the written answer, bodies queued or running at the gate, answers of the backend server, answers of the store. CallerSocket counts a request with its stated length once its header has come, one in chunks as it comes; what does not fit now is refused as not run with 503 and Retry-After before its body is read, what never fits with 413. Small requests keep a quarter to themselves. A gate whose part is full refuses as with a full queue.

--- a/libs/calls/include/amaranthlatch/calls/options.h
+++ b/libs/calls/include/amaranthlatch/calls/options.h
@@ -53,6 +53,9 @@
   std::uint32_t max_tracked_attempts = 524'288;
   // Size in bits of each of two Bloom filters for refused or fenced attempts; a power of two.
   std::uint64_t refusal_filter_bits = 1ULL << 25U;
+  // Maximum total size in bytes of the bodies of queued and running requests; new work that exceeds
+  // it is refused.
+  std::uint64_t max_admitted_bytes = 256ULL * 1024 * 1024;
   // Every n-th dequeue takes the oldest call of a lower priority, to prevent starvation.
   std::uint32_t fairness_interval = 16;
   // Refuses calls that would be queued beyond their deadline and drops queued calls at theirs.
--- a/libs/calls/src/gate.cc
+++ b/libs/calls/src/gate.cc
@@ -93,7 +93,8 @@
   this->Admit(context, std::move(call));
 }
 
-ErrorCode Gate::CheckAdmission(const std::string& requested_service) const {
+ErrorCode Gate::CheckAdmission(const std::string& requested_service,
+                               std::uint64_t body_bytes) const {
   if (this->draining) {
     return ErrorCode::kDraining;
   }
@@ -103,7 +104,10 @@
   if (!this->available || this->service != requested_service) {
     return ErrorCode::kNoBackendServer;
   }
-  return this->memory.IsFull() ? ErrorCode::kQueueFull : ErrorCode::kOk;
+  const std::uint64_t bytes = this->running_bytes + this->queue.BodyBytes() + body_bytes;
+  return this->memory.IsFull() || bytes > this->shared.options.gate.max_admitted_bytes
+             ? ErrorCode::kQueueFull
+             : ErrorCode::kOk;
 }
 
 ErrorCode Gate::CheckQuarantine(const Context& context, std::uint64_t fingerprint,
@@ -155,7 +159,7 @@
 }
 
 void Gate::Admit(const Context& context, AdmittedCall call) {
-  ErrorCode code = this->CheckAdmission(call.request.service);
+  ErrorCode code = this->CheckAdmission(call.request.service, call.request.request.body.size());
   membership::NodeId redirect;
   if (code == ErrorCode::kOk) {
     code = this->CheckQuarantine(context, call.request.fingerprint, redirect);
@@ -244,11 +248,13 @@
   run.fingerprint = call.request.fingerprint;
   run.permit = call.permit;
   run.max_response_bytes = call.request.max_response_bytes;
+  run.body_bytes = call.request.request.body.size();
   run.started = context.now;
   run.deadline = call.deadline;
   run.route = call.route;
   run.is_trial =
       this->quarantine.StateOf(this->service, run.fingerprint) == QuarantineState::kSuspect;
+  this->running_bytes += run.body_bytes;
   this->runs.emplace(run_id, std::move(run));
   this->run_by_key.emplace(call.key, run_id);
   this->run_deadlines.emplace(call.deadline, run_id);
@@ -353,6 +359,7 @@
   Run run = std::move(found->second);
   run.saturated = this->runs.size() >= this->limit.Get();
   this->runs.erase(found);
+  this->running_bytes -= run.body_bytes;
   this->run_by_key.erase(run.key);
   this->run_deadlines.erase({run.deadline, run_id});
   return run;
--- a/libs/calls/src/gate.h
+++ b/libs/calls/src/gate.h
@@ -57,6 +57,7 @@
     std::uint64_t fingerprint = 0;
     std::uint64_t permit = 0;
     std::uint64_t max_response_bytes = 0;
+    std::uint64_t body_bytes = 0;
     utils::Timestamp started{};
     utils::Timestamp deadline{};
     RouteKey route = 0;
@@ -76,7 +77,7 @@
   };
 
   // Returns kOk, or the reason why the gate currently admits no calls for the service.
-  utils::ErrorCode CheckAdmission(const std::string& service) const;
+  utils::ErrorCode CheckAdmission(const std::string& service, std::uint64_t body_bytes) const;
   // Returns kOk, or the reason why the quarantine forbids running the request on this node now.
   // Sets `redirect` for kSuspectElsewhere.
   utils::ErrorCode CheckQuarantine(const Context& context, std::uint64_t fingerprint,
@@ -131,6 +132,8 @@
   std::uint64_t last_run_id = 0;
   // Requests in flight at the backend server. Every run has one entry in each of the two indices.
   std::unordered_map<std::uint64_t, Run> runs;
+  // Total size of their bodies.
+  std::uint64_t running_bytes = 0;
   std::unordered_map<std::uint64_t, std::uint64_t> run_by_key;
   std::set<std::pair<utils::Timestamp, std::uint64_t>> run_deadlines;
   // Recently lost connections, which may turn out to have been lost in a backend server crash.
--- a/libs/calls/src/priority_queue.cc
+++ b/libs/calls/src/priority_queue.cc
@@ -9,6 +9,7 @@
   const Order order{call.latency_deadline, ++this->arrivals};
   this->positions[call.key] = Position{priority, order};
   this->expiries.emplace(call.expiry, call.key);
+  this->body_bytes += call.request.request.body.size();
   this->classes[priority].emplace(order, std::move(call));
 }
 
@@ -16,6 +17,7 @@
   auto node = this->classes[priority].extract(order);
   AdmittedCall call = std::move(node.mapped());
   this->positions.erase(call.key);
+  this->body_bytes -= call.request.request.body.size();
   this->expiries.erase({call.expiry, call.key});
   return call;
 }
--- a/libs/calls/src/priority_queue.h
+++ b/libs/calls/src/priority_queue.h
@@ -52,6 +52,8 @@
   std::optional<utils::Timestamp> NextExpiry() const;
   std::size_t Size() const { return this->positions.size(); }
   std::size_t Size(document::Priority priority) const;
+  // Total size of the bodies of all calls in the queue.
+  std::uint64_t BodyBytes() const { return this->body_bytes; }
   // Calls `visit` for each call that is dequeued before a new one of this class and deadline.
   template <typename Visitor>
   void ForEachAhead(document::Priority priority, utils::Timestamp latency_deadline,
@@ -90,6 +92,7 @@
   std::uint32_t interval;
   std::uint32_t pops = 0;
   std::uint64_t arrivals = 0;
+  std::uint64_t body_bytes = 0;
   std::array<ClassQueue, document::kPriorityCount> classes;
   // Every queued call has one entry in each.
   std::unordered_map<std::uint64_t, Position> positions;
--- a/libs/calls/tests/gate_test.cc
+++ b/libs/calls/tests/gate_test.cc
@@ -119,6 +119,29 @@
   CHECK_TRUE(other_mesh.AnswerOf(later).kind == ResultKind::kAnswered);
 }
 
+// Guards against large bodies of many nodes that together take the memory of one gate.
+TEST(Gate, BodiesAboveTheLimitAreRefused) {
+  Options small;
+  small.gate.max_admitted_bytes = 100;
+  Mesh other_mesh(1, 1, small);
+  other_mesh.nodes[0].backend.mode = BackendMode::kSilent;
+  const std::string large(60, 'x');
+  other_mesh.Call(0, "/write", large + "1");
+  const std::uint64_t refused = other_mesh.Call(0, "/write", large + "2");
+  other_mesh.Call(0, "/write", "little");
+  other_mesh.RunFor(Milliseconds(50));
+  CHECK_EQUAL(1, other_mesh.RunsOf(large + "1"));
+  CHECK_EQUAL(0, other_mesh.RunsOf(large + "2"));
+  CHECK_EQUAL(1, other_mesh.RunsOf("little"));
+  CHECK_TRUE(other_mesh.AnswerOf(refused).kind == ResultKind::kNotRun);
+  CHECK_TRUE(other_mesh.AnswerOf(refused).code == ErrorCode::kQueueFull);
+  other_mesh.nodes[0].backend.running.erase(1);
+  other_mesh.Deliver(0, BackendServerAnswered{1, {200, {}, "x"}});
+  other_mesh.Call(0, "/write", large + "3");
+  other_mesh.RunFor(Milliseconds(50));
+  CHECK_EQUAL(1, other_mesh.RunsOf(large + "3"));
+}
+
 // Guards against reporting the wrong outcome for a backend server failure or refusal.
 TEST(Gate, BackendServerOutcomesAreReported) {
   const auto outcome = [this](auto end) {
--- a/libs/runtime/include/amaranthlatch/runtime/http_server.h
+++ b/libs/runtime/include/amaranthlatch/runtime/http_server.h
@@ -40,6 +40,8 @@
   std::uint64_t bad_requests = 0;
   std::uint64_t callers_gone = 0;
   std::uint64_t timeouts = 0;
+  // Refused because the memory for requests and answers was in use.
+  std::uint64_t requests_without_memory = 0;
   std::size_t connections = 0;
 };
 
--- a/libs/runtime/include/amaranthlatch/runtime/register_settings.h
+++ b/libs/runtime/include/amaranthlatch/runtime/register_settings.h
@@ -41,6 +41,8 @@
   std::size_t max_connections = 0;
   std::size_t max_header_bytes = 0;
   std::size_t max_body_bytes = 0;
+  // Of the process; never more than the machine has.
+  std::uint64_t memory_limit_bytes = 0;
 
   bool operator==(const RegisterSettings&) const = default;
 };
--- a/libs/runtime/include/amaranthlatch/runtime/restinio_server.h
+++ b/libs/runtime/include/amaranthlatch/runtime/restinio_server.h
@@ -5,6 +5,7 @@
 #include <asio/io_context.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -20,6 +21,9 @@
   // Of one request's line and fields together; the parser's limit is one for the whole process.
   std::size_t max_header_bytes = 65536;
   std::size_t max_body_bytes = 1048576;
+  // Of all requests from their arrival to their answer, and of answers until they are written. A
+  // request that would exceed it is refused before its body is read.
+  std::uint64_t max_buffered_bytes = std::numeric_limits<std::uint64_t>::max();
   // For a whole request to arrive, including the idle time before it.
   utils::Duration read_limit = utils::Seconds(30);
   // For a whole answer to be taken by the caller.
--- a/libs/runtime/src/caller_socket.h
+++ b/libs/runtime/src/caller_socket.h
@@ -9,10 +9,15 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
+#include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 
+#include "buffered_bytes.h"
+#include "request_size.h"
+
 namespace amaranthlatch::runtime::details {
 
 // What is known about one connection; shared by its socket and the server.
@@ -22,6 +27,11 @@
   bool closed_by_caller = false;
   // The server does not want this connection.
   bool refused = false;
+  // Of the request that is being received, and what is counted for it.
+  RequestSize size;
+  Charge charge;
+  // Takes what was read; false if the request does not fit the memory of the server.
+  std::function<bool(std::string_view)> admit;
   // Requests whose answers are not written yet.
   int unanswered = 0;
   // The answer to write before the connection is closed.
@@ -63,12 +73,16 @@
     }
     // RESTinio's handler keeps this socket until it is called.
     Base::async_read_some(
-        buffers, [this, connection = this->connection, handler = std::move(handler)](
+        buffers, [this, buffers, connection = this->connection, handler = std::move(handler)](
                      const asio::error_code& error, std::size_t bytes) mutable {
           connection->request_begun = connection->request_begun || bytes > 0;
           connection->closed_by_caller =
               connection->closed_by_caller || error == asio::error::eof ||
               error == asio::error::connection_reset || CallerHasClosed(this->native_handle());
+          if (!error && connection->admit && !connection->admit(FirstBytes(buffers, bytes))) {
+            handler(asio::error_code(asio::error::no_buffer_space), 0);
+            return;
+          }
           handler(error, bytes);
         });
   }
@@ -85,6 +99,13 @@
   // NOLINTEND(readability-identifier-naming)
 
  private:
+  // RESTinio reads into one buffer.
+  template <typename Buffers>
+  static std::string_view FirstBytes(const Buffers& buffers, std::size_t bytes) {
+    const asio::mutable_buffer first = *asio::buffer_sequence_begin(buffers);
+    return {static_cast<const char*>(first.data()), bytes};
+  }
+
   std::string LastWords() const {
     if (!this->connection || this->connection->closed_by_caller ||
         this->connection->unanswered > 0) {
--- /dev/null
+++ b/libs/runtime/src/memory_plan.cc
@@ -0,0 +1,52 @@
+// Shares and copies.
+
+#include "memory_plan.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+
+namespace amaranthlatch::runtime::details {
+
+namespace {
+
+constexpr std::uint64_t kMebibyte = std::uint64_t{1} << 20U;
+// Code, tables, links and connections without the bytes that are counted.
+constexpr std::uint64_t kBaseBytes = 48 * kMebibyte;
+constexpr std::uint64_t kMinBytes = 16 * kMebibyte;
+// A request exists this many times at once: at RESTinio, in the open call, its attempt, the
+// message, envelope and frame, and at the client of the backend server.
+constexpr std::uint64_t kRequestCopies = 7;
+// A request of another node: its frame, message, queued call and the client's copy.
+constexpr std::uint64_t kRunCopies = 4;
+// A growing answer: twice its size while it moves, and the answer and message made of it.
+constexpr std::uint64_t kAnswerCopies = 4;
+// Shares of what is left beside the base.
+constexpr std::uint64_t kRequestShare = 7;
+constexpr std::uint64_t kRunShare = 3;
+constexpr std::uint64_t kAnswerShare = 4;
+constexpr std::uint64_t kRegisterShare = 2;
+constexpr std::uint64_t kShares = kRequestShare + kRunShare + kAnswerShare + kRegisterShare;
+
+std::uint64_t MachineBytes() {
+  const auto pages = sysconf(_SC_PHYS_PAGES);
+  const auto page_bytes = sysconf(_SC_PAGESIZE);
+  return pages > 0 && page_bytes > 0
+             ? static_cast<std::uint64_t>(pages) * static_cast<std::uint64_t>(page_bytes)
+             : UINT64_MAX;
+}
+
+}  // namespace
+
+MemoryPlan MakeMemoryPlan(std::uint64_t limit) {
+  return DivideMemory(std::min(limit, MachineBytes()));
+}
+
+MemoryPlan DivideMemory(std::uint64_t limit) {
+  const std::uint64_t free = limit > kBaseBytes + kMinBytes ? limit - kBaseBytes : kMinBytes;
+  const std::uint64_t share = free / kShares;
+  return {share * kRequestShare / kRequestCopies, share * kRunShare / kRunCopies,
+          share * kAnswerShare / kAnswerCopies, share * kRegisterShare / kAnswerCopies};
+}
+
+}  // namespace amaranthlatch::runtime::details
--- /dev/null
+++ b/libs/runtime/src/memory_plan.h
@@ -0,0 +1,29 @@
+// How the memory of a process is divided among what holds requests and answers.
+//
+// The parts add up to the limit, so that no mixture of large requests, endless answers and slow
+// callers exceeds it.
+
+#pragma once
+
+#include <cstdint>
+
+namespace amaranthlatch::runtime::details {
+
+struct MemoryPlan {
+  // Bytes of requests from their arrival to their answer, and of answers until they are written.
+  std::uint64_t request_bytes = 0;
+  // Bodies of requests that are queued for the backend server or run there.
+  std::uint64_t run_bytes = 0;
+  // Bytes of answers of the backend server that are being received.
+  std::uint64_t answer_bytes = 0;
+  // The same for the register.
+  std::uint64_t register_bytes = 0;
+};
+
+// `limit` is lowered to the memory of the machine.
+MemoryPlan MakeMemoryPlan(std::uint64_t limit);
+
+// Without the machine.
+MemoryPlan DivideMemory(std::uint64_t limit);
+
+}  // namespace amaranthlatch::runtime::details
--- a/libs/runtime/src/node_metrics.cc
+++ b/libs/runtime/src/node_metrics.cc
@@ -109,6 +109,7 @@
   text.Counter("http_bad_requests_total", server.bad_requests, label);
   text.Counter("http_callers_gone_total", server.callers_gone, label);
   text.Counter("http_timeouts_total", server.timeouts, label);
+  text.Counter("http_requests_without_memory_total", server.requests_without_memory, label);
   text.Gauge("http_connections", static_cast<double>(server.connections), label);
 }
 
--- a/libs/runtime/src/register_host.cc
+++ b/libs/runtime/src/register_host.cc
@@ -22,6 +22,7 @@
 #include "control_listener.h"
 #include "dialect_gateway.h"
 #include "effect_log.h"
+#include "memory_plan.h"
 #include "register_metrics.h"
 #include "register_options.h"
 
@@ -179,9 +180,11 @@
     CurlHttpClientOptions options;
     options.connect_limit = kConnectLimit;
     options.acknowledge_limit = kBackendAcknowledgeLimit;
+    options.max_buffered_bytes = this->memory.answer_bytes;
     auto backend = CurlHttpClient::Create(this->context, options);
     options.max_connections = kMaxRegisterConnections;
     options.acknowledge_limit = kRegisterAcknowledgeLimit;
+    options.max_buffered_bytes = this->memory.register_bytes;
     auto for_register = CurlHttpClient::Create(this->context, options);
     if (!backend || !for_register) {
       return tl::unexpected(backend ? for_register.error() : backend.error());
@@ -234,6 +237,7 @@
     }
     options.max_connections = this->settings.max_connections;
     options.max_body_bytes = this->settings.max_body_bytes;
+    options.max_buffered_bytes = this->memory.request_bytes;
     if (opened) {
       opened = open(this->settings.data_address, this->gateway, this->data_server);
     }
@@ -422,6 +426,7 @@
 
   asio::io_context& context;
   const RegisterSettings settings;
+  const details::MemoryPlan memory = details::MakeMemoryPlan(this->settings.memory_limit_bytes);
   Adapter& adapter;
   const std::function<void(StopReason)> on_stopped;
   const utils::SteadyClock clock;
--- a/libs/runtime/src/register_options.cc
+++ b/libs/runtime/src/register_options.cc
@@ -3,6 +3,7 @@
 #include "register_options.h"
 
 #include "amaranthlatch/runtime/adapter.h"
+#include "memory_plan.h"
 
 namespace amaranthlatch::runtime::details {
 
@@ -85,6 +86,9 @@
   calls::Options& calls = options.calls;
   calls.seed = seed + 1;
   calls.entry.max_deadline = kLongestDeadline;
+  const MemoryPlan memory = MakeMemoryPlan(settings.memory_limit_bytes);
+  calls.entry.max_open_bytes = memory.request_bytes;
+  calls.gate.max_admitted_bytes = memory.run_bytes;
   calls.entry.max_uncounted_moves = kFreeMoves;
   calls.entry.fence_retry_interval = kFenceInterval;
   calls.entry.fence_timeout = kFenceTimeout;
--- a/libs/runtime/src/register_settings.cc
+++ b/libs/runtime/src/register_settings.cc
@@ -13,6 +13,9 @@
 
 constexpr std::int64_t kMaxNameLength = 63;
 constexpr std::int64_t kMaxSlack = 1'000'000;
+// The base of the memory plan and room for calls.
+constexpr std::int64_t kMinMemoryBytes = 100'000'000;
+constexpr std::int64_t kMaxMemoryBytes = 1'000'000'000'000;
 constexpr std::int64_t kMinShutdownMs = 1000;
 constexpr std::int64_t kMaxShutdownMs = 600'000;
 
@@ -66,6 +69,14 @@
       {"max_connections", SettingType::kInteger, "connections", "1024", false, 1, 100'000, {}},
       {"max_header_bytes", SettingType::kInteger, "bytes", "65536", false, 1024, 1'048'576, {}},
       {"max_body_bytes", SettingType::kInteger, "bytes", "1048576", false, 1024, 67'108'864, {}},
+      {"memory_limit_bytes",
+       SettingType::kInteger,
+       "bytes",
+       "268435456",
+       false,
+       kMinMemoryBytes,
+       kMaxMemoryBytes,
+       {}},
   };
 }
 
@@ -102,6 +113,7 @@
   settings.max_connections = (*object)["max_connections"].get<std::size_t>();
   settings.max_header_bytes = (*object)["max_header_bytes"].get<std::size_t>();
   settings.max_body_bytes = (*object)["max_body_bytes"].get<std::size_t>();
+  settings.memory_limit_bytes = (*object)["memory_limit_bytes"].get<std::uint64_t>();
   return settings;
 }
 
--- a/libs/runtime/src/restinio_server.cc
+++ b/libs/runtime/src/restinio_server.cc
@@ -15,6 +15,7 @@
 #include "amaranthlatch/runtime/endpoint.h"
 #include "amaranthlatch/runtime/http_headers.h"
 #include "caller_socket.h"
+#include "raw_answer.h"
 
 namespace amaranthlatch::runtime {
 
@@ -103,7 +104,8 @@
 
 namespace {
 
-using calls::ResultKind;
+using details::NotRun;
+using details::RawAnswer;
 using utils::ErrorCode;
 
 // Two let the server notice that a caller closes while its request runs: RESTinio reads on.
@@ -115,65 +117,11 @@
 // Connections above the limit that get a clear refusal; further ones wait in the backlog.
 constexpr std::size_t kRefusalReserve = 64;
 
+// Memory is free again once some answers are written.
+constexpr std::string_view kRetryAfter = "Retry-After: 1\r\n";
+
 constexpr int kStatusNoContent = 204;
 constexpr int kStatusNotModified = 304;
-constexpr int kStatusRequestTimeout = 408;
-constexpr int kStatusFieldsTooLarge = 431;
-
-std::string_view ReasonOf(int status) {
-  switch (status) {
-    case 400:
-      return "Bad Request";
-    case kStatusRequestTimeout:
-      return "Request Timeout";
-    case 413:
-      return "Content Too Large";
-    case kStatusFieldsTooLarge:
-      return "Request Header Fields Too Large";
-    case 503:
-      return "Service Unavailable";
-    default:
-      return status < 400 ? "OK" : "Error";
-  }
-}
-
-// A whole HTTP answer as text, for connections on which RESTinio does not answer.
-std::string RawAnswer(const ServerResponse& answer) {
-  const calls::HttpResponse& response = answer.response;
-  std::string text = "HTTP/1.1 " + std::to_string(response.status) + " ";
-  text.append(ReasonOf(response.status)).append("\r\nConnection: close\r\n");
-  text.append("Content-Type: application/json\r\nAmaranthlatch-Result: ");
-  text.append(ToString(answer.kind)).append("\r\nAmaranthlatch-Code: ");
-  text.append(std::to_string(utils::ToNumber(answer.code))).append("\r\nContent-Length: ");
-  text.append(std::to_string(response.body.size())).append("\r\n\r\n");
-  return text.append(response.body);
-}
-
-ServerResponse NotRun(ErrorCode code, const std::string& message) {
-  return MakeErrorResponse(code, ResultKind::kNotRun, message);
-}
-
-// The answer for a request that RESTinio's parser rejected.
-ServerResponse AnswerToParserError(std::string_view message) {
-  const auto names = [message](std::string_view name) {
-    return message.find(name) != std::string_view::npos;
-  };
-  if (names("HPE_CB_headers_complete") || names("HPE_CB_body")) {
-    return NotRun(ErrorCode::kRequestTooLarge, "the body is above the node's limit");
-  }
-  if (names("HPE_HEADER_OVERFLOW") || names("HPE_CB_url") || names("HPE_CB_header")) {
-    ServerResponse answer = NotRun(ErrorCode::kRequestTooLarge, "the header is above the limit");
-    answer.response.status = kStatusFieldsTooLarge;
-    return answer;
-  }
-  return NotRun(ErrorCode::kBadRequest, "the request is not valid HTTP/1.1");
-}
-
-std::string TimeoutAnswer() {
-  ServerResponse answer = NotRun(ErrorCode::kBadRequest, "the request did not arrive in time");
-  answer.response.status = kStatusRequestTimeout;
-  return RawAnswer(answer);
-}
 
 // The number in "[connection:7] ...".
 std::uint64_t ConnectionIn(std::string_view message) {
@@ -208,7 +156,10 @@
   using Server = restinio::http_server_t<details::ServerTraits>;
 
   Impl(asio::io_context& context, RestinioServerOptions options, HttpServerListener& listener)
-      : context(context), options(std::move(options)), listener(listener) {}
+      : context(context),
+        options(std::move(options)),
+        listener(listener),
+        buffered(std::make_shared<details::BufferedBytes>(this->options.max_buffered_bytes)) {}
 
   utils::Result<void> Open() {
     const auto endpoint = ParseEndpoint(this->options.address);
@@ -238,14 +189,14 @@
     if (found == this->requests.end()) {
       return;
     }
-    const PendingRequest request = std::move(found->second);
+    PendingRequest request = std::move(found->second);
     this->requests.erase(found);
     const auto state = this->connections.find(request.connection);
     if (state == this->connections.end()) {
       return;
     }
     state->second.requests.erase(id);
-    this->Write(request, std::move(answer), state->second.state);
+    this->Write(std::move(request), std::move(answer), state->second.state);
   }
 
   void AskToClose() { this->shutting_down = true; }
@@ -273,6 +224,13 @@
       return;
     }
     ++this->counters.connections_accepted;
+    state->charge = details::Charge(this->buffered);
+    // The connection owns the function, and RESTinio's connections may outlive the server.
+    state->admit = [weak = this->weak_from_this(),
+                    connection = state.get()](std::string_view bytes) {
+      const auto self = weak.lock();
+      return self == nullptr || self->Admit(*connection, bytes);
+    };
     this->connections[id].state = state;
   }
 
@@ -301,7 +259,7 @@
       return;
     }
     ++this->counters.bad_requests;
-    found->second.state->last_words = RawAnswer(AnswerToParserError(message));
+    found->second.state->last_words = RawAnswer(details::AnswerToParserError(message));
   }
 
  private:
@@ -314,8 +272,32 @@
     restinio::request_handle_t handle;
     std::uint64_t connection = 0;
     std::string method;
+    details::Charge charge;
   };
 
+  // Counts the bytes, with all that the header announces. Returns false if they do not fit.
+  bool Admit(details::CallerConnection& connection, std::string_view bytes) {
+    connection.size.Add(bytes);
+    const std::uint64_t size = connection.size.Bytes();
+    const std::uint64_t counted = connection.charge.Bytes();
+    if (size <= counted || size > this->options.max_body_bytes + this->options.max_header_bytes) {
+      // The parser refuses what is above the limit of one request.
+      return true;
+    }
+    if (this->buffered->Fits(size, size - counted)) {
+      connection.charge.Set(size);
+      return true;
+    }
+    ++this->counters.requests_without_memory;
+    connection.last_words =
+        size > this->buffered->LargeLimit()
+            ? RawAnswer(NotRun(ErrorCode::kRequestTooLarge, "the body is above the node's memory"))
+            : RawAnswer(NotRun(ErrorCode::kTooManyConnections, "the node's memory is in use"),
+                        kRetryAfter);
+    connection.charge.Set(0);
+    return false;
+  }
+
   restinio::server_settings_t<details::ServerTraits> ServerSettings(
       const asio::ip::tcp::endpoint& endpoint) {
     restinio::server_settings_t<details::ServerTraits> settings;
@@ -355,6 +337,9 @@
     }
     Connection& connection = found->second;
     connection.state->request_begun = false;
+    connection.state->size.Reset();
+    details::Charge charge =
+        std::exchange(connection.state->charge, details::Charge(this->buffered));
     ++connection.state->unanswered;
     ++this->counters.requests;
     if (connection.state->closed_by_caller) {
@@ -365,7 +350,7 @@
     const std::uint64_t id = ++this->last_request;
     connection.requests.insert(id);
     calls::HttpRequest request = ReadRequest(*handle);
-    this->requests[id] = {handle, handle->connection_id(), request.method};
+    this->requests[id] = {handle, handle->connection_id(), request.method, std::move(charge)};
     if (const std::string fault = FaultOf(*handle, request); !fault.empty()) {
       ++this->counters.bad_requests;
       this->Respond(id, NotRun(ErrorCode::kBadRequest, fault));
@@ -406,14 +391,14 @@
     return {};
   }
 
-  void Write(const PendingRequest& request, ServerResponse answer,
+  void Write(PendingRequest request, ServerResponse answer,
              const std::shared_ptr<details::CallerConnection>& state) {
     calls::HttpResponse& response = answer.response;
     RemoveHopByHopFields(response.headers);
     const auto status = static_cast<std::uint16_t>(response.status);
     auto builder = request.handle->create_response<restinio::user_controlled_output_t>(
         restinio::http_status_line_t{restinio::http_status_code_t{status},
-                                     std::string(ReasonOf(response.status))});
+                                     std::string(details::ReasonOf(response.status))});
     std::size_t length = response.body.size();
     if (HasNoBody(request.method, response.status)) {
       // The field states the length that the answer to a GET would have.
@@ -435,14 +420,18 @@
     if (this->shutting_down) {
       builder.connection_close();
     }
+    // RESTinio keeps the request until the answer is written.
+    const auto held = std::make_shared<details::Charge>(std::move(request.charge));
+    held->Set(held->Bytes() + response.body.size());
     builder.append_body(std::move(response.body));
-    builder.done([state](const asio::error_code& /*error*/) { --state->unanswered; });
+    builder.done([state, held](const asio::error_code& /*error*/) { --state->unanswered; });
   }
 
   asio::io_context& context;
   const RestinioServerOptions options;
   HttpServerListener& listener;
-  const std::string timeout_answer = TimeoutAnswer();
+  const std::shared_ptr<details::BufferedBytes> buffered;
+  const std::string timeout_answer = details::TimeoutAnswer();
   std::unique_ptr<Server> server;
   std::uint16_t port = 0;
   bool closed = false;
