--- a/libs/runtime/src/curl_transfer.h
+++ b/libs/runtime/src/curl_transfer.h
@@ -12,6 +12,7 @@
 
 #include "amaranthlatch/runtime/http_client.h"
 #include "response_buffers.h"
+#include "response_head.h"
 
 namespace amaranthlatch::runtime::details {
 
@@ -37,7 +38,9 @@
   // Whether the answer belongs to another request.
   bool IsForeign() const { return this->foreign; }
   // kNone before the end of the header.
-  Framing GetFraming() const { return this->framing; }
+  Framing GetFraming() const {
+    return this->header_complete ? this->head.GetFraming() : Framing::kNone;
+  }
 
   // Whether a byte of the request may have been written.
   bool MayBeSent() const;
@@ -56,9 +59,10 @@
   void AddHeaders();
   void AddHeader(const std::string& line);
   bool AddHeaderLine(std::string_view line);
-  // Returns false if the answer does not repeat what it must.
+  // Returns false if the header is malformed.
   bool HandleEndOfHeader();
-  Framing FramingOfHeader() const;
+  // Whether the answer repeats what it must.
+  bool HasEcho() const;
   bool IsComplete() const;
   bool HasNoBody() const;
   HttpFailure Failure(calls::BackendFailure failure, std::string detail) const;
@@ -70,6 +74,7 @@
   std::size_t body_bytes = 0;
   std::size_t max_header_bytes;
   std::unique_ptr<curl_slist, SlistDeleter> headers;
+  ResponseHead head;
   calls::HttpResponse response;
   std::size_t header_bytes = 0;
   // How often libcurl has begun to write the request.
@@ -77,9 +82,9 @@
   bool first_byte = false;
   // The empty line that ends the header of the final answer has been read.
   bool header_complete = false;
-  Framing framing = Framing::kNone;
   bool too_large = false;
   bool foreign = false;
+  bool malformed = false;
 };
 
 }  // namespace amaranthlatch::runtime::details
