Prove a link only by the answer to its own probe

Change: each probe keeps its nonce and time; its answer proves the link for what was sent before it and arms the rest anew. Other answers put off only the probe of a call. A link made by a probe counts as proven, so that idle nodes fall quiet. Links on which no call is due get the longer limit.

--- a/libs/runtime/include/amaranthlatch/runtime/nng_transport.h
+++ b/libs/runtime/include/amaranthlatch/runtime/nng_transport.h
@@ -5,12 +5,12 @@
 // socket is closed, so that nng does not deliver old messages over a later connection.
 //
 // PUSH links carry nothing back, and each direction between two nodes is a connection of its own
-// that can go silent alone. A link counts as working only after an answer to what was sent on it.
-// One that has carried messages without an answer for some time gets a keep-alive message, which
-// the peer answers over its own link. After three more intervals without an answer, or seven if the
-// peer itself still sends, the link is closed and reported as lost; the next Send dials anew. A
-// keep-alive message also shows that the peer may not hear this node, so that the link to it is
-// probed as well.
+// that can go silent alone. So only an answer to a keep-alive message, sent over the link and
+// answered over the peer's, proves a link, for all that was sent before. A link is probed after an
+// interval without an answer that is due, and some intervals after any other message. After three
+// more intervals, or seven if no answer is due or the peer itself still sends, it is closed and
+// reported as lost; the next Send dials anew. A peer that probes may not hear this node, so that
+// the link to it is probed too.
 
 #pragma once
 
--- a/libs/runtime/include/amaranthlatch/runtime/transport.h
+++ b/libs/runtime/include/amaranthlatch/runtime/transport.h
@@ -55,7 +55,7 @@
   // over a connection of its own: they show nothing about the link to it.
   virtual void NoteHeard(const membership::NodeId& peer) = 0;
 
-  // The host has verified an answer of this peer to a message sent to it: the link works.
+  // The host has verified an answer of this peer to some message sent to it: none is overdue.
   virtual void NoteAnswered(const membership::NodeId& peer) = 0;
 
   virtual const TransportCounters& Counters() const = 0;
--- a/libs/runtime/src/nng_transport.cc
+++ b/libs/runtime/src/nng_transport.cc
@@ -2,6 +2,7 @@
 
 #include "amaranthlatch/runtime/nng_transport.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/thread_pool.hpp>
@@ -25,14 +26,14 @@
 
 using SteadyTime = std::chrono::steady_clock::time_point;
 
-// Keep-alive messages without an answer after which a link counts as silent.
-constexpr int kSilentIntervals = 3;
-// The same while the peer sends: it may be slow to answer.
-constexpr int kSilentIntervalsOfSender = 7;
-// Intervals until a link is probed that carried only messages without an answer.
+// Keep-alive messages without an answer after which a link counts as silent that owes one, and any
+// other, or one whose peer still sends: that may be slow to answer.
+constexpr std::size_t kSilentIntervals = 3;
+constexpr std::size_t kPatientIntervals = 7;
+// Intervals until a link is probed whatever it carried.
 constexpr int kUnansweredIntervals = 8;
 // Intervals for which a working link needs no probe on account of its peer's.
-constexpr int kProvenIntervals = 4;
+constexpr int kProvenIntervals = 2;
 
 // A link within a zone stands after about 2 ms; one that does not by this time is probed.
 constexpr utils::Duration kProbeDelay = utils::Milliseconds(20);
@@ -90,23 +91,30 @@
       return;
     }
     ++this->counters.messages_sent;
-    this->ProbeWithin(*peer, this->options.keep_alive_interval *
-                                 (message.answer_expected ? 1 : kUnansweredIntervals));
+    peer->sent_at = std::chrono::steady_clock::now();
+    if (message.answer_expected) {
+      peer->asked_at = peer->sent_at;
+      this->KeepEarlier(peer->answer_due, peer->sent_at + this->options.keep_alive_interval);
+    }
+    this->KeepEarlier(peer->probe_due,
+                      peer->sent_at + kUnansweredIntervals * this->options.keep_alive_interval);
+    this->ScheduleTick();
   }
 
   void NoteHeard(const membership::NodeId& id) {
     const auto found = this->links.find(id);
     if (found != this->links.end()) {
-      found->second.heard_at = std::chrono::steady_clock::now();
+      found->second.heard_since_probe = true;
     }
   }
 
+  // The answered message may be older than others that went silent: only the probe that is due for
+  // want of an answer is put off.
   void NoteAnswered(const membership::NodeId& id) {
     const auto found = this->links.find(id);
     if (found != this->links.end()) {
-      found->second.probe_at.reset();
-      found->second.keep_alives = 0;
-      found->second.answered_at = std::chrono::steady_clock::now();
+      found->second.heard_since_probe = true;
+      found->second.answer_due.reset();
     }
   }
 
@@ -118,17 +126,28 @@
   std::size_t LinkCount() const { return this->links.size(); }
 
  private:
+  struct Probe {
+    std::uint64_t nonce = 0;
+    SteadyTime sent_at{};
+  };
+
   struct Peer {
     std::unique_ptr<details::NngLink> link;
     std::unique_ptr<asio::steady_timer> dial_timer;
     std::list<membership::NodeId>::iterator use;
-    // When the first keep-alive message is due; none while all that was sent is answered.
-    std::optional<SteadyTime> probe_at;
-    // Sent without an answer since then.
-    int keep_alives = 0;
-    SteadyTime heard_at{};
-    SteadyTime answered_at{};
-    std::uint64_t nonce = 0;
+    // When to probe because an answer is due; none while none is.
+    std::optional<SteadyTime> answer_due;
+    // When to probe because of any message; none if all were sent before an answered probe.
+    std::optional<SteadyTime> probe_due;
+    // Of the latest message, and of the latest one that is to be answered.
+    SteadyTime sent_at{};
+    SteadyTime asked_at{};
+    // Unanswered probes, the oldest first.
+    std::vector<Probe> probes;
+    // Whether the peer has sent a message since the oldest of them.
+    bool heard_since_probe = false;
+    // When the latest answered probe was sent; at first when the link was made.
+    SteadyTime proven_at{};
     std::uint64_t serial = 0;
   };
 
@@ -157,6 +176,7 @@
   Peer* Dial(const membership::NodeId& id) {
     Peer peer;
     peer.serial = ++this->last_serial;
+    peer.proven_at = std::chrono::steady_clock::now();
     auto link = details::NngLink::Create(
         this->context, {id, this->options.max_waiting_messages, this->options.max_waiting_bytes},
         this->EventsOf(id),
@@ -275,26 +295,42 @@
       return;
     }
     const auto found = this->links.find(message.from);
-    if (found != this->links.end() && found->second.nonce == message.nonce) {
-      this->NoteAnswered(message.from);
+    if (found != this->links.end()) {
+      this->OnProbeAnswered(found->second, message.nonce);
+    }
+  }
+
+  // The answer proves the link for all that was sent before the probe.
+  void OnProbeAnswered(Peer& peer, std::uint64_t nonce) {
+    const auto probe = std::find_if(peer.probes.begin(), peer.probes.end(),
+                                    [nonce](const Probe& each) { return each.nonce == nonce; });
+    if (probe == peer.probes.end()) {
+      return;
+    }
+    peer.proven_at = probe->sent_at;
+    peer.probes.clear();
+    peer.heard_since_probe = false;
+    peer.answer_due.reset();
+    peer.probe_due.reset();
+    if (peer.asked_at > peer.proven_at) {
+      peer.answer_due = peer.asked_at + this->options.keep_alive_interval;
+    }
+    if (peer.sent_at > peer.proven_at) {
+      peer.probe_due = peer.sent_at + kUnansweredIntervals * this->options.keep_alive_interval;
     }
   }
 
   // The peer lacks an answer: what this node sent may not have arrived.
   void ProbeOnAccountOfPeer(Peer& peer) {
     const SteadyTime now = std::chrono::steady_clock::now();
-    peer.heard_at = now;
-    if (now - peer.answered_at >= kProvenIntervals * this->options.keep_alive_interval) {
-      this->ProbeWithin(peer, utils::Duration{});
+    if (now - peer.proven_at >= kProvenIntervals * this->options.keep_alive_interval) {
+      this->KeepEarlier(peer.answer_due, now);
+      this->ScheduleTick();
     }
   }
 
-  void ProbeWithin(Peer& peer, utils::Duration time) {
-    const SteadyTime due = std::chrono::steady_clock::now() + time;
-    if (!peer.probe_at || due < *peer.probe_at) {
-      peer.probe_at = due;
-    }
-    this->ScheduleTick();
+  static void KeepEarlier(std::optional<SteadyTime>& due, SteadyTime candidate) {
+    due = due ? std::min(*due, candidate) : candidate;
   }
 
   void SendKeepAlive(Peer& peer, details::FrameKind kind, std::uint64_t nonce) {
@@ -320,21 +356,23 @@
     std::vector<membership::NodeId> silent;
     bool waiting = false;
     for (auto& [id, peer] : this->links) {
-      if (!peer.probe_at) {
+      if (!peer.answer_due && !peer.probe_due && peer.probes.empty()) {
         continue;
       }
       waiting = true;
-      if (now < *peer.probe_at || !peer.link->IsUp()) {
+      const bool is_due = !peer.probes.empty() || (peer.answer_due && now >= *peer.answer_due) ||
+                          (peer.probe_due && now >= *peer.probe_due);
+      if (!is_due || !peer.link->IsUp()) {
         continue;
       }
-      const bool is_sending = now - peer.heard_at < this->options.keep_alive_interval;
-      if (peer.keep_alives >= (is_sending ? kSilentIntervalsOfSender : kSilentIntervals)) {
+      const bool is_patient = !peer.answer_due || peer.heard_since_probe;
+      if (peer.probes.size() >= (is_patient ? kPatientIntervals : kSilentIntervals)) {
         silent.push_back(id);
         continue;
       }
-      ++peer.keep_alives;
-      peer.nonce = ++this->last_nonce;
-      this->SendKeepAlive(peer, details::FrameKind::kKeepAlive, peer.nonce);
+      peer.heard_since_probe = peer.heard_since_probe && !peer.probes.empty();
+      peer.probes.push_back({++this->last_nonce, now});
+      this->SendKeepAlive(peer, details::FrameKind::kKeepAlive, this->last_nonce);
     }
     for (const membership::NodeId& id : silent) {
       ++this->counters.links_silent;
--- a/libs/runtime/tests/transport_test.cc
+++ b/libs/runtime/tests/transport_test.cc
@@ -3,6 +3,9 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <array>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
 
 #include "amaranthlatch/runtime/nng_transport.h"
 #include "keep_alive.h"
@@ -61,6 +64,83 @@
   std::size_t greeted = 0;
 };
 
+// Answers keep-alive messages after a delay, as a peer with a long queue does. Speaks the protocol
+// of nng over TCP: a header of 8 bytes each way, then messages behind 8 bytes of length.
+class LatePeer {
+ public:
+  LatePeer(asio::io_context& context, const std::string& to, std::chrono::milliseconds delay)
+      : context(context),
+        delay(delay),
+        acceptor(context, {asio::ip::address_v4::loopback(), 0}),
+        incoming(context),
+        outgoing(context) {
+    const auto port = static_cast<std::uint16_t>(std::stoi(to.substr(to.find(':') + 1)));
+    this->outgoing.connect({asio::ip::address_v4::loopback(), port});
+    asio::write(this->outgoing, asio::buffer("\0SP\0\0\x50\0\0", 8));
+    this->acceptor.async_accept(this->incoming, [this](const asio::error_code& error) {
+      if (!error) {
+        asio::write(this->incoming, asio::buffer("\0SP\0\0\x51\0\0", 8));
+        this->Read();
+      }
+    });
+  }
+
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
+  }
+
+ private:
+  static constexpr std::size_t kPrefixBytes = 8;
+
+  void Read() {
+    this->incoming.async_read_some(asio::buffer(this->buffer),
+                                   [this](const asio::error_code& error, std::size_t bytes) {
+                                     if (error) {
+                                       return;
+                                     }
+                                     this->received.append(this->buffer.data(), bytes);
+                                     this->TakeFrames();
+                                     this->Read();
+                                   });
+  }
+
+  void TakeFrames() {
+    // The header of the connection stands before the first message.
+    while (this->received.size() >= this->start + kPrefixBytes) {
+      const std::size_t first = this->start + kPrefixBytes;
+      const auto length = static_cast<unsigned char>(this->received[first - 1]);
+      if (this->received.size() < first + length) {
+        return;
+      }
+      if (const auto message = this->codec.Decode(this->received.substr(first, length))) {
+        this->AnswerLater(message->nonce);
+      }
+      this->start = first + length;
+    }
+  }
+
+  void AnswerLater(std::uint64_t nonce) {
+    auto timer = std::make_shared<asio::steady_timer>(this->context, this->delay);
+    timer->async_wait([this, timer, nonce](const asio::error_code& /*error*/) {
+      const std::string frame =
+          this->codec.Encode({details::FrameKind::kKeepAliveAnswer, this->Address(), nonce});
+      std::string prefix(kPrefixBytes, '\0');
+      prefix.back() = static_cast<char>(frame.size());
+      asio::write(this->outgoing, asio::buffer(prefix + frame));
+    });
+  }
+
+  asio::io_context& context;
+  const std::chrono::milliseconds delay;
+  const details::KeepAliveCodec codec{"secret"};
+  asio::ip::tcp::acceptor acceptor;
+  asio::ip::tcp::socket incoming;
+  asio::ip::tcp::socket outgoing;
+  std::array<char, 4096> buffer{};
+  std::string received;
+  std::size_t start = kPrefixBytes;
+};
+
 }  // namespace
 
 TEST_GROUP(TransportTest) { asio::io_context context; };
@@ -198,6 +278,53 @@
   LONGS_EQUAL(1, first.transport->Counters().links_silent);
 }
 
+// Guards against a link that is taken for working because the peer answers older messages.
+TEST(TransportTest, SilentLinkIsReplacedWhileOlderMessagesAreAnswered) {
+  NngTransportOptions options;
+  options.keep_alive_interval = utils::Milliseconds(20);
+  TestNode first(context, options);
+  SilentPeer silent(context);
+  first.Send(silent.Address(), "notice", false);
+  CHECK_TRUE(RunUntil(context, [&] {
+    silent.Greet();
+    first.transport->NoteAnswered(silent.Address());
+    return !first.recorder.lost.empty();
+  }));
+  LONGS_EQUAL(1, first.transport->Counters().links_silent);
+}
+
+// Guards against a sound link that is closed because its peer is slow: each answer to a keep-alive
+// message comes after the next one was sent.
+TEST(TransportTest, LinkOfSlowPeerIsKept) {
+  NngTransportOptions options;
+  options.keep_alive_interval = utils::Milliseconds(50);
+  TestNode first(context, options);
+  LatePeer slow(context, first.address, std::chrono::milliseconds(80));
+  for (int i = 0; i < 12; ++i) {
+    first.Send(slow.Address(), "call", true);
+    RunFor(context, std::chrono::milliseconds(70));
+  }
+  LONGS_EQUAL(0, first.recorder.lost.size());
+  CHECK_TRUE(first.transport->Counters().keep_alives_sent >= 4);
+}
+
+// Guards against two idle nodes whose probes go on for good because each answers the other's.
+TEST(TransportTest, ProbesEndOnceMessagesDo) {
+  NngTransportOptions options;
+  options.keep_alive_interval = utils::Milliseconds(20);
+  TestNode first(context, options);
+  TestNode second(context, options);
+  first.Send(second.address, "call", true);
+  second.Send(first.address, "answer", false);
+  RunFor(context, std::chrono::milliseconds(600));
+  const std::uint64_t sent =
+      first.transport->Counters().keep_alives_sent + second.transport->Counters().keep_alives_sent;
+  CHECK_TRUE(sent > 0);
+  RunFor(context, std::chrono::milliseconds(400));
+  LONGS_EQUAL(sent, first.transport->Counters().keep_alives_sent +
+                        second.transport->Counters().keep_alives_sent);
+}
+
 // Guards against keep-alive messages of strangers.
 TEST(TransportTest, KeepAliveNeedsTheSecret) {
   const details::KeepAliveCodec codec("secret");
