Use a new connection after a read of the register that got no byte

Cause: the next read took another kept connection, which had gone silent at the same time; each one cost a read. Class: as with links, the loss of one channel told nothing about the others. Exchanges with backend servers are not concerned. Result: ReadAfterASilentOneGetsANewConnection failed before the change (no answer within 1 s) and passes.

--- a/libs/runtime/include/amaranthlatch/runtime/http_client.h
+++ b/libs/runtime/include/amaranthlatch/runtime/http_client.h
@@ -27,6 +27,9 @@
   // A repeatable exchange ends as soon as its connection is found silent. Any other one is waited
   // for until the time limit, because its answer may still come and nobody may run it again.
   bool repeatable = false;
+  // What silences a connection of this address silences others: if the exchange ends without a byte
+  // of its answer, the next ones do not use connections that were open at that time.
+  bool silence_is_shared = false;
   // Field of the answer that must repeat a value of the request; empty name for none. An answer
   // with another value belongs to another request: the exchange fails and its connection is closed.
   // A value that was sent before gets a new connection, where no earlier answer can come.
--- a/libs/runtime/src/curl_http_client.cc
+++ b/libs/runtime/src/curl_http_client.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
+#include <chrono>
+#include <string>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -19,6 +21,7 @@
 namespace {
 
 using calls::BackendFailure;
+using SteadyClock = std::chrono::steady_clock;
 
 // Easy handles kept for later exchanges; each takes about 6 KB.
 constexpr std::size_t kMaxIdleHandles = 64;
@@ -75,6 +78,9 @@
     if (!started.echo_name.empty() && this->echo_values.Add(started.echo_value)) {
       entry->transfer.RequireNewConnection();
     }
+    if (this->MayBeSilent(started)) {
+      entry->transfer.RequireNewConnection();
+    }
     if (!this->multi.Add(easy)) {
       curl_easy_cleanup(easy);
       this->Fail(std::move(entry->done), {BackendFailure::kNotConnected, false, "not started"});
@@ -99,6 +105,7 @@
     if (found == this->pending.end()) {
       return;
     }
+    this->NoteSilence(found->second->transfer);
     Done done = std::move(found->second->done);
     this->Release(id);
     this->Fail(std::move(done), {BackendFailure::kCancelled, false, "cancelled"});
@@ -157,6 +164,9 @@
     Pending& entry = *this->pending.at(id->second);
     HttpOutcome outcome = entry.transfer.Outcome(result);
     this->Count(entry.transfer, outcome);
+    if (!outcome) {
+      this->NoteSilence(entry.transfer);
+    }
     const bool silent = entry.silent && !entry.transfer.HasFirstByte();
     const std::string address = entry.transfer.Exchange().address;
     Done done = std::move(entry.done);
@@ -168,6 +178,26 @@
     this->Report(std::move(done), std::move(outcome.error()), address, silent);
   }
 
+  void NoteSilence(const details::CurlTransfer& transfer) {
+    if (transfer.Exchange().silence_is_shared && !transfer.HasFirstByte()) {
+      this->silence_noted[transfer.Exchange().address] = SteadyClock::now();
+    }
+  }
+
+  // Whether a connection that was open when silence was noted could still be used again: none is
+  // after its longest idle time.
+  bool MayBeSilent(const HttpExchange& exchange) {
+    const auto noted = this->silence_noted.find(exchange.address);
+    if (noted == this->silence_noted.end()) {
+      return false;
+    }
+    if (SteadyClock::now() - noted->second > exchange.max_idle) {
+      this->silence_noted.erase(noted);
+      return false;
+    }
+    return true;
+  }
+
   void Count(const details::CurlTransfer& transfer, const HttpOutcome& outcome) {
     if (!outcome) {
       this->counters.answers_foreign += transfer.IsForeign() ? 1 : 0;
@@ -243,6 +273,7 @@
       return;
     }
     entry.silent = true;
+    this->NoteSilence(entry.transfer);
     if (entry.transfer.Exchange().repeatable) {
       Done done = std::move(entry.done);
       this->Release(id);
@@ -259,6 +290,8 @@
   std::vector<CURL*> idle;
   details::RecentNames echo_values;
   HttpClientCounters counters;
+  // By address; when an exchange that shares its silence last ended without a byte.
+  std::unordered_map<std::string, SteadyClock::time_point> silence_noted;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/libs/runtime/tests/http_client_test.cc
+++ b/libs/runtime/tests/http_client_test.cc
@@ -217,6 +217,44 @@
   CHECK_FALSE(outcome.error().process_dead);
 }
 
+// Guards against a read that is repeated on another kept connection, which went silent at the same
+// time, so that each of several connections costs one more read.
+TEST(HttpClientTest, ReadAfterASilentOneGetsANewConnection) {
+  std::size_t silent = 0;
+  ScriptedServer server(context, [&](ScriptedServer::Connection& connection, int request) {
+    for (std::size_t i = 0; i < silent; ++i) {
+      if (server.open[i].get() == &connection) {
+        return;
+      }
+    }
+    if (request == 2) {
+      // Both connections are open now.
+      server.open[0]->Write(kOkAnswer);
+    }
+    if (request >= 2) {
+      connection.Write(kOkAnswer);
+    }
+  });
+  HttpExchange exchange = Exchange(server, "GET", "");
+  exchange.repeatable = true;
+  exchange.silence_is_shared = true;
+  int answered = 0;
+  for (int i = 0; i < 2; ++i) {
+    client->Start(++last_id, exchange, [&answered](const HttpOutcome& outcome) {
+      answered += outcome.has_value() ? 1 : 0;
+    });
+  }
+  CHECK_TRUE(RunUntil(context, [&answered] { return answered == 2; }));
+  LONGS_EQUAL(2, server.connections);
+  silent = 2;
+  client->Start(++last_id, exchange, [](const HttpOutcome& /*outcome*/) {});
+  CHECK_TRUE(RunUntil(context, [&server] { return server.requests == 3; }));
+  client->Cancel(last_id);
+  exchange.time_limit = utils::Seconds(1);
+  CHECK_TRUE(Run(exchange).has_value());
+  LONGS_EQUAL(3, server.connections);
+}
+
 // Guards against a late answer that is given up although nobody may run the request again.
 TEST(HttpClientTest, WaitsForLateAnswersOfUnrepeatableRequests) {
   ScriptedServer server(context, [](ScriptedServer::Connection&, int) {});
