--- a/libs/runtime/src/register_host.cc
+++ b/libs/runtime/src/register_host.cc
@@ -18,10 +18,12 @@
 #include "amaranthlatch/runtime/log_line.h"
 #include "amaranthlatch/runtime/nng_transport.h"
 #include "amaranthlatch/runtime/restinio_server.h"
+#include "amaranthlatch/runtime/traffic.h"
 #include "amaranthlatch/runtime/wall_clock.h"
 #include "control_listener.h"
 #include "dialect_gateway.h"
 #include "effect_log.h"
+#include "memory_plan.h"
 #include "register_metrics.h"
 #include "register_options.h"
 
@@ -130,7 +132,11 @@
     if (!opened || this->stopped) {
       return;
     }
-    this->transport->NoteHeard(opened->sender);
+    if (KindOf(opened->message).is_answer) {
+      this->transport->NoteAnswered(opened->sender);
+    } else {
+      this->transport->NoteHeard(opened->sender);
+    }
     this->Apply(node::MessageReceived{std::move(opened->sender), std::move(opened->message)});
   }
 
@@ -190,9 +196,11 @@
     CurlHttpClientOptions options;
     options.connect_limit = kConnectLimit;
     options.acknowledge_limit = kBackendAcknowledgeLimit;
+    options.max_buffered_bytes = this->memory.answer_bytes;
     auto backend = CurlHttpClient::Create(this->context, options);
     options.max_connections = kMaxRegisterConnections;
     options.acknowledge_limit = kRegisterAcknowledgeLimit;
+    options.max_buffered_bytes = this->memory.register_bytes;
     auto for_register = CurlHttpClient::Create(this->context, options);
     if (!backend || !for_register) {
       return tl::unexpected(backend ? for_register.error() : backend.error());
@@ -245,6 +253,7 @@
     }
     options.max_connections = this->settings.max_connections;
     options.max_body_bytes = this->settings.max_body_bytes;
+    options.max_buffered_bytes = this->memory.request_bytes;
     if (opened) {
       opened = open(this->settings.data_address, this->gateway, this->data_server);
     }
@@ -446,6 +455,7 @@
 
   asio::io_context& context;
   const RegisterSettings settings;
+  const details::MemoryPlan memory = details::MakeMemoryPlan(this->settings.memory_limit_bytes);
   Adapter& adapter;
   const std::function<void(StopReason)> on_stopped;
   const utils::SteadyClock clock;
