--- a/libs/runtime/src/buffered_bytes.h
+++ b/libs/runtime/src/buffered_bytes.h
@@ -41,11 +41,11 @@
   explicit Charge(std::shared_ptr<BufferedBytes> buffered) : buffered(std::move(buffered)) {}
   ~Charge() { this->Set(0); }
   Charge(Charge&& other) noexcept
-      : buffered(other.buffered), bytes(std::exchange(other.bytes, 0)) {}
+      : buffered(std::move(other.buffered)), bytes(std::exchange(other.bytes, 0)) {}
   Charge& operator=(Charge&& other) noexcept {
     if (this != &other) {
       this->Set(0);
-      this->buffered = other.buffered;
+      this->buffered = std::move(other.buffered);
       this->bytes = std::exchange(other.bytes, 0);
     }
     return *this;
--- a/libs/runtime/tests/memory_limit_test.cc
+++ b/libs/runtime/tests/memory_limit_test.cc
@@ -136,7 +136,13 @@
     RawCaller slow(context, server->Port());
     slow.Write(Head(0));
     CHECK_TRUE(RunUntil(context, [&] { return recorder.ids.size() == 1; }));
-    server->Respond(recorder.ids[0], ServerResponse{{200, {}, std::string(30'000'000, 'x')}});
+    ServerResponse answer;
+    answer.response.status = 200;
+    const std::string piece(100'000, 'x');
+    for (int i = 0; i < 300; ++i) {
+      answer.response.body += piece;
+    }
+    server->Respond(recorder.ids[0], std::move(answer));
     RunFor(context, std::chrono::milliseconds(20));
     RawCaller large(context, server->Port());
     large.Write(Head(500'000));
