--- a/libs/runtime/tests/memory_limit_test.cc
+++ b/libs/runtime/tests/memory_limit_test.cc
@@ -82,6 +82,20 @@
   LONGS_EQUAL(2, server->Counters().requests_without_memory);
 }
 
+// Guards against a refusal that is lost because the connection is reset while the caller still
+// sends.
+TEST(MemoryLimitTest, RefusalReachesCallersThatSendOn) {
+  RawCaller caller(context, server->Port());
+  caller.Write(Head(2'000'000));
+  for (int i = 0; i < 15; ++i) {
+    RunFor(context, std::chrono::milliseconds(100));
+    asio::error_code error;
+    caller.socket.write_some(asio::buffer(std::string(20'000, 'x')), error);
+    CHECK_FALSE(error);
+  }
+  ExpectRefused(caller, "413", "5016");
+}
+
 // Guards against bodies in chunks, whose size no header states.
 TEST(MemoryLimitTest, CountsBodiesInChunksAsTheyCome) {
   RawCaller caller(context, server->Port());
@@ -122,7 +136,13 @@
     RawCaller slow(context, server->Port());
     slow.Write(Head(0));
     CHECK_TRUE(RunUntil(context, [&] { return recorder.ids.size() == 1; }));
-    server->Respond(recorder.ids[0], ServerResponse{{200, {}, std::string(30'000'000, 'x')}});
+    ServerResponse answer;
+    answer.response.status = 200;
+    const std::string piece(100'000, 'x');
+    for (int i = 0; i < 300; ++i) {
+      answer.response.body += piece;
+    }
+    server->Respond(recorder.ids[0], std::move(answer));
     RunFor(context, std::chrono::milliseconds(20));
     RawCaller large(context, server->Port());
     large.Write(Head(500'000));
