--- a/libs/runtime/src/memory_plan.cc
+++ b/libs/runtime/src/memory_plan.cc
@@ -14,9 +14,6 @@
 // Code, tables, links and connections without the bytes that are counted.
 constexpr std::uint64_t kBaseBytes = 48 * kMebibyte;
 constexpr std::uint64_t kMinBytes = 16 * kMebibyte;
-// A request exists this many times at once: at RESTinio, in the open call, its attempt, the
-// message, envelope and frame, and at the client of the backend server.
-constexpr std::uint64_t kRequestCopies = 7;
 // A request of another node: its frame, message, queued call and the client's copy.
 constexpr std::uint64_t kRunCopies = 4;
 // A growing answer: twice its size while it moves, and the answer and message made of it.
--- a/libs/runtime/src/memory_plan.h
+++ b/libs/runtime/src/memory_plan.h
@@ -9,6 +9,12 @@
 
 namespace amaranthlatch::runtime::details {
 
+// A request exists this many times at once: at RESTinio, in the open call, its attempt, the
+// message, envelope and frame, and at the client of the backend server.
+inline constexpr std::uint64_t kRequestCopies = 7;
+// An answer on its way to a slow caller: at RESTinio and in the socket's buffers.
+inline constexpr std::uint64_t kHeldAnswerCopies = 2;
+
 struct MemoryPlan {
   // Bytes of requests from their arrival to their answer, and of answers until they are written.
   std::uint64_t request_bytes = 0;
--- a/libs/runtime/src/restinio_server.cc
+++ b/libs/runtime/src/restinio_server.cc
@@ -15,6 +15,7 @@
 #include "amaranthlatch/runtime/endpoint.h"
 #include "amaranthlatch/runtime/http_headers.h"
 #include "caller_socket.h"
+#include "memory_plan.h"
 #include "raw_answer.h"
 
 namespace amaranthlatch::runtime {
@@ -422,7 +423,8 @@
     }
     // RESTinio keeps the request until the answer is written.
     const auto held = std::make_shared<details::Charge>(std::move(request.charge));
-    held->Set(held->Bytes() + response.body.size());
+    held->Set(held->Bytes() +
+              response.body.size() * details::kHeldAnswerCopies / details::kRequestCopies);
     builder.append_body(std::move(response.body));
     builder.done([state, held](const asio::error_code& /*error*/) { --state->unanswered; });
   }
--- a/libs/runtime/tests/memory_limit_test.cc
+++ b/libs/runtime/tests/memory_limit_test.cc
@@ -130,6 +130,26 @@
   }
 }
 
+// Guards against a node that refuses all requests because a few callers are slow to read answers,
+// which take less memory than requests of their size.
+TEST(MemoryLimitTest, SlowCallersLeaveRoomForRequests) {
+  RestinioServerOptions options;
+  options.address = "127.0.0.1:0";
+  options.max_buffered_bytes = 20'000'000;
+  server = *RestinioServer::Create(context, options, recorder);
+  std::vector<std::unique_ptr<RawCaller>> slow;
+  for (std::size_t i = 0; i < 4; ++i) {
+    slow.push_back(std::make_unique<RawCaller>(context, server->Port()));
+    slow.back()->Write(Head(0));
+    CHECK_TRUE(RunUntil(context, [&] { return recorder.ids.size() == i + 1; }));
+    server->Respond(recorder.ids[i], ServerResponse{{200, {}, std::string(12'000'000, 'x')}});
+  }
+  RunFor(context, std::chrono::milliseconds(20));
+  RawCaller small(context, server->Port());
+  small.Write(Head(5) + "small");
+  CHECK_TRUE(RunUntil(context, [&] { return recorder.ids.size() == 5; }));
+}
+
 // Guards against answers that wait for slow callers and are counted nowhere.
 TEST(MemoryLimitTest, CountsAnswersUntilTheyAreWritten) {
   {
