--- a/tests/store_faults/mesh_faults.py
+++ b/tests/store_faults/mesh_faults.py
@@ -77,7 +77,7 @@
             writer.close()
         except (OSError, asyncio.TimeoutError):
             return {}
-        found = re.findall(r"^(\w+)(?:\{[^}]*\})? ([0-9.e+]+)\r?$", text, re.M)
+        found = re.findall(r"^amaranthlatch_(\w+)(?:\{[^}]*\})? ([0-9.e+]+)\r?$", text, re.M)
         return {name: float(value) for name, value in found}
 
 
