--- a/tests/store_faults/mesh_faults.py
+++ b/tests/store_faults/mesh_faults.py
@@ -13,6 +13,7 @@
 import signal
 import sys
 import tempfile
+import time
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 sys.path.insert(0, os.path.join(ROOT, "review", "lib"))
@@ -23,11 +24,12 @@
 from link_relay import HOLD, Links  # noqa: E402
 from many_routes import ManyRoutes  # noqa: E402
 from routes import Judge  # noqa: E402
+from versions_in_force import late_versions  # noqa: E402
 
 SERVICES = ["ledger", "field", "claims"]
 NODE_PORT = 7380
 LINK_KINDS = ["zones_cut", "zones_cut_one_way", "machine_cut", "machine_cut_one_way",
-              "links_silent", "reader_links_silent"]
+              "reader_cut", "links_silent", "reader_links_silent"]
 OWN_KINDS = ["store_stale_some", "store_silent_some", "store_refused_some", "reader_restart",
              "reader_stop", "some_stop"]
 WHOLE_KINDS = ["silent", "slow", "lost", "forget"]
@@ -44,6 +46,7 @@
     def __init__(self, mesh, name, region, zone, service, ip):
         super().__init__(mesh, name, region, zone, service)
         self.ip = ip
+        self.started_at = []
         for port in self.ports:
             self.ports[port] = m.free_port(ip)
         self.ports["node"] = NODE_PORT
@@ -67,6 +70,7 @@
         if self.mesh.options.cores:
             os.sched_setaffinity(self.process.pid, self.mesh.cores)
         self.starts += 1
+        self.started_at.append(self.mesh.record.now())
         self.mesh.record.line("platform: starts %s (%s, %s)" % (self.name, self.zone, self.ip))
 
     async def metrics(self):
@@ -227,6 +231,13 @@
     async def play_machine_cut_one_way(self):
         await self.cut_machines(1)
 
+    async def play_reader_cut(self):
+        names = (await self.readers())[:self.chance.randint(1, 2)]
+        own = [self.mesh.nodes[name].ip for name in names]
+        others = [node.ip for node in self.mesh.nodes.values()]
+        ways = self.chance.choice([1, 2])
+        await self.cut(own, others, ways, "readers %s cut off" % names)
+
     def silence_links(self, names):
         own = [self.mesh.nodes[name].ip for name in names]
         self.say("open links of %s go silent" % names)
@@ -413,19 +424,21 @@
         if options.logs:
             for node in mesh.nodes.values():
                 record.line("log of %s:\n%s" % (node.name, mesh.log_of(node)))
+        late = late_versions(mesh, operator, judges[0], end)
         ended = [name for name, node in mesh.nodes.items() if node.process.returncode is not None]
     finally:
         for process in burners:
             process.kill()
             await process.wait()
         await mesh.stop()
-    return judge(mesh, operator, judges, ended)
+    return judge(mesh, operator, judges, late, ended)
 
 
-def judge(mesh, operator, judges, ended):
+def judge(mesh, operator, judges, late, ended):
     record = mesh.record
-    judged, late = judges[0].violations()
-    broken = {"CONFIG": late, **judges[1].violations()}
+    judged, requests = judges[0].violations()
+    broken = {"CONFIG": requests, "late versions": late[0], **judges[1].violations()}
+    record.say("longest time until a version was in force: %.2f s, %s" % late[1])
     statuses = {}
     for _, status, _, _ in judges[1].sent:
         statuses[status] = statuses.get(status, 0) + 1
@@ -467,6 +480,7 @@
     options.link_faults = os.path.abspath(options.link_faults)
     m.PROGRAM = os.path.abspath(options.program)
     record = m.Record(options.record)
+    record.begun_wall = time.time() - record.now()
     print("mesh_faults seed %d" % options.seed, flush=True)
     try:
         return 0 if asyncio.run(play(options, record)) else 1
