--- a/tests/store_faults/mesh_faults.py
+++ b/tests/store_faults/mesh_faults.py
@@ -30,10 +30,12 @@
 NODE_PORT = 7380
 LINK_KINDS = ["zones_cut", "zones_cut_one_way", "machine_cut", "machine_cut_one_way",
               "reader_cut", "links_silent", "reader_links_silent"]
+# Two faults in a row, each of which is found by its own time limit.
+SERIES = ["store_stale_then_links"]
 OWN_KINDS = ["store_stale_some", "store_silent_some", "store_refused_some", "reader_restart",
              "reader_stop", "some_stop"]
 WHOLE_KINDS = ["silent", "slow", "lost", "forget"]
-KINDS = LINK_KINDS * 3 + OWN_KINDS * 2 + WHOLE_KINDS
+KINDS = LINK_KINDS * 3 + OWN_KINDS * 2 + WHOLE_KINDS + SERIES * 2
 CUT_S = [0.6, 1.3, 2.6, 4.0, 7.0]
 METRICS = ("configuration_version", "register_reader", "register_subscribers",
            "register_reads_overdue_total", "register_reads_abandoned_total")
@@ -263,6 +265,15 @@
             self.mesh.store.make_stale(self.mesh.nodes[name].store_port)
         await self.single_for(names, 0.0)
 
+    async def play_store_stale_then_links(self):
+        names = await self.readers()
+        self.say("open connections of %s to the store go silent" % names)
+        for name in names:
+            self.mesh.store.make_stale(self.mesh.nodes[name].store_port)
+        await self.single_for(names, 0.0)
+        await asyncio.sleep(self.chance.uniform(1.2, 2.4))
+        self.silence_links(names)
+
     async def play_store_silent_some(self):
         names = self.some_nodes()
         if self.chance.random() < 0.5:
