--- a/tests/store_faults/mesh_faults.py
+++ b/tests/store_faults/mesh_faults.py
@@ -23,7 +23,7 @@
 from faulty_store import FaultyStore, FaultySource, STATUS_BUSY, STATUS_MANY  # noqa: E402
 from link_relay import HOLD, Links  # noqa: E402
 from many_routes import ManyRoutes  # noqa: E402
-from routes import Judge  # noqa: E402
+from routes import CONFIG_APPLY_S, STABLE_WINDOW_S, Judge  # noqa: E402
 from versions_in_force import late_versions  # noqa: E402
 
 SERVICES = ["ledger", "field", "claims"]
@@ -167,6 +167,7 @@
 
     def __init__(self, mesh, seed, kinds):
         super().__init__(mesh, seed, kinds)
+        self.links = {name: [] for name in mesh.nodes}  # faults of links that concern the machine
         if not mesh.options.judge_start:
             now = mesh.record.now()
             for spans in self.single.values():
@@ -181,6 +182,18 @@
                 await asyncio.sleep(self.chance.uniform(0.1, 2.4))
         await asyncio.gather(*running)
 
+    def mark(self, line):
+        """Adds to a line of a broken rule whether the machine had a fault of its own links then."""
+        found = re.search(r"at (z\S+?),? (?:sent at|after) ([0-9.]+)", line)
+        if not found:
+            return line
+        name, at = found.group(1), float(found.group(2))
+        acknowledged = re.match(r"version \d+, acknowledged at ([0-9.]+)", line)
+        if acknowledged:
+            at = float(acknowledged.group(1)) + CONFIG_APPLY_S
+        harmed = any(begin <= at and end > at - STABLE_WINDOW_S for begin, end in self.links[name])
+        return line + (" (its own links were in a fault)" if harmed else "")
+
     def say(self, text):
         self.mesh.record.say("%7.2f   %s" % (self.mesh.record.now(), text))
 
@@ -197,6 +210,12 @@
         if ways == 2:
             pairs += [(b, a) for a, b in pairs]
         self.say("%s for %.1f s, %d ways" % (what, seconds, ways))
+        # Those on the smaller side are the ones cut off.
+        own = min(sources, targets, key=len)
+        spans = [spans for name, spans in self.links.items() if self.mesh.nodes[name].ip in own]
+        now = self.mesh.record.now()
+        for each in spans:
+            each.append([now, now + seconds])
         self.mesh.links.begin(pairs, HOLD)
         await asyncio.sleep(seconds)
         self.mesh.links.end(pairs, HOLD)
@@ -243,6 +262,9 @@
     def silence_links(self, names):
         own = [self.mesh.nodes[name].ip for name in names]
         self.say("open links of %s go silent" % names)
+        now = self.mesh.record.now()
+        for name in names:
+            self.links[name].append([now, now])
         pairs = [(a, node.ip) for a in own for node in self.mesh.nodes.values()]
         self.mesh.links.silence(pairs + [(b, a) for a, b in pairs])
 
@@ -448,7 +470,9 @@
 def judge(mesh, operator, judges, late, ended):
     record = mesh.record
     judged, requests = judges[0].violations()
-    broken = {"CONFIG": requests, "late versions": late[0], **judges[1].violations()}
+    mark = judges[0].faults.mark
+    broken = {"CONFIG": [mark(line) for line in requests],
+              "late versions": [mark(line) for line in late[0]], **judges[1].violations()}
     record.say("longest time until a version was in force: %.2f s, %s" % late[1])
     statuses = {}
     for _, status, _, _ in judges[1].sent:
