--- a/tests/store_faults/mesh_faults.py
+++ b/tests/store_faults/mesh_faults.py
@@ -38,7 +38,9 @@
 KINDS = LINK_KINDS * 3 + OWN_KINDS * 2 + WHOLE_KINDS + SERIES * 2
 CUT_S = [0.6, 1.3, 2.6, 4.0, 7.0]
 METRICS = ("configuration_version", "register_reader", "register_subscribers",
-           "register_reads_overdue_total", "register_reads_abandoned_total")
+           "register_reads_overdue_total", "register_reads_abandoned_total",
+           "register_updates_received_total", "register_updates_unusable_total",
+           "register_configuration_requests_total")
 MAX_LINES = 30
 
 
