--- a/tests/store_faults/answers.py
+++ b/tests/store_faults/answers.py
@@ -64,6 +64,7 @@
         self.chance = chance
         self.all_runs = runs  # request id -> list of Run
         self.is_bad = is_bad
+        self.repeated_refusals = 0
 
     async def _serve(self, reader, writer):
         writer.transport.set_write_buffer_limits(0)
@@ -94,6 +95,7 @@
             refusal = m.answer_bytes(503, [("Not-Executed", "1"), ("Request-Id", name)], b"")
             writer.write(refusal)
             if self.is_bad and self.chance.random() < 0.5:
+                self.repeated_refusals += 1
                 self._repeat(writer, refusal)
             return True
         self.queued += 1
--- a/tests/store_faults/mesh_faults.py
+++ b/tests/store_faults/mesh_faults.py
@@ -482,6 +482,11 @@
     record.say("%d versions, %d requests judged, statuses %s; broken: %s" % (
         len(operator.versions), judged, sorted(statuses.items()),
         ", ".join("%s by %d" % (rule, len(lines)) for rule, lines in broken.items())))
+    plans = [run.plan for runs in mesh.runs.values() for run in runs]
+    record.say("servers: %d runs, %d answers broken off, %d sent again, %d refusals sent again" % (
+        len(plans), sum("broken off: no" not in plan for plan in plans),
+        sum("sent again" in plan for plan in plans),
+        sum(server.repeated_refusals for server in mesh.servers.values())))
     for rule, lines in broken.items():
         for line in lines[:MAX_LINES]:
             record.say("  %s: %s" % (rule, line))
