--- a/tests/store_faults/mesh_faults.py
+++ b/tests/store_faults/mesh_faults.py
@@ -425,6 +425,30 @@
     record.say("the rig was delayed by %.2f s at most" % longest)
 
 
+PROBE = """
+import time
+while True:
+    begun = time.monotonic()
+    time.sleep(0.02)
+    if time.monotonic() - begun > 0.2:
+        print("%.3f %.2f" % (begun, time.monotonic() - begun), flush=True)
+"""
+
+
+async def watch_cores(cores, record):
+    """Keeps in the record when a process on the nodes' cores was not run."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", PROBE, stdout=asyncio.subprocess.PIPE, preexec_fn=m.end_with_parent)
+    os.sched_setaffinity(process.pid, cores)
+
+    async def read():
+        async for line in process.stdout:
+            begun, delay = map(float, line.split())
+            record.line("cores: a process waited for %.2f s" % delay, at=begun - record.begun)
+    asyncio.get_running_loop().create_task(read())
+    return process
+
+
 async def burn(cores, count):
     """Processes that use up the nodes' cores."""
     async def one():
@@ -448,6 +472,8 @@
         faults = MeshFaults(mesh, options.seed, options.kinds)
         judges = (Judge(operator, faults), judges[1])
         burners = await burn(mesh.cores, options.burners)
+        if mesh.cores:
+            burners.append(await watch_cores(mesh.cores, record))
         end = record.now() + options.seconds
         clients = [Client(mesh, node, operator, judges, chance) for node in mesh.nodes.values()
                    for _ in range(options.clients)]
