--- a/tests/store_faults/answers.py
+++ b/tests/store_faults/answers.py
@@ -59,11 +59,11 @@
     """Answers with bodies of many lengths. A bad one breaks answers off, sends some again after a while,
     and refuses requests and repeats the refusal later."""
 
-    def __init__(self, mesh, node, chance, runs, is_bad):
+    def __init__(self, mesh, node, chance, runs, bad_share):
         super().__init__(mesh, node)
         self.chance = chance
         self.all_runs = runs  # request id -> list of Run
-        self.is_bad = is_bad
+        self.bad_share = bad_share  # of answers that are broken off; the same are sent again
         self.repeated_refusals = 0
 
     async def _serve(self, reader, writer):
@@ -90,11 +90,11 @@
         other = m.field(fields, "expect-instance", self.id) != self.id
         if target == "/healthz" or not name or other:
             return await super()._answer(request, writer)
-        is_refused = self.queued >= 4 * self.slots or self.is_bad and self.chance.random() < 0.03
+        is_refused = self.queued >= 4 * self.slots or self.chance.random() < self.bad_share
         if is_refused:
             refusal = m.answer_bytes(503, [("Not-Executed", "1"), ("Request-Id", name)], b"")
             writer.write(refusal)
-            if self.is_bad and self.chance.random() < 0.5:
+            if self.bad_share and self.chance.random() < 0.5:
                 self.repeated_refusals += 1
                 self._repeat(writer, refusal)
             return True
@@ -112,7 +112,7 @@
         run.length = some_length(self.chance)
         framing = self.chance.choice(FRAMINGS)
         place = ""
-        if self.is_bad and self.chance.random() < 0.05:
+        if self.chance.random() < self.bad_share:
             place = self.chance.choice(PLACES)
         run.plan = "%s, broken off: %s" % (framing, place or "no")
         pieces = self._pieces(name, run, framing)
@@ -132,7 +132,7 @@
             return False
         if framing == "end":
             return False
-        if self.is_bad and self.chance.random() < 0.03:
+        if self.chance.random() < self.bad_share:
             run.plan += ", sent again"
             self._repeat(writer, sent)
         return True
--- a/tests/store_faults/mesh_faults.py
+++ b/tests/store_faults/mesh_faults.py
@@ -146,7 +146,8 @@
                                     "%s.%d" % (network, len(self.nodes) + 2))
                     self.nodes[name] = node
                     self.servers[name] = answers.AnsweringServer(
-                        self, node, chance, self.runs, options.bad_servers and chance.random() < 0.4)
+                        self, node, chance, self.runs,
+                        options.bad_answers if chance.random() < 0.5 else 0.0)
 
     async def start(self, config):
         """All machines start at once."""
@@ -540,7 +541,9 @@
     parser.add_argument("--burners", type=int, default=0, help="processes that use up those cores")
     parser.add_argument("--judge-start", action="store_true",
                         help="the first start of the nodes excuses nothing")
-    parser.add_argument("--bad-servers", action="store_true")
+    parser.add_argument("--bad-answers", type=float, default=0.0, metavar="SHARE",
+                        help="share of answers that every second server breaks off, the same that "
+                             "it sends again, and of requests that it refuses")
     parser.add_argument("--logs", action="store_true", help="the nodes' logs go into the record")
     parser.add_argument("--record", default=os.devnull)
     options = parser.parse_args()
