--- a/tests/store_faults/mesh_faults.py
+++ b/tests/store_faults/mesh_faults.py
@@ -2,7 +2,8 @@
 readers that stop or restart, in series and overlapping; an operator of hundreds of routes; servers
 that break answers off in every way.
 
-Looks for broken rules CONFIG, MIXED, TWICE, REFUSED and UNASKED. A fault of links between nodes does
+Looks for broken rules CONFIG, MIXED, TWICE, REFUSED and UNASKED, and for versions that came into force
+later than their bound. A fault of links between nodes does
 not excuse a node from CONFIG; one of its process or of its path to the store does."""
 
 import argparse
@@ -554,6 +555,7 @@
     options.kinds = options.kinds.split(",")
     options.link_faults = os.path.abspath(options.link_faults)
     m.PROGRAM = os.path.abspath(options.program)
+    # Routes and faults follow the seed; which nodes read, and all addresses, differ between runs.
     record = m.Record(options.record)
     record.begun_wall = time.time() - record.now()
     print("mesh_faults seed %d" % options.seed, flush=True)
