--- a/tests/store_faults/answers.py
+++ b/tests/store_faults/answers.py
@@ -121,7 +121,7 @@
             writer.write(sent[start:start + 16384])
             await writer.drain()
         if place:
-            await asyncio.sleep(self.chance.choice([0.0, 0.002, 0.02]))
+            await asyncio.sleep(self.chance.choice([0.0, 0.002, 0.02, 0.3]))
             # Only a reset tells that an answer without length is not whole.
             is_reset = framing == "end" or self.chance.random() < 0.5
             run.plan += ", by %s after %d bytes" % ("reset" if is_reset else "close", len(sent))
