--- a/libs/directory/tests/shared_reads_mesh.cc
+++ b/libs/directory/tests/shared_reads_mesh.cc
@@ -25,12 +25,17 @@
 
 SharedReadsMesh::SharedReadsMesh(std::uint64_t seed, std::size_t zones, std::size_t nodes_per_zone,
                                  bool is_new)
-    : random(seed), nodes(zones * nodes_per_zone) {
+    : random(seed),
+      fault_random(seed + 1),
+      nodes(zones * nodes_per_zone),
+      answer_time(kRegisterDelay) {
   this->configurations = {1};
+  this->published_at = {this->now};
   for (std::size_t i = 0; i < this->nodes.size(); ++i) {
     Options& options = this->nodes[i].options;
     options.id = "10.0." + std::to_string(i / nodes_per_zone) + "." +
                  std::to_string(i % nodes_per_zone) + ":7000";
+    this->indexes[options.id] = i;
     options.region = "north";
     options.zone = "zone-" + std::to_string(i / nodes_per_zone);
     this->At(this->random.Jitter(Milliseconds(300)), [this, i, is_new] { this->Start(i, is_new); });
@@ -51,6 +56,8 @@
   started.reads = {};
   started.wake.reset();
   started.version = 0;
+  started.started_at = this->now;
+  started.last_fault = this->now;
   started.frozen = false;
   started.frozen_events.clear();
   this->Dispatch(node, WakeUp{});
@@ -74,6 +81,7 @@
 
 void SharedReadsMesh::Publish(document::Version version) {
   this->configurations.push_back(version);
+  this->published_at.push_back(this->now);
   this->AnswerWaitingReads();
 }
 
@@ -115,6 +123,39 @@
   }
 }
 
+void SharedReadsMesh::SetRegisterSpeed(Duration answer, Duration turn) {
+  this->answer_time = answer;
+  this->turn_time = turn;
+}
+
+bool SharedReadsMesh::IsSound(std::size_t index) const {
+  const Node& node = this->nodes[index];
+  return node.directory && !node.frozen && !node.cut_from_register && !this->register_down &&
+         !node.refused_by_register &&
+         std::none_of(this->faults.begin(), this->faults.end(), [this, index](const Fault& fault) {
+           return this->now < fault.end && fault.nodes.contains(index);
+         });
+}
+
+std::vector<std::size_t> SharedReadsMesh::FindLateNodes(Duration window, Duration bound) {
+  std::erase_if(this->faults, [this](const Fault& fault) { return fault.end <= this->now; });
+  std::size_t due = this->configurations.size();
+  while (due > 0 && this->published_at[due - 1] + bound > this->now) {
+    --due;
+  }
+  std::vector<std::size_t> late;
+  for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+    Node& node = this->nodes[i];
+    if (!this->IsSound(i)) {
+      node.last_fault = this->now;
+    } else if (due > 0 && node.version > 0 && this->now - node.last_fault >= window &&
+               node.version < this->configurations[due - 1]) {
+      late.push_back(i);
+    }
+  }
+  return late;
+}
+
 std::vector<std::size_t> SharedReadsMesh::Readers(std::size_t zone) const {
   std::vector<std::size_t> readers;
   for (std::size_t i = 0; i < this->nodes.size(); ++i) {
@@ -192,13 +233,15 @@
     this->StartRead(index, *read);
   } else if (const auto* write = std::get_if<WriteMember>(&effect)) {
     ++this->register_calls;
-    const bool fails = this->register_down || node.cut_from_register;
-    this->At(kRegisterDelay, [this, index, process = node.process, fails, member = write->member] {
-      if (!fails) {
-        this->StoreRecord(member);
-      }
-      this->Reply(index, process, MemberWriteCompleted{!fails});
-    });
+    const bool fails = this->register_down || node.cut_from_register || this->IsRefused(index) ||
+                       this->LosesAnswer(index);
+    this->At(this->CallDelay(),
+             [this, index, process = node.process, fails, member = write->member] {
+               if (!fails) {
+                 this->StoreRecord(member);
+               }
+               this->Reply(index, process, MemberWriteCompleted{!fails});
+             });
   } else if (const auto* sent = std::get_if<SendToPeer>(&effect)) {
     const auto to = this->FindNode(sent->to);
     // Every message is encoded and decoded, to test the codec as well.
@@ -211,7 +254,8 @@
       this->At(kMessageDelay, [this, index, process = node.process, id = sent->to] {
         this->Reply(index, process, PeerUnreachable{id});
       });
-    } else if (!node.cut_from_peers && !this->nodes[*to].cut_from_peers) {
+    } else if (!node.cut_from_peers && !this->nodes[*to].cut_from_peers &&
+               !this->DropsMessage(index, *to)) {
       this->At(kMessageDelay, [this, to = *to, process = this->nodes[*to].process,
                                event = PeerMessageReceived{node.options.id, *message}] {
         this->Reply(to, process, event);
@@ -261,12 +305,13 @@
   if (node.cut_from_register) {
     return;
   }
-  this->At(kRegisterDelay, [this, id, pending] {
+  this->pending_reads[id].lost = this->LosesAnswer(index);
+  this->At(this->CallDelay(), [this, id, pending] {
     if (this->pending_reads.contains(id) && !this->AnswerRead(id, pending)) {
-      this->At(pending.expires - this->now, [this, id, pending] {
+      this->At(std::max(Duration{}, pending.expires - this->now), [this, id, pending] {
         const auto waiting = this->pending_reads.find(id);
         if (waiting != this->pending_reads.end() && !waiting->second.lost &&
-            !this->nodes[pending.node].cut_from_register) {
+            !this->nodes[pending.node].cut_from_register && !this->LosesAllAnswers(pending.node)) {
           this->pending_reads.erase(id);
           this->Reply(pending.node, pending.process,
                       StreamReadSucceeded{pending.read.stream, *pending.read.from, nullptr, {}});
@@ -282,13 +327,13 @@
   const Position end = is_configuration ? this->configurations.size() : this->records.size();
   const Position from = pending.read.from.value_or(0);
   bool& lost = this->pending_reads.at(id).lost;
-  lost = lost || this->nodes[pending.node].cut_from_register;
+  lost = lost || this->nodes[pending.node].cut_from_register || this->LosesAllAnswers(pending.node);
   if (lost) {
     return false;
   }
   const bool truncated =
       pending.read.from && from < this->first_positions.at(static_cast<std::size_t>(stream));
-  if (this->register_down || this->nodes[pending.node].refused_by_register || truncated) {
+  if (this->register_down || this->IsRefused(pending.node) || truncated) {
     this->pending_reads.erase(id);
     this->Reply(pending.node, pending.process, StreamReadFailed{stream, truncated, {}});
     return true;
@@ -329,13 +374,41 @@
   }
 }
 
+bool SharedReadsMesh::IsRefused(std::size_t node) const {
+  return this->nodes[node].refused_by_register ||
+         std::any_of(this->faults.begin(), this->faults.end(), [this, node](const Fault& fault) {
+           return this->now < fault.end && fault.refuses && fault.nodes.contains(node);
+         });
+}
+
+bool SharedReadsMesh::LosesAllAnswers(std::size_t node) const {
+  return std::any_of(this->faults.begin(), this->faults.end(), [this, node](const Fault& fault) {
+    return this->now < fault.end && fault.lost_answers >= 1 && fault.nodes.contains(node);
+  });
+}
+
+bool SharedReadsMesh::LosesAnswer(std::size_t node) {
+  return std::any_of(this->faults.begin(), this->faults.end(), [this, node](const Fault& fault) {
+    return this->now < fault.end && fault.nodes.contains(node) &&
+           this->fault_random.Bernoulli(fault.lost_answers);
+  });
+}
+
+bool SharedReadsMesh::DropsMessage(std::size_t from, std::size_t to) const {
+  return std::any_of(
+      this->faults.begin(), this->faults.end(), [this, from, to](const Fault& fault) {
+        return this->now < fault.end && fault.drops_message && fault.drops_message(from, to);
+      });
+}
+
+Duration SharedReadsMesh::CallDelay() {
+  this->next_turn = std::max(this->next_turn, this->now) + this->turn_time;
+  return this->next_turn - this->now + this->answer_time;
+}
+
 std::optional<std::size_t> SharedReadsMesh::FindNode(const std::string& id) const {
-  for (std::size_t i = 0; i < this->nodes.size(); ++i) {
-    if (this->nodes[i].options.id == id) {
-      return i;
-    }
-  }
-  return std::nullopt;
+  const auto found = this->indexes.find(id);
+  return found == this->indexes.end() ? std::nullopt : std::optional(found->second);
 }
 
 }  // namespace amaranthlatch::directory::testing
--- a/libs/directory/tests/shared_reads_mesh.h
+++ b/libs/directory/tests/shared_reads_mesh.h
@@ -38,10 +38,25 @@
     // Read in flight on each stream; 0 for none.
     std::array<std::uint64_t, kStreamCount> reads{};
     std::optional<utils::Timestamp> wake;
+    utils::Timestamp started_at{};
+    // When a fault of its process or of its path to the register last concerned the node.
+    utils::Timestamp last_fault{};
     // Highest version in force of this process.
     document::Version version = 0;
   };
 
+  // A fault that lasts for some time; faults overlap without regard to each other.
+  struct Fault {
+    utils::Timestamp end{};
+    // Whether a message between two nodes is dropped; none if the fault concerns no links.
+    std::function<bool(std::size_t from, std::size_t to)> drops_message;
+    // Nodes that the register treats badly.
+    std::set<std::size_t> nodes;
+    // The register turns `nodes` away; otherwise this share of its answers to them is lost.
+    bool refuses = false;
+    double lost_answers = 0;
+  };
+
   SharedReadsMesh(std::uint64_t seed, std::size_t zones, std::size_t nodes_per_zone, bool is_new);
 
   // Starts a node whose backend server announces itself within 1.5 s.
@@ -58,9 +73,23 @@
   // Stores a record under the id of a node, as a late write of an earlier process would.
   void StoreRecord(const membership::Member& member);
 
+  void AddFault(Fault fault) { this->faults.push_back(std::move(fault)); }
+  // From now on the register takes this long for each answer, and this much more for each call that
+  // waits for its turn.
+  void SetRegisterSpeed(utils::Duration answer, utils::Duration turn);
+  void Schedule(utils::Duration delay, std::function<void()> action) {
+    this->At(delay, std::move(action));
+  }
+
   void Run(utils::Duration time);
+  utils::Timestamp Now() const { return this->now; }
+  // Whether the process runs and its path to the register is whole.
+  bool IsSound(std::size_t node) const;
   // Each node in the mesh learns of the versions of others, as from calls.
   void ShareVersions();
+  // Notes the present faults of the nodes. Returns the nodes that have been sound for `window` and
+  // lack the newest version published `bound` ago.
+  std::vector<std::size_t> FindLateNodes(utils::Duration window, utils::Duration bound);
 
   std::vector<std::size_t> Readers(std::size_t zone) const;
   // Whether the node has the newest configuration and the newest record of every live node.
@@ -92,13 +121,24 @@
   bool AnswerRead(std::uint64_t id, const PendingRead& pending);
   void AnswerWaitingReads();
   void Reply(std::size_t node, std::uint64_t process, const Event& event);
+  bool IsRefused(std::size_t node) const;
+  // Whether an answer that the register gives now is lost.
+  bool LosesAnswer(std::size_t node);
+  bool LosesAllAnswers(std::size_t node) const;
+  bool DropsMessage(std::size_t from, std::size_t to) const;
+  // Time until the register has handled a call that is made now.
+  utils::Duration CallDelay();
   std::optional<std::size_t> FindNode(const std::string& id) const;
 
   utils::Random random;
+  utils::Random fault_random;
   std::vector<Node> nodes;
+  std::map<std::string, std::size_t> indexes;
+  std::vector<Fault> faults;
   std::multimap<utils::Timestamp, std::function<void()>> events;
   utils::Timestamp now{utils::Seconds(100)};
   std::vector<document::Version> configurations;
+  std::vector<utils::Timestamp> published_at;
   std::vector<membership::Member> records;
   // Records before this position are no longer readable.
   std::array<Position, kStreamCount> first_positions{};
@@ -106,6 +146,9 @@
   std::uint64_t last_read = 0;
   std::uint64_t register_calls = 0;
   bool register_down = false;
+  utils::Duration answer_time;
+  utils::Duration turn_time{};
+  utils::Timestamp next_turn{};
   std::string first_error;
 };
 
