--- a/libs/directory/include/amaranthlatch/directory/directory.h
+++ b/libs/directory/include/amaranthlatch/directory/directory.h
@@ -29,6 +29,8 @@
   std::uint64_t reads_overdue = 0;
   // Configurations requested from nodes that use a newer one.
   std::uint64_t configuration_requests = 0;
+  // Reads of the configuration by subscribers whose configuration was not confirmed in time.
+  std::uint64_t checks = 0;
   // Listings requested; each reads the newest record of every key.
   std::uint64_t listings = 0;
   std::uint64_t writes = 0;
--- a/libs/directory/include/amaranthlatch/directory/message.h
+++ b/libs/directory/include/amaranthlatch/directory/message.h
@@ -77,7 +77,18 @@
   bool operator==(const ConfigurationRequest&) const = default;
 };
 
-using Message =
-    std::variant<UpdateRequest, Update, ReaderNotice, VersionNotice, ConfigurationRequest>;
+// The register held no version above `version` this long ago. From a reader to its subscribers, and
+// after each of its reads to one node of each other zone; subscribers forward the latter to their
+// reader. Builds that do not know this message drop it.
+struct Confirmation {
+  document::Version version = 0;
+  std::uint64_t age_ms = 0;
+  // Forwarded by a subscriber to its reader.
+  bool forwarded = false;
+  bool operator==(const Confirmation&) const = default;
+};
+
+using Message = std::variant<UpdateRequest, Update, ReaderNotice, VersionNotice,
+                             ConfigurationRequest, Confirmation>;
 
 }  // namespace amaranthlatch::directory
--- a/libs/directory/include/amaranthlatch/directory/options.h
+++ b/libs/directory/include/amaranthlatch/directory/options.h
@@ -30,6 +30,25 @@
   utils::Duration members_read_wait = utils::Seconds(20);
   // Time after the end of the wait within which the response of the register must begin.
   utils::Duration read_response_tolerance = utils::Milliseconds(400);
+  // A reader plans its reads so that the register confirms its configuration at this interval, by a
+  // read of its own or of a reader of another zone; without confirmation it reads after the limit.
+  utils::Duration confirmation_interval = utils::Milliseconds(1300);
+  utils::Duration confirmation_limit = utils::Milliseconds(1400);
+  // A read that starts so soon after a confirmation may wait for its whole time.
+  utils::Duration min_confirmed_wait = utils::Milliseconds(400);
+  // Added to both for each zone before its own, so that few readers act at the same time.
+  utils::Duration confirmation_interval_step = utils::Milliseconds(700);
+  utils::Duration confirmation_limit_step = utils::Milliseconds(30);
+  // Time without confirmation after which the best candidates of a zone start to read, one after
+  // the other, and after which any node reads the configuration once. The latter must be below the
+  // time within which a change has to take effect by the time of a listing.
+  utils::Duration takeover_time = utils::Milliseconds(1800);
+  utils::Duration takeover_step = utils::Milliseconds(100);
+  utils::Duration check_time = utils::Milliseconds(2100);
+  // Times without checks after a slow and a failed one. The register may have recovered just before
+  // either ends, so that they count from the time at which nodes have to be up to date again.
+  utils::Duration slow_check_pause = utils::Milliseconds(2500);
+  utils::Duration failed_check_pause = utils::Milliseconds(1300);
   // Delays between the end of a read and the start of the next, which batch changes in quick
   // succession. Delay plus transfer time must stay well below the time within which a change has to
   // take effect.
@@ -60,6 +79,8 @@
   utils::Duration request_interval_per_member = utils::Milliseconds(30);
   utils::Duration min_request_interval = utils::Milliseconds(400);
   utils::Duration max_request_interval = utils::Milliseconds(1000);
+  // Interval of the requests of a subscriber whose configuration is not confirmed in time.
+  utils::Duration repeated_request_interval = utils::Milliseconds(250);
   // Time that a candidate has to answer a first request.
   utils::Duration reader_answer_timeout = utils::Milliseconds(700);
   // Time after which a newer version that other nodes use shows that the reader is outdated. Must
@@ -69,10 +90,13 @@
   utils::Duration silent_reader_avoidance = utils::Seconds(10);
   utils::Duration failing_reader_avoidance = utils::Seconds(3);
   // Time of failing reads after which a reader says so, and after which the subscribers try to
-  // read, one after the other.
+  // read, one after the other: the best three at this step, the others later.
   utils::Duration failing_reads_tolerance = utils::Milliseconds(500);
   utils::Duration failing_reader_step = utils::Milliseconds(200);
-  utils::Duration max_failover_delay = utils::Milliseconds(1000);
+  utils::Duration late_failover_delay = utils::Seconds(10);
+  // The same for a subscriber whose own read has succeeded meanwhile.
+  utils::Duration checked_failover_step = utils::Milliseconds(10);
+  utils::Duration max_checked_failover = utils::Milliseconds(100);
   // How often a node that reads without subscribers looks for a reader, and how often a reader
   // announces itself to members that do not subscribe.
   utils::Duration reader_search_interval = utils::Seconds(2);
--- a/libs/directory/src/directory.cc
+++ b/libs/directory/src/directory.cc
@@ -22,10 +22,16 @@
   if (follower.IsFailing()) {
     this->effects.emplace_back(RegisterReachabilityChanged{event.stream, true, {}});
   }
+  const Timestamp answered_at =
+      std::min(follower.AnsweredAt(event.next, this->now), this->EventTime());
   follower.OnReadSucceeded(event.next, this->now);
-  if (event.configuration != nullptr && this->ApplyConfiguration(event.configuration)) {
+  if (event.configuration != nullptr && this->ApplyConfiguration(event.configuration) &&
+      this->IsReading()) {
     this->NotifyOtherZones();
   }
+  if (event.stream == Stream::kConfiguration) {
+    this->HandleConfirmingRead(event, answered_at);
+  }
   const Member* own_record = nullptr;
   for (const Member& member : event.members) {
     if (member.id == this->options.id) {
@@ -53,6 +59,10 @@
     this->effects.emplace_back(RegisterReachabilityChanged{event.stream, false, event.error});
   }
   follower.OnReadFailed(event.truncated, this->random, this->now);
+  if (event.stream == Stream::kConfiguration && this->checking) {
+    this->checking = false;
+    this->next_check = this->now + this->options.failed_check_pause;
+  }
 }
 
 void Directory::Impl::Handle(const MemberWriteCompleted& event) {
@@ -112,6 +122,7 @@
   ++this->counters.configurations_activated;
   this->configuration = std::move(read);
   this->configuration_changed_at = this->now;
+  this->saved_wait = {};
   this->subscribers.OnConfiguration(this->configuration);
   if (this->newer_version && this->newer_version->version <= this->configuration->GetVersion()) {
     this->newer_version.reset();
@@ -222,19 +233,15 @@
 }
 
 utils::Duration Directory::Impl::ReadWait(Stream stream) const {
-  if (stream == Stream::kMembers) {
-    return this->options.members_read_wait;
-  }
-  const auto zones = static_cast<utils::Duration::rep>(this->members.Zones().size());
-  return std::clamp(this->options.configuration_read_wait_per_zone * zones,
-                    this->options.min_configuration_read_wait,
-                    this->options.max_configuration_read_wait);
+  return stream == Stream::kMembers ? this->options.members_read_wait
+                                    : this->ConfigurationReadWait();
 }
 
 bool Directory::Impl::Reads(Stream stream) const {
   // A node that starts again lists the members once, to find a reader and to know the records of
   // its predecessor, which a reader may not have yet.
-  return this->IsReading() || (stream == Stream::kMembers && !this->IsPredecessorKnown());
+  return this->IsReading() || (stream == Stream::kMembers && !this->IsPredecessorKnown()) ||
+         (stream == Stream::kConfiguration && this->checking);
 }
 
 bool Directory::Impl::IsCurrent() const {
@@ -254,6 +261,10 @@
     if (std::optional<ReadStream> read =
             this->GetFollower(stream).Poll(this->now, this->ReadWait(stream))) {
       this->counters.listings += read->from ? 0 : 1;
+      if (stream == Stream::kConfiguration && read->from) {
+        this->saved_wait =
+            std::max(utils::Duration{}, this->saved_wait + this->PlainReadWait() - read->wait);
+      }
       this->effects.emplace_back(*read);
     }
   }
@@ -286,8 +297,10 @@
   Impl& reducer = *this->impl;
   reducer.started = true;
   reducer.now = now;
+  reducer.TrackDelays();
   std::visit([&reducer](const auto& value) { reducer.Handle(value); }, event);
   reducer.UpdateOwnState();
+  reducer.HandleUnconfirmed();
   reducer.HandleStalledRead();
   reducer.HandleOverdueRead();
   reducer.PollSharedReads();
@@ -312,6 +325,7 @@
     }
   }
   keep_earliest(reducer.StalledReadTimeout());
+  keep_earliest(reducer.UnconfirmedDeadline());
   if (reducer.IsReading()) {
     keep_earliest(reducer.GetFollower(Stream::kConfiguration).ResponseDeadline());
   }
@@ -319,6 +333,7 @@
     keep_earliest(reducer.own_entry.NextWake());
   }
   if (reducer.options.share_reads) {
+    keep_earliest(reducer.next_delay_probe);
     keep_earliest(reducer.selection.NextWake(reducer.members));
     keep_earliest(reducer.subscribers.NextExpiry());
     keep_earliest(reducer.FailingReadsDeadline());
--- a/libs/directory/src/directory_impl.h
+++ b/libs/directory/src/directory_impl.h
@@ -49,6 +49,8 @@
   // Messages of nodes of other zones.
   void HandleMessage(const membership::NodeId& from, const VersionNotice& notice);
   void HandleMessage(const membership::NodeId& from, const ConfigurationRequest& request);
+  // Messages of the reader, or of nodes of other zones.
+  void HandleMessage(const membership::NodeId& from, const Confirmation& confirmation);
 
   // Returns false if the configuration in force is not older.
   bool ApplyConfiguration(MeshConfiguration::Pointer read);
@@ -69,8 +71,30 @@
   void AbandonConfigurationRead(const std::string& reason);
   // Asks the node that uses a newer version for it.
   void RequestNewerConfiguration();
+  // Sends a message to a ready node of each other zone.
+  void SendToOtherZones(const Message& message);
   // Tells a node of each other zone the version in force.
   void NotifyOtherZones();
+  // Confirmation of the configuration by the register (confirmation.cc).
+  void Confirm(utils::Timestamp at);
+  // Notices that this process was suspended or delayed: what it receives then may be old.
+  void TrackDelays();
+  bool WasDelayed() const { return this->now < this->delayed_until; }
+  // The earliest time at which an event that arrives now may have been sent.
+  utils::Timestamp EventTime() const {
+    return this->WasDelayed() ? this->delayed_since : this->now;
+  }
+  void HandleConfirmingRead(const StreamReadSucceeded& event, utils::Timestamp answered_at);
+  void SendConfirmation(const membership::NodeId& to);
+  // Position of the own zone in the order in which readers confirm this version.
+  utils::Duration::rep ConfirmationRank() const;
+  bool IsZoneAlone() const;
+  // When to read because the configuration is unconfirmed; none if that is not up to this node.
+  std::optional<utils::Timestamp> UnconfirmedDeadline() const;
+  void HandleUnconfirmed();
+  // The wait by the number of zones, and the wait of the next read.
+  utils::Duration PlainReadWait() const;
+  utils::Duration ConfigurationReadWait() const;
   utils::Duration ReadWait(Stream stream) const;
   // Emits the reads and writes that are due.
   void Poll();
@@ -133,6 +157,23 @@
   std::optional<membership::NodeId> reported_source;
   std::optional<utils::Timestamp> reads_failing_since;
   utils::Timestamp configuration_changed_at{};
+  // The latest time at which the register is known to have held no newer configuration; none if
+  // that is unknown, also because the reader runs a build that does not tell.
+  std::optional<utils::Timestamp> confirmed_at;
+  // When a reader of another zone last confirmed it.
+  std::optional<utils::Timestamp> other_zone_confirmed_at;
+  // Updates of the reader since its last confirmation.
+  std::uint32_t updates_without_confirmation = 0;
+  // By how much waits since the last change were shorter than by the number of zones. Later waits
+  // make up for it.
+  utils::Duration saved_wait{};
+  utils::Timestamp next_delay_probe{};
+  utils::Timestamp last_event{};
+  utils::Timestamp delayed_since{};
+  utils::Timestamp delayed_until{};
+  // A subscriber reads the configuration once.
+  bool checking = false;
+  utils::Timestamp next_check{};
   // State that the subscribers were told last.
   struct PushedState {
     document::Version version = 0;
--- a/libs/directory/src/directory_relay.cc
+++ b/libs/directory/src/directory_relay.cc
@@ -14,6 +14,11 @@
 using membership::NodeId;
 using utils::Timestamp;
 
+namespace {
+// More updates of a reader without a confirmation show that its build does not send any.
+constexpr std::uint32_t kMaxUnconfirmedUpdates = 8;
+}  // namespace
+
 void Directory::Impl::Handle(const PeerMessageReceived& event) {
   if (!this->options.share_reads) {
     return;
@@ -55,6 +60,10 @@
       this->ApplyMember(member);
     }
   }
+  if (from == this->selection.Reader() && update.healthy &&
+      ++this->updates_without_confirmation > kMaxUnconfirmedUpdates) {
+    this->confirmed_at.reset();
+  }
   const bool is_complete =
       update.members_until.boot_id != 0 &&
       (update.members_since == 0 || (update.members_until.boot_id == this->members_until.boot_id &&
@@ -101,20 +110,26 @@
 }
 
 void Directory::Impl::NotifyOtherZones() {
+  this->SendToOtherZones(VersionNotice{this->configuration->GetVersion(), this->options.id});
+}
+
+void Directory::Impl::SendToOtherZones(const Message& message) {
   if (!this->options.share_reads) {
     return;
   }
   for (const std::string& zone : this->members.Zones()) {
+    if (zone == this->options.zone) {
+      continue;
+    }
     std::vector<NodeId> candidates;
     for (const Member& member : *this->members.ZoneMembers(zone)) {
-      if (zone != this->options.zone && member.state == membership::MemberState::kReady) {
+      if (member.state == membership::MemberState::kReady) {
         candidates.push_back(member.id);
       }
     }
     if (!candidates.empty()) {
       this->effects.emplace_back(
-          SendToPeer{candidates[this->random.Uniform(candidates.size())],
-                     VersionNotice{this->configuration->GetVersion(), this->options.id}});
+          SendToPeer{candidates[this->random.Uniform(candidates.size())], message});
     }
   }
 }
@@ -132,7 +147,12 @@
   }
   if (change) {
     if (auto next = details::Apply(this->configuration, *change, this->options.service_defaults)) {
+      const bool is_first = this->configuration == nullptr;
       this->ApplyConfiguration(std::move(*next));
+      if (is_first) {
+        // The confirmation that follows may be lost.
+        this->Confirm(this->now - this->options.confirmation_interval);
+      }
       return;
     }
   }
@@ -164,6 +184,7 @@
     return;
   }
   this->TrackFailingReads();
+  this->selection.OnConfirmed(this->confirmed_at);
   this->subscribers.Expire(this->now);
   std::vector<OutgoingMessage> messages;
   this->selection.Poll(this->MakeSituation(), messages);
@@ -243,6 +264,7 @@
   ++this->counters.updates_sent;
   this->effects.emplace_back(
       SendToPeer{to, this->subscribers.MakeUpdate(to, this->IsHealthy(), this->members)});
+  this->SendConfirmation(to);
 }
 
 void Directory::Impl::Announce() {
--- a/libs/directory/src/message_codec.cc
+++ b/libs/directory/src/message_codec.cc
@@ -24,6 +24,7 @@
   kReaderNotice = 3,
   kVersionNotice = 4,
   kConfigurationRequest = 5,
+  kConfirmation = 6,
 };
 
 // Size limits; a message that exceeds one is rejected.
@@ -100,6 +101,11 @@
   out.Number(m.version);
 }
 
+void Write(CborWriter& out, const Confirmation& m) {
+  out.Array(4).Number(static_cast<std::uint64_t>(MessageType::kConfirmation));
+  out.Number(m.version).Number(m.age_ms).Flag(m.forwarded);
+}
+
 Message ReadUpdateRequest(CborReader& in) {
   UpdateRequest m;
   m.version = in.Number();
@@ -137,6 +143,14 @@
 
 Message ReadConfigurationRequest(CborReader& in) { return ConfigurationRequest{in.Number()}; }
 
+Message ReadConfirmation(CborReader& in) {
+  Confirmation m;
+  m.version = in.Number();
+  m.age_ms = in.Number();
+  m.forwarded = in.Flag();
+  return m;
+}
+
 struct Layout {
   // Number of elements of the array, with the type.
   std::size_t size = 0;
@@ -155,6 +169,8 @@
       return Layout{3, &ReadVersionNotice};
     case MessageType::kConfigurationRequest:
       return Layout{2, &ReadConfigurationRequest};
+    case MessageType::kConfirmation:
+      return Layout{4, &ReadConfirmation};
   }
   return std::nullopt;
 }
--- a/libs/directory/src/reader_selection.cc
+++ b/libs/directory/src/reader_selection.cc
@@ -20,6 +20,8 @@
 
 // A node that redirects to a node that redirects further has outdated information.
 constexpr std::uint32_t kMaxRedirects = 3;
+// Candidates that read in place of a reader that fails or is lost. The others wait for one of them.
+constexpr std::size_t kMaxTakeovers = 3;
 
 bool IsCandidate(const Member& member) {
   return member.state == MemberState::kJoining || member.state == MemberState::kReady;
@@ -50,7 +52,7 @@
       this->SendRequest(this->reader, false, situation, out);
     } else if (silence >= timeout) {
       this->LeaveReader(this->options.silent_reader_avoidance, situation, out);
-    } else if (now - this->last_request >= this->RequestInterval(*situation.view)) {
+    } else if (this->IsRequestDue(situation)) {
       this->SendRequest(this->reader, false, situation, out);
     }
     if (this->failover_time && now >= *this->failover_time) {
@@ -61,7 +63,9 @@
   }
   if (this->mode == ReadMode::kReading && !this->trial && now >= this->next_search) {
     this->next_search = now + this->options.reader_search_interval;
-    if (!situation.has_subscribers && !this->IsBest(situation)) {
+    const bool may_yield = !situation.has_subscribers ||
+                           (!situation.has_insistent_subscribers && !situation.reads_fail);
+    if (may_yield && !this->IsBest(situation)) {
       this->StartTrial(this->Candidates(situation).front(), false, 0, situation, out);
     }
   }
@@ -95,6 +99,9 @@
       return;
     }
   }
+  if (!is_reader) {
+    this->subscribed_at = situation.now;
+  }
   this->mode = ReadMode::kSubscribed;
   this->reader = from;
   this->last_update = situation.now;
@@ -102,10 +109,10 @@
     this->failover_time.reset();
   } else if (!this->failover_time) {
     // The candidates try their own reads one after the other, in the order of their rank.
-    const std::vector<NodeId> candidates = this->Candidates(situation);
-    const auto own = std::find(candidates.begin(), candidates.end(), this->options.id);
-    const Duration delay = this->options.failing_reader_step * (1 + (own - candidates.begin()));
-    this->failover_time = situation.now + std::min(delay, this->options.max_failover_delay);
+    const std::size_t rank = this->OwnRank(situation);
+    const Duration delay = this->options.failing_reader_step * static_cast<Duration::rep>(1 + rank);
+    this->failover_time =
+        situation.now + (rank < kMaxTakeovers ? delay : this->options.late_failover_delay + delay);
   }
 }
 
@@ -128,6 +135,12 @@
   if (from_trial && is_announcement) {
     return;
   }
+  const bool serves = this->mode == ReadMode::kReading && situation.has_subscribers;
+  if (from_trial && serves && !this->RanksAbove(notice.reader, this->options.id)) {
+    // Two readers must not yield to each other.
+    this->trial.reset();
+    return;
+  }
   if (from_trial) {
     const std::uint32_t redirects = this->trial->redirects + 1;
     const bool avoided = this->IsAvoided(notice.reader, situation.now);
@@ -149,8 +162,11 @@
     }
     return;
   }
-  const bool has_no_source = this->mode == ReadMode::kDiscovering ||
-                             (this->mode == ReadMode::kSubscribed && this->failover_time);
+  const bool is_unconfirmed =
+      this->confirmed_at && situation.now - *this->confirmed_at > this->options.confirmation_limit;
+  const bool has_no_source =
+      this->mode == ReadMode::kDiscovering ||
+      (this->mode == ReadMode::kSubscribed && (this->failover_time || is_unconfirmed));
   const bool is_better_reader =
       this->mode == ReadMode::kReading && !situation.has_insistent_subscribers &&
       (situation.reads_fail || this->RanksAbove(notice.reader, this->options.id));
@@ -180,6 +196,35 @@
   }
 }
 
+void ReaderSelection::OnUnconfirmed(const Situation& situation) {
+  // The confirmation of a new reader may be on its way.
+  if (this->mode != ReadMode::kSubscribed ||
+      situation.now - this->subscribed_at < this->options.repeated_request_interval) {
+    return;
+  }
+  const std::size_t rank = this->OwnRank(situation);
+  const Duration turn =
+      this->options.takeover_time + this->options.takeover_step * static_cast<Duration::rep>(rank);
+  if (rank >= kMaxTakeovers || situation.now - *this->confirmed_at < turn) {
+    return;
+  }
+  if (!this->reader.empty()) {
+    this->avoided_until[this->reader] = situation.now + this->options.failing_reader_avoidance;
+  }
+  this->trial.reset();
+  this->StartReading();
+}
+
+void ReaderSelection::OnCheckSucceeded(const Situation& situation) {
+  // The register serves this node, but neither the reader nor the best candidates.
+  if (this->mode == ReadMode::kSubscribed && this->failover_time) {
+    const auto rank = static_cast<Duration::rep>(this->OwnRank(situation));
+    const Duration delay =
+        std::min(this->options.checked_failover_step * rank, this->options.max_checked_failover);
+    this->failover_time = std::min(*this->failover_time, situation.now + delay);
+  }
+}
+
 void ReaderSelection::OnReaderStale(const Situation& situation, std::vector<OutgoingMessage>& out) {
   if (this->mode == ReadMode::kSubscribed && !this->trial) {
     this->LeaveReader(this->options.silent_reader_avoidance, situation, out);
@@ -211,8 +256,13 @@
     case ReadMode::kSubscribed:
       break;
   }
-  Timestamp next = std::min(this->last_update + this->SilenceTimeout(view),
-                            this->last_request + this->RequestInterval(view));
+  Timestamp next_request = this->last_request + this->RequestInterval(view);
+  if (this->confirmed_at) {
+    next_request = std::min(next_request,
+                            std::max(this->last_request + this->options.repeated_request_interval,
+                                     *this->confirmed_at + this->options.confirmation_limit));
+  }
+  Timestamp next = std::min(this->last_update + this->SilenceTimeout(view), next_request);
   if (this->failover_time) {
     next = std::min(next, *this->failover_time);
   }
@@ -306,6 +356,21 @@
   return this->options.discovery_time + Duration(static_cast<Duration::rep>(rank * spread));
 }
 
+std::size_t ReaderSelection::OwnRank(const Situation& situation) {
+  std::vector<NodeId> candidates = this->Candidates(situation);
+  std::erase(candidates, this->reader);
+  return static_cast<std::size_t>(
+      std::find(candidates.begin(), candidates.end(), this->options.id) - candidates.begin());
+}
+
+bool ReaderSelection::IsRequestDue(const Situation& situation) const {
+  const Duration elapsed = situation.now - this->last_request;
+  const bool is_unconfirmed =
+      this->confirmed_at && situation.now - *this->confirmed_at >= this->options.confirmation_limit;
+  return elapsed >= this->RequestInterval(*situation.view) ||
+         (is_unconfirmed && elapsed >= this->options.repeated_request_interval);
+}
+
 Duration ReaderSelection::RequestInterval(const membership::MemberView& view) const {
   const auto members = static_cast<Duration::rep>(view.ZoneMembers(this->options.zone)->size());
   return std::clamp(this->options.request_interval_per_member * members,
--- a/libs/directory/src/reader_selection.h
+++ b/libs/directory/src/reader_selection.h
@@ -67,6 +67,14 @@
   void OnInsistentRequest();
   void OnPeerUnreachable(const membership::NodeId& id, const Situation& situation,
                          std::vector<OutgoingMessage>& out);
+  // The register confirmed the configuration at this time; none if that is unknown.
+  void OnConfirmed(std::optional<utils::Timestamp> at) { this->confirmed_at = at; }
+  // The configuration of this subscriber is unconfirmed for so long that its reader seems lost:
+  // reads in place of the reader if this node is one of the best other candidates and its turn has
+  // come.
+  void OnUnconfirmed(const Situation& situation);
+  // A read of this subscriber was answered soon.
+  void OnCheckSucceeded(const Situation& situation);
   // The reader did not deliver a version that other nodes use.
   void OnReaderStale(const Situation& situation, std::vector<OutgoingMessage>& out);
 
@@ -100,6 +108,9 @@
   std::vector<membership::NodeId> Candidates(const Situation& situation);
   bool RanksAbove(const membership::NodeId& left, const membership::NodeId& right) const;
   utils::Duration DiscoveryTime() const;
+  // How many other candidates of the zone precede this node, without its reader.
+  std::size_t OwnRank(const Situation& situation);
+  bool IsRequestDue(const Situation& situation) const;
   utils::Duration RequestInterval(const membership::MemberView& view) const;
   utils::Duration SilenceTimeout(const membership::MemberView& view) const;
 
@@ -107,12 +118,14 @@
   ReadMode mode;
   membership::NodeId reader;
   // Of the reader; valid while there is one.
+  utils::Timestamp subscribed_at{};
   utils::Timestamp last_update{};
   utils::Timestamp last_request{};
+  std::optional<utils::Timestamp> confirmed_at;
   // When to try own reads because those of the reader fail; none while they succeed.
   std::optional<utils::Timestamp> failover_time;
   std::optional<Trial> trial;
-  // When to look for a better reader than this node; only while reading.
+  // When to ask the best candidate whether it reads as well; only while reading.
   utils::Timestamp next_search{};
   std::optional<utils::Timestamp> discovery_deadline;
   std::map<membership::NodeId, utils::Timestamp> avoided_until;
--- a/libs/directory/src/stream_follower.cc
+++ b/libs/directory/src/stream_follower.cc
@@ -26,6 +26,7 @@
   }
   this->read_in_flight = true;
   this->read_start = now;
+  this->read_end = this->next_position ? now + wait : now;
   this->response_deadline = now + wait + this->options.read_response_tolerance;
   return ReadStream{this->stream, this->next_position,
                     this->next_position ? wait : utils::Duration{}};
@@ -94,6 +95,11 @@
   return this->WaitingSince() ? std::optional(this->response_deadline) : std::nullopt;
 }
 
+utils::Timestamp StreamFollower::AnsweredAt(Position next, utils::Timestamp now) const {
+  // A response with changes may have been given at any time of the wait.
+  return !this->next_position || this->next_position == next ? std::min(now, this->read_end) : now;
+}
+
 std::optional<utils::Timestamp> StreamFollower::NextWake() const {
   if (this->read_in_flight) {
     return std::nullopt;
--- a/libs/directory/src/stream_follower.h
+++ b/libs/directory/src/stream_follower.h
@@ -36,6 +36,12 @@
   std::optional<utils::Timestamp> WaitingSince() const;
   // When the response of the read that waits for changes is overdue; none without such a read.
   std::optional<utils::Timestamp> ResponseDeadline() const;
+  // The time at which the register held no more than a successful response that arrives `now` and
+  // ends at `next`.
+  utils::Timestamp AnsweredAt(Position next, utils::Timestamp now) const;
+  // When the register ends the read in flight if nothing changes.
+  utils::Timestamp ReadEnd() const { return this->read_end; }
+  utils::Timestamp ReadStart() const { return this->read_start; }
   // When the next read is due; none while a read is in flight.
   std::optional<utils::Timestamp> NextWake() const;
   // Whether at least one listing has succeeded.
@@ -55,6 +61,7 @@
   bool read_in_flight = false;
   // Start of the latest read.
   utils::Timestamp read_start{};
+  utils::Timestamp read_end{};
   utils::Timestamp response_deadline{};
   std::uint32_t consecutive_failures = 0;
   utils::Timestamp next_read_time{};
--- a/libs/directory/tests/shared_reads_mesh.h
+++ b/libs/directory/tests/shared_reads_mesh.h
@@ -128,6 +128,8 @@
   bool DropsMessage(std::size_t from, std::size_t to) const;
   // Time until the register has handled a call that is made now.
   utils::Duration CallDelay();
+  // By how much a slow register delays the answers to waiting reads.
+  utils::Duration ExtraAnswerTime() const;
   std::optional<std::size_t> FindNode(const std::string& id) const;
 
   utils::Random random;
