--- a/libs/directory/include/amaranthlatch/directory/directory.h
+++ b/libs/directory/include/amaranthlatch/directory/directory.h
@@ -32,6 +32,8 @@
   // Notices of new versions sent to other zones, and received.
   std::uint64_t notices_sent = 0;
   std::uint64_t notices_received = 0;
+  // Reads of the configuration by subscribers whose configuration was not confirmed in time.
+  std::uint64_t checks = 0;
   // Listings requested; each reads the newest record of every key.
   std::uint64_t listings = 0;
   std::uint64_t writes = 0;
@@ -65,7 +67,7 @@
   document::Version version = 0;
   // When it came into force here.
   utils::Timestamp in_force_since{};
-  // When the register, or a reader whose reads succeed, was last heard; none before the first time.
+  // The latest time at which the register is known to have held no newer one; none if unknown.
   std::optional<utils::Timestamp> confirmed_at;
   bool operator==(const ConfigurationStatus&) const = default;
 };
--- a/libs/directory/src/directory_relay.cc
+++ b/libs/directory/src/directory_relay.cc
@@ -14,6 +14,11 @@
 using membership::NodeId;
 using utils::Timestamp;
 
+namespace {
+// More updates of a reader without a confirmation show that its build does not send any.
+constexpr std::uint32_t kMaxUnconfirmedUpdates = 8;
+}  // namespace
+
 void Directory::Impl::Handle(const PeerMessageReceived& event) {
   if (!this->options.share_reads) {
     return;
@@ -55,6 +60,10 @@
       this->ApplyMember(member);
     }
   }
+  if (from == this->selection.Reader() && update.healthy &&
+      ++this->updates_without_confirmation > kMaxUnconfirmedUpdates) {
+    this->confirmed_at.reset();
+  }
   const bool is_complete =
       update.members_until.boot_id != 0 &&
       (update.members_since == 0 || (update.members_until.boot_id == this->members_until.boot_id &&
@@ -66,9 +75,6 @@
   this->selection.OnUpdate(from, update.healthy, this->MakeSituation());
   if (this->selection.Mode() == ReadMode::kSubscribed && this->selection.Reader() == from) {
     this->members_until = update.members_until;
-    if (update.healthy) {
-      this->configuration_confirmed_at = this->now;
-    }
   }
 }
 
@@ -105,21 +111,27 @@
 }
 
 void Directory::Impl::NotifyOtherZones() {
+  this->SendToOtherZones(VersionNotice{this->configuration->GetVersion(), this->options.id});
+}
+
+void Directory::Impl::SendToOtherZones(const Message& message) {
   if (!this->options.share_reads) {
     return;
   }
   for (const std::string& zone : this->members.Zones()) {
+    if (zone == this->options.zone) {
+      continue;
+    }
     std::vector<NodeId> candidates;
     for (const Member& member : *this->members.ZoneMembers(zone)) {
-      if (zone != this->options.zone && member.state == membership::MemberState::kReady) {
+      if (member.state == membership::MemberState::kReady) {
         candidates.push_back(member.id);
       }
     }
     if (!candidates.empty()) {
-      ++this->counters.notices_sent;
+      this->counters.notices_sent += std::holds_alternative<VersionNotice>(message) ? 1 : 0;
       this->effects.emplace_back(
-          SendToPeer{candidates[this->random.Uniform(candidates.size())],
-                     VersionNotice{this->configuration->GetVersion(), this->options.id}});
+          SendToPeer{candidates[this->random.Uniform(candidates.size())], message});
     }
   }
 }
@@ -137,7 +149,12 @@
   }
   if (change) {
     if (auto next = details::Apply(this->configuration, *change, this->options.service_defaults)) {
+      const bool is_first = this->configuration == nullptr;
       this->ApplyConfiguration(std::move(*next));
+      if (is_first) {
+        // The confirmation that follows may be lost.
+        this->Confirm(this->now - this->options.confirmation_interval);
+      }
       return;
     }
   }
@@ -169,6 +186,7 @@
     return;
   }
   this->TrackFailingReads();
+  this->selection.OnConfirmed(this->confirmed_at);
   this->subscribers.Expire(this->now);
   std::vector<OutgoingMessage> messages;
   this->selection.Poll(this->MakeSituation(), messages);
@@ -248,6 +266,7 @@
   ++this->counters.updates_sent;
   this->effects.emplace_back(
       SendToPeer{to, this->subscribers.MakeUpdate(to, this->IsHealthy(), this->members)});
+  this->SendConfirmation(to);
 }
 
 void Directory::Impl::Announce() {
--- a/libs/runtime/src/node_metrics.cc
+++ b/libs/runtime/src/node_metrics.cc
@@ -129,6 +129,7 @@
   text.Counter("register_reads_abandoned_total", directory.reads_abandoned);
   text.Counter("register_reads_overdue_total", directory.reads_overdue);
   text.Counter("register_configuration_requests_total", directory.configuration_requests);
+  text.Counter("register_checks_total", directory.checks);
   text.Counter("register_notices_sent_total", directory.notices_sent);
   text.Counter("register_notices_received_total", directory.notices_received);
   text.Counter("configurations_in_force_total", directory.configurations_activated);
--- a/libs/runtime/src/register_metrics.h
+++ b/libs/runtime/src/register_metrics.h
@@ -30,7 +30,7 @@
   bool ready = false;
   // Of the configuration in force; 0 for none.
   std::uint64_t version = 0;
-  // Since the register, or a reader whose reads succeed, was last heard; none before that.
+  // Since the register is known to have held nothing newer; none if unknown.
   std::optional<utils::Duration> configuration_confirmed_age;
   // Exchanges with the backend server.
   HttpClientCounters backend_client;
--- a/libs/runtime/src/traffic.cc
+++ b/libs/runtime/src/traffic.cc
@@ -54,6 +54,7 @@
     {"reader-notice", false, false},
     {"version-notice", false, false},
     {"configuration-request", false, false},
+    {"confirmation", false, false},
 }};
 
 MessageKind Find(const membership::Message& message) { return kMembership.at(message.index()); }
