Ask again for a configuration whose update lacks its base

Cause: the reader takes a pushed update for delivered. If it is lost, the next one changes a version that the subscriber does not have; that one counted as a sign of life and nothing was asked. Class: progress inferred from activity. Change: an update whose base is another version is answered with a request for the change from the version in force. An update that cannot be read is not, so that two nodes cannot send each other damaged ones.

--- a/libs/directory/src/directory_impl.h
+++ b/libs/directory/src/directory_impl.h
@@ -55,7 +55,7 @@
   // Returns false if the configuration in force is not older.
   bool ApplyConfiguration(MeshConfiguration::Pointer read);
   // Applies the changes that a reader passed on.
-  void ApplyConfigurationChange(const Update& update);
+  void ApplyConfigurationChange(const membership::NodeId& from, const Update& update);
   // Applies the record that the register holds for this node.
   void ApplyOwnRecord(const membership::Member& stored);
   // Applies a record of this or another node.
--- a/libs/directory/src/directory_relay.cc
+++ b/libs/directory/src/directory_relay.cc
@@ -52,7 +52,7 @@
 
 void Directory::Impl::HandleMessage(const NodeId& from, const Update& update) {
   ++this->counters.updates_received;
-  this->ApplyConfigurationChange(update);
+  this->ApplyConfigurationChange(from, update);
   for (const Member& member : update.members) {
     if (member.id == this->options.id) {
       this->ApplyOwnRecord(member);
@@ -136,7 +136,7 @@
   }
 }
 
-void Directory::Impl::ApplyConfigurationChange(const Update& update) {
+void Directory::Impl::ApplyConfigurationChange(const NodeId& from, const Update& update) {
   if (update.configuration.empty()) {
     return;
   }
@@ -158,8 +158,14 @@
       return;
     }
   }
-  // The next request tells the reader the version that is in force here.
   ++this->counters.updates_unusable;
+  // An earlier update was lost, and the sender takes it for delivered.
+  const bool lacks_base =
+      change && this->configuration != nullptr && change->base != this->configuration->GetVersion();
+  if (lacks_base) {
+    this->effects.emplace_back(
+        SendToPeer{from, ConfigurationRequest{this->configuration->GetVersion()}});
+  }
 }
 
 details::ReaderSelection::Situation Directory::Impl::MakeSituation() const {
--- a/libs/directory/tests/shared_reads_test.cc
+++ b/libs/directory/tests/shared_reads_test.cc
@@ -305,6 +305,21 @@
   CHECK_TRUE(subscribed(0));
 }
 
+// Guards against a subscriber that waits for further updates after one that it cannot apply: the
+// sender takes each of them for delivered.
+TEST(SharedReads, UpdateWithoutItsBaseIsAskedForAgain) {
+  this->mesh.Run(Seconds(10));
+  const std::size_t reader_index = this->ReaderOfFirstZone();
+  const std::string reader = this->mesh.At(reader_index).options.id;
+  Directory& subscriber = *this->mesh.At(reader_index == 0 ? 1 : 0).directory;
+  const auto change =
+      details::EncodeChange(details::Difference(MakeConfiguration(8), *MakeConfiguration(9)));
+  const Update update{true, 9, change, 0, {5, 9}, {}};
+  const auto effects = subscriber.Reduce(PeerMessageReceived{reader, update}, this->mesh.Now());
+  const Effect request = SendToPeer{reader, ConfigurationRequest{1}};
+  CHECK_TRUE(std::find(effects.begin(), effects.end(), request) != effects.end());
+}
+
 // Guards against versions that decrease, nodes that stay behind, and unbounded reads, under random
 // kills, suspensions, cuts and outages. SHARED_READS_SEED and SHARED_READS_RUNS choose others.
 TEST(SharedReads, RandomFaultsEndInAgreement) {
