List the register over a new connection

Seen: after the bound on the time without confirmation, silent_reader_test still had versions 2.6 to 3.6 s late (bound 2.5 s), 5, 1, 0, 0 and 4 of them in five runs. Change: the first request of a listing opens a connection of its own. Listings are rare: at the start, after a failed or truncated read, and as checks.

--- a/libs/runtime/include/amaranthlatch/runtime/http_client.h
+++ b/libs/runtime/include/amaranthlatch/runtime/http_client.h
@@ -27,6 +27,8 @@
   // A repeatable exchange ends as soon as its connection is found silent. Any other one is waited
   // for until the time limit, because its answer may still come and nobody may run it again.
   bool repeatable = false;
+  // Whether to open a connection for this exchange: a kept one may have gone silent since its use.
+  bool needs_new_connection = false;
   // What silences a connection of this address silences others: if the exchange ends without a byte
   // of its answer, the next ones do not use connections that were open at that time.
   bool silence_is_shared = false;
--- a/libs/runtime/src/curl_http_client.cc
+++ b/libs/runtime/src/curl_http_client.cc
@@ -78,7 +78,7 @@
     if (!started.echo_name.empty() && this->echo_values.Add(started.echo_value)) {
       entry->transfer.RequireNewConnection();
     }
-    if (this->MayBeSilent(started)) {
+    if (started.needs_new_connection || this->MayBeSilent(started)) {
       entry->transfer.RequireNewConnection();
     }
     if (!this->multi.Add(easy)) {
