--- a/libs/runtime/tests/memory_limit_test.cc
+++ b/libs/runtime/tests/memory_limit_test.cc
@@ -137,12 +137,16 @@
   options.address = "127.0.0.1:0";
   options.max_buffered_bytes = 20'000'000;
   server = *RestinioServer::Create(context, options, recorder);
+  std::string body;
+  while (body.size() < 12'000'000) {
+    body.append(100'000, 'x');
+  }
   std::vector<std::unique_ptr<RawCaller>> slow;
   for (std::size_t i = 0; i < 4; ++i) {
     slow.push_back(std::make_unique<RawCaller>(context, server->Port()));
     slow.back()->Write(Head(0));
     CHECK_TRUE(RunUntil(context, [&] { return recorder.ids.size() == i + 1; }));
-    server->Respond(recorder.ids[i], ServerResponse{{200, {}, std::string(12'000'000, 'x')}});
+    server->Respond(recorder.ids[i], ServerResponse{{200, {}, body}});
   }
   RunFor(context, std::chrono::milliseconds(20));
   RawCaller small(context, server->Port());
