--- a/libs/runtime/tests/answer_framing_test.cc
+++ b/libs/runtime/tests/answer_framing_test.cc
@@ -69,7 +69,7 @@
   }
 };
 
-constexpr const char* kHead = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nResponse-Stamp: s\r\n";
+constexpr const char* kHead = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nX-Mark: s\r\n";
 
 // Guards against a success that is shorter than the server's body because two statements of its
 // length contradict each other and the shorter one was taken.
@@ -121,9 +121,9 @@
 TEST(AnswerFramingTest, HeadContinuedByAnotherAnswerIsNotComplete) {
   const std::string head = std::string(kHead) + "Content-Length: 12\r\n\r\n";
   const std::vector<std::string> others = {
-      "HTTP/1.1 503 Full\r\nRequest-Id: 0\r\nNot-Executed: true\r\nContent-Length: 0\r\n\r\n",
-      "HTTP/1.1 200 OK\r\nRequest-Id: 0\r\nResponse-Stamp: t\r\nContent-Length: 5\r\n\r\nother",
-      "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nResponse-Stamp: s\r\n\r\nother",
+      "HTTP/1.1 503 Full\r\nRequest-Id: 0\r\nX-Refused: true\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nRequest-Id: 0\r\nX-Mark: t\r\nContent-Length: 5\r\n\r\nother",
+      "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nX-Mark: s\r\n\r\nother",
   };
   for (const std::string& other : others) {
     for (std::size_t sent = 1; sent < head.size(); ++sent) {
