Let a server that is closed release its open requests

Cause: an open request keeps its connection, which keeps the server's state as its listener; the state keeps the request. Tests that end with unanswered requests came with the memory limits. Only the end of a server is concerned, not a running node. Change: closing drops the open requests and connections.

--- a/libs/runtime/src/restinio_server.cc
+++ b/libs/runtime/src/restinio_server.cc
@@ -182,6 +182,9 @@
   // RESTinio's connections live on with the io_context; they find no server any more.
   void Close() {
     this->closed = true;
+    // An open request keeps its connection, which keeps this object as its listener.
+    this->requests.clear();
+    this->connections.clear();
     this->server.reset();
   }
 
