--- a/libs/runtime/src/register_host.cc
+++ b/libs/runtime/src/register_host.cc
@@ -39,7 +39,7 @@
 constexpr std::size_t kMaxControlBodyBytes = 65536;
 // An attempt on a link that cannot be made is given up early enough to be made elsewhere.
 constexpr utils::Duration kDialLimit = utils::Milliseconds(300);
-// Silent after four of these intervals.
+// Between probes of a link; nng_transport.h tells after how many it is made anew.
 constexpr utils::Duration kKeepAliveInterval = utils::Milliseconds(250);
 // A backend server may think for as long as its request's deadline allows: only the network shows
 // that a connection is silent, by bytes that nobody acknowledges.
