Add result codes for keys, quotas, links and held versions

Cause: the parts of docs/design/traffic-management.md refuse calls for reasons that no code names. Nothing sets them yet. Result: no behaviour changes.

--- a/libs/calls/include/amaranthlatch/calls/request.h
+++ b/libs/calls/include/amaranthlatch/calls/request.h
@@ -62,6 +62,9 @@
   // Set on answers that were already retried further downstream; the entry node passes them on
   // without a retry.
   bool no_retry = false;
+  // When a caller should send a refused request again; unset to derive it from the code. Not sent
+  // between nodes.
+  std::optional<utils::Duration> retry_after;
 
   bool operator==(const Answer&) const = default;
 };
--- a/libs/utils/include/amaranthlatch/utils/error_code.h
+++ b/libs/utils/include/amaranthlatch/utils/error_code.h
@@ -77,6 +77,10 @@
   kBackendServerCrashed = 5023,
   kFenced = 5024,
   kBackendShed = 5025,
+  kKeyUnknown = 5026,
+  kQuotaExceeded = 5027,
+  kLinkBusy = 5028,
+  kVersionHeld = 5029,
 
   // 6xxx: settings and command line.
   kSettingsUnreadable = 6001,
