--- a/libs/calls/include/amaranthlatch/calls/effect.h
+++ b/libs/calls/include/amaranthlatch/calls/effect.h
@@ -37,6 +37,8 @@
 // Sends a request to this node's backend server, at most once on the wire.
 struct RunOnBackendServer {
   std::uint64_t run = 0;
+  // Service and name of the route, for counts by route.
+  std::string route;
   HttpRequest request;
   utils::Duration remaining{};
   bool idempotent = false;
--- a/libs/calls/src/gate.cc
+++ b/libs/calls/src/gate.cc
@@ -258,9 +258,9 @@
   this->runs.emplace(run_id, std::move(run));
   this->run_by_key.emplace(call.key, run_id);
   this->run_deadlines.emplace(call.deadline, run_id);
-  context.effects.emplace_back(
-      RunOnBackendServer{run_id, std::move(call.request.request), call.deadline - context.now,
-                         call.request.idempotent, call.request.max_response_bytes});
+  context.effects.emplace_back(RunOnBackendServer{
+      run_id, std::move(call.request.route), std::move(call.request.request),
+      call.deadline - context.now, call.request.idempotent, call.request.max_response_bytes});
 }
 
 void Gate::UpdateSlots(const Context& context) {
--- a/libs/directory/include/amaranthlatch/directory/effect.h
+++ b/libs/directory/include/amaranthlatch/directory/effect.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <variant>
+#include <vector>
 
 #include "amaranthlatch/directory/event.h"
 #include "amaranthlatch/utils/time.h"
@@ -41,6 +42,13 @@
   bool operator==(const MemberChanged&) const = default;
 };
 
+// An order came into force, or the register was first found to hold none. `orders` are all orders
+// in force.
+struct RolloutOrdersChanged {
+  std::vector<RolloutOrder> orders;
+  bool operator==(const RolloutOrdersChanged&) const = default;
+};
+
 // Reads of a stream started to fail or succeed again. `error` is set if `reachable` is false.
 struct RegisterReachabilityChanged {
   Stream stream = Stream::kConfiguration;
@@ -80,6 +88,6 @@
 
 using Effect = std::variant<ReadStream, WriteMember, ConfigurationActivated, MemberChanged,
                             RegisterReachabilityChanged, SendToPeer, ReadSourceChanged,
-                            EarlierWithdrawalFound, ConfigurationOutdated>;
+                            EarlierWithdrawalFound, ConfigurationOutdated, RolloutOrdersChanged>;
 
 }  // namespace amaranthlatch::directory
--- a/libs/directory/include/amaranthlatch/directory/event.h
+++ b/libs/directory/include/amaranthlatch/directory/event.h
@@ -11,6 +11,7 @@
 
 #include "amaranthlatch/directory/mesh_configuration.h"
 #include "amaranthlatch/directory/message.h"
+#include "amaranthlatch/directory/rollout_order.h"
 #include "amaranthlatch/directory/withdrawal.h"
 #include "amaranthlatch/membership/member.h"
 #include "amaranthlatch/utils/result.h"
@@ -39,6 +40,8 @@
   MeshConfiguration::Pointer configuration;
   // For kMembers: the member records read, those of one member in stream order.
   std::vector<membership::Member> members;
+  // For kConfiguration: the rollout orders read, in stream order.
+  std::vector<RolloutOrder> orders;
   bool operator==(const StreamReadSucceeded&) const = default;
 };
 
@@ -63,6 +66,8 @@
   std::map<std::string, std::string> labels;
   // Number of requests that the backend server runs concurrently.
   std::uint32_t slots = 0;
+  // How much longer it is slow after its start.
+  utils::Duration cold_left{};
   bool operator==(const BackendServerReady&) const = default;
 };
 
--- a/libs/directory/include/amaranthlatch/directory/message.h
+++ b/libs/directory/include/amaranthlatch/directory/message.h
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "amaranthlatch/directory/rollout_order.h"
 #include "amaranthlatch/document/service_document.h"
 #include "amaranthlatch/membership/member.h"
 
@@ -30,6 +31,8 @@
   ChangeNumber members;
   // The subscriber found no other reader: a receiver that does not read must start to.
   bool insist = false;
+  // The rollout orders below this position are known to the subscriber.
+  std::uint64_t orders_end = 0;
   bool operator==(const UpdateRequest&) const = default;
 };
 
@@ -49,6 +52,8 @@
   // about others.
   ChangeNumber members_until;
   std::vector<membership::Member> members;
+  // Rollout orders that the receiver lacks.
+  std::vector<RolloutOrder> orders;
   bool operator==(const Update&) const = default;
 };
 
--- a/libs/directory/src/directory.cc
+++ b/libs/directory/src/directory.cc
@@ -30,6 +30,7 @@
     this->NotifyOtherZones();
   }
   if (event.stream == Stream::kConfiguration) {
+    this->ApplyOrders(event.orders);
     this->HandleConfirmingRead(event, answered_at);
   }
   const Member* own_record = nullptr;
@@ -132,6 +133,17 @@
   return true;
 }
 
+void Directory::Impl::ApplyOrders(const std::vector<RolloutOrder>& next) {
+  bool changed = !this->orders_known;
+  this->orders_known = true;
+  for (const RolloutOrder& order : next) {
+    changed = this->orders.Apply(order) || changed;
+  }
+  if (changed) {
+    this->effects.emplace_back(RolloutOrdersChanged{this->orders.Since(0)});
+  }
+}
+
 void Directory::Impl::ApplyOwnRecord(const Member& stored) {
   if (const auto withdrawal = this->own_entry.OnRecordRead(stored)) {
     this->effects.emplace_back(EarlierWithdrawalFound{*withdrawal});
@@ -149,7 +161,7 @@
   ++this->counters.members_stale;
   if (*this->members.Find(member.id) != member && this->subscribers.Contains(member.id)) {
     // The register holds an outdated record, which its node must replace.
-    this->effects.emplace_back(SendToPeer{member.id, Update{true, 0, {}, 0, {}, {member}}});
+    this->effects.emplace_back(SendToPeer{member.id, Update{true, 0, {}, 0, {}, {member}, {}}});
   }
 }
 
--- a/libs/directory/src/directory_impl.h
+++ b/libs/directory/src/directory_impl.h
@@ -11,6 +11,7 @@
 #include "amaranthlatch/membership/member_table.h"
 #include "own_entry.h"
 #include "reader_selection.h"
+#include "rollout_orders.h"
 #include "stream_follower.h"
 #include "subscribers.h"
 
@@ -56,6 +57,9 @@
   bool ApplyConfiguration(MeshConfiguration::Pointer read);
   // Applies the changes that a reader passed on.
   void ApplyConfigurationChange(const membership::NodeId& from, const Update& update);
+  // Applies rollout orders that were read or passed on; the first time also reports that there are
+  // none.
+  void ApplyOrders(const std::vector<RolloutOrder>& next);
   // Applies the record that the register holds for this node.
   void ApplyOwnRecord(const membership::Member& stored);
   // Applies a record of this or another node.
@@ -141,6 +145,8 @@
   membership::details::MemberTable members;
   std::array<details::StreamFollower, kStreamCount> followers;
   MeshConfiguration::Pointer configuration;
+  details::RolloutOrders orders;
+  bool orders_known = false;
   // A version above the one in force that another node uses, and the time since which it is
   // awaited.
   struct NewerVersion {
@@ -179,6 +185,7 @@
     document::Version version = 0;
     std::uint64_t last_change = 0;
     bool healthy = false;
+    std::uint64_t orders_end = 0;
     bool operator==(const PushedState&) const = default;
   };
   PushedState pushed;
--- a/libs/directory/src/directory_relay.cc
+++ b/libs/directory/src/directory_relay.cc
@@ -53,6 +53,9 @@
 void Directory::Impl::HandleMessage(const NodeId& from, const Update& update) {
   ++this->counters.updates_received;
   this->ApplyConfigurationChange(from, update);
+  if (update.members_until.boot_id != 0) {
+    this->ApplyOrders(update.orders);
+  }
   for (const Member& member : update.members) {
     if (member.id == this->options.id) {
       this->ApplyOwnRecord(member);
@@ -178,6 +181,7 @@
   situation.request.version =
       this->configuration == nullptr ? 0 : this->configuration->GetVersion();
   situation.request.members = this->members_until;
+  situation.request.orders_end = this->orders.End();
   return situation;
 }
 
@@ -258,7 +262,7 @@
     return;
   }
   const PushedState state{this->configuration == nullptr ? 0 : this->configuration->GetVersion(),
-                          this->subscribers.LastChange(), this->IsHealthy()};
+                          this->subscribers.LastChange(), this->IsHealthy(), this->orders.End()};
   if (state == this->pushed) {
     return;
   }
@@ -270,8 +274,8 @@
 
 void Directory::Impl::SendUpdate(const NodeId& to) {
   ++this->counters.updates_sent;
-  this->effects.emplace_back(
-      SendToPeer{to, this->subscribers.MakeUpdate(to, this->IsHealthy(), this->members)});
+  this->effects.emplace_back(SendToPeer{
+      to, this->subscribers.MakeUpdate(to, this->IsHealthy(), this->members, this->orders)});
   this->SendConfirmation(to);
 }
 
--- a/libs/directory/src/message_codec.cc
+++ b/libs/directory/src/message_codec.cc
@@ -33,7 +33,14 @@
 constexpr std::size_t kMaxMembers = 100'000;
 constexpr std::size_t kMaxChangeBytes = std::size_t{16} * 1024 * 1024;
 
+constexpr std::size_t kMaxOrders = 10'000;
+constexpr std::uint64_t kMaxTimeUs = 1ULL << 52U;
+
 constexpr std::size_t kMemberFields = 10;
+constexpr std::size_t kOrderFields = 4;
+// Without the orders.
+constexpr std::size_t kUpdateRequestFields = 5;
+constexpr std::size_t kUpdateFields = 8;
 
 void Write(CborWriter& out, const Member& member) {
   out.Array(kMemberFields).Text(member.id).Text(member.region).Text(member.zone);
@@ -70,13 +77,35 @@
   return member;
 }
 
+void Write(CborWriter& out, const RolloutOrder& order) {
+  out.Array(kOrderFields).Text(order.service).Text(order.target_version);
+  out.Number(static_cast<std::uint64_t>(order.duration.count())).Number(order.position);
+}
+
+RolloutOrder ReadOrder(CborReader& in) {
+  RolloutOrder order;
+  in.ExpectArray(kOrderFields);
+  order.service = std::string(in.Text(kMaxNameBytes));
+  order.target_version = std::string(in.Text(kMaxNameBytes));
+  order.duration = utils::Duration(static_cast<std::int64_t>(in.Number(kMaxTimeUs)));
+  order.position = in.Number();
+  return order;
+}
+
 void Write(CborWriter& out, const UpdateRequest& m) {
-  out.Array(5).Number(static_cast<std::uint64_t>(MessageType::kUpdateRequest)).Number(m.version);
+  // Fields that no rollout needs are left out, so that earlier builds read the message.
+  const bool has_orders = m.orders_end != 0;
+  out.Array(has_orders ? kUpdateRequestFields + 1 : kUpdateRequestFields);
+  out.Number(static_cast<std::uint64_t>(MessageType::kUpdateRequest)).Number(m.version);
   out.Number(m.members.boot_id).Number(m.members.sequence).Flag(m.insist);
+  if (has_orders) {
+    out.Number(m.orders_end);
+  }
 }
 
 void Write(CborWriter& out, const Update& m) {
-  out.Array(8).Number(static_cast<std::uint64_t>(MessageType::kUpdate)).Flag(m.healthy);
+  out.Array(m.orders.empty() ? kUpdateFields : kUpdateFields + 1);
+  out.Number(static_cast<std::uint64_t>(MessageType::kUpdate)).Flag(m.healthy);
   out.Number(m.version).Bytes(m.configuration);
   out.Number(m.members_since)
       .Number(m.members_until.boot_id)
@@ -85,6 +114,12 @@
   for (const Member& member : m.members) {
     Write(out, member);
   }
+  if (!m.orders.empty()) {
+    out.Array(m.orders.size());
+    for (const RolloutOrder& order : m.orders) {
+      Write(out, order);
+    }
+  }
 }
 
 void Write(CborWriter& out, const ReaderNotice& m) {
@@ -106,16 +141,17 @@
   out.Number(m.version).Number(m.age_ms).Flag(m.forwarded);
 }
 
-Message ReadUpdateRequest(CborReader& in) {
+Message ReadUpdateRequest(CborReader& in, std::size_t size) {
   UpdateRequest m;
   m.version = in.Number();
   m.members.boot_id = in.Number();
   m.members.sequence = in.Number();
   m.insist = in.Flag();
+  m.orders_end = size > kUpdateRequestFields ? in.Number() : 0;
   return m;
 }
 
-Message ReadUpdate(CborReader& in) {
+Message ReadUpdate(CborReader& in, std::size_t size) {
   Update m;
   m.healthy = in.Flag();
   m.version = in.Number();
@@ -127,23 +163,29 @@
   for (std::size_t i = 0; i < members && !in.Error(); ++i) {
     m.members.push_back(ReadMember(in));
   }
+  const std::size_t orders = size > kUpdateFields ? in.ArraySize(kMaxOrders) : 0;
+  for (std::size_t i = 0; i < orders && !in.Error(); ++i) {
+    m.orders.push_back(ReadOrder(in));
+  }
   return m;
 }
 
-Message ReadReaderNotice(CborReader& in) {
+Message ReadReaderNotice(CborReader& in, std::size_t /*size*/) {
   return ReaderNotice{std::string(in.Text(kMaxNameBytes))};
 }
 
-Message ReadVersionNotice(CborReader& in) {
+Message ReadVersionNotice(CborReader& in, std::size_t /*size*/) {
   VersionNotice m;
   m.version = in.Number();
   m.node = std::string(in.Text(kMaxNameBytes));
   return m;
 }
 
-Message ReadConfigurationRequest(CborReader& in) { return ConfigurationRequest{in.Number()}; }
+Message ReadConfigurationRequest(CborReader& in, std::size_t /*size*/) {
+  return ConfigurationRequest{in.Number()};
+}
 
-Message ReadConfirmation(CborReader& in) {
+Message ReadConfirmation(CborReader& in, std::size_t /*size*/) {
   Confirmation m;
   m.version = in.Number();
   m.age_ms = in.Number();
@@ -152,25 +194,26 @@
 }
 
 struct Layout {
-  // Number of elements of the array, with the type.
-  std::size_t size = 0;
-  Message (*read)(CborReader&) = nullptr;
+  // Smallest and largest number of elements of the array, with the type.
+  std::size_t min_size = 0;
+  std::size_t max_size = 0;
+  Message (*read)(CborReader&, std::size_t size) = nullptr;
 };
 
 std::optional<Layout> LayoutOf(std::uint64_t type) {
   switch (static_cast<MessageType>(type)) {
     case MessageType::kUpdateRequest:
-      return Layout{5, &ReadUpdateRequest};
+      return Layout{kUpdateRequestFields, kUpdateRequestFields + 1, &ReadUpdateRequest};
     case MessageType::kUpdate:
-      return Layout{8, &ReadUpdate};
+      return Layout{kUpdateFields, kUpdateFields + 1, &ReadUpdate};
     case MessageType::kReaderNotice:
-      return Layout{2, &ReadReaderNotice};
+      return Layout{2, 2, &ReadReaderNotice};
     case MessageType::kVersionNotice:
-      return Layout{3, &ReadVersionNotice};
+      return Layout{3, 3, &ReadVersionNotice};
     case MessageType::kConfigurationRequest:
-      return Layout{2, &ReadConfigurationRequest};
+      return Layout{2, 2, &ReadConfigurationRequest};
     case MessageType::kConfirmation:
-      return Layout{4, &ReadConfirmation};
+      return Layout{4, 4, &ReadConfirmation};
   }
   return std::nullopt;
 }
@@ -192,10 +235,10 @@
   CborReader in(bytes);
   const std::size_t size = in.ArraySize(kMaxFields);
   const auto layout = LayoutOf(in.Number(UINT8_MAX));
-  if (in.Error() || !layout || layout->size != size) {
+  if (in.Error() || !layout || size < layout->min_size || size > layout->max_size) {
     return fail(ErrorCode::kMessageMalformed);
   }
-  Message message = layout->read(in);
+  Message message = layout->read(in, size);
   if (in.Error()) {
     return fail(*in.Error());
   }
--- a/libs/directory/src/subscribers.cc
+++ b/libs/directory/src/subscribers.cc
@@ -26,6 +26,7 @@
   }
   subscriber.version = request.version;
   subscriber.members = request.members;
+  subscriber.orders_end = request.orders_end;
 }
 
 void Subscribers::OnMemberChanged(const membership::NodeId& id) {
@@ -82,7 +83,7 @@
 }
 
 Update Subscribers::MakeUpdate(const membership::NodeId& id, bool healthy,
-                               const membership::MemberView& view) {
+                               const membership::MemberView& view, const RolloutOrders& orders) {
   Subscriber& subscriber = this->subscribers.at(id);
   Update update;
   update.healthy = healthy;
@@ -105,6 +106,8 @@
   update.members_since = known;
   update.members_until = {this->boot_id, this->last_change};
   subscriber.members = update.members_until;
+  update.orders = orders.Since(subscriber.orders_end);
+  subscriber.orders_end = orders.End();
   return update;
 }
 
--- a/libs/directory/src/subscribers.h
+++ b/libs/directory/src/subscribers.h
@@ -14,6 +14,7 @@
 #include "amaranthlatch/directory/message.h"
 #include "amaranthlatch/membership/member_view.h"
 #include "amaranthlatch/utils/time.h"
+#include "rollout_orders.h"
 
 namespace amaranthlatch::directory::details {
 
@@ -43,7 +44,8 @@
 
   // Returns what the subscriber lacks and takes it for delivered; the next request of the
   // subscriber corrects that.
-  Update MakeUpdate(const membership::NodeId& id, bool healthy, const membership::MemberView& view);
+  Update MakeUpdate(const membership::NodeId& id, bool healthy, const membership::MemberView& view,
+                    const RolloutOrders& orders);
   // Returns an update with the configuration in force, which is newer than `base`, and no members.
   Update MakeConfigurationUpdate(document::Version base);
 
@@ -53,6 +55,7 @@
     utils::Timestamp insistent_until{};
     document::Version version = 0;
     ChangeNumber members;
+    std::uint64_t orders_end = 0;
   };
 
   // Returns the encoded change from `base` to the configuration in force.
--- a/libs/directory/tests/directory_test.cc
+++ b/libs/directory/tests/directory_test.cc
@@ -99,11 +99,11 @@
   }
   void DispatchConfiguration(document::Version version, Position next) {
     this->Dispatch(
-        StreamReadSucceeded{Stream::kConfiguration, next, MakeConfiguration(version), {}});
+        StreamReadSucceeded{Stream::kConfiguration, next, MakeConfiguration(version), {}, {}});
   }
   void StartWithoutMembers() {
     this->Dispatch(WakeUp{});
-    this->Dispatch(StreamReadSucceeded{Stream::kMembers, 0, nullptr, {}});
+    this->Dispatch(StreamReadSucceeded{Stream::kMembers, 0, nullptr, {}, {}});
   }
 };
 
@@ -253,7 +253,7 @@
   this->DispatchConfiguration(9, 1);
   CHECK_FALSE(this->TakeLast<WriteMember>().has_value());
   Member predecessor = MakeMember("10.0.0.1:1", 41, MemberState::kReady);
-  this->Dispatch(StreamReadSucceeded{Stream::kMembers, 1, nullptr, {predecessor}});
+  this->Dispatch(StreamReadSucceeded{Stream::kMembers, 1, nullptr, {predecessor}, {}});
   const auto write = this->TakeLast<WriteMember>();
   CHECK_TRUE(write.has_value());
   CHECK_TRUE(write->member.incarnation > 41);
@@ -277,7 +277,7 @@
   options.boot_id = 78;
   this->directory = *Directory::Create(options);
   this->Dispatch(WakeUp{});
-  this->Dispatch(StreamReadSucceeded{Stream::kMembers, 1, nullptr, {stored}});
+  this->Dispatch(StreamReadSucceeded{Stream::kMembers, 1, nullptr, {stored}, {}});
   CHECK_TRUE(this->TakeLast<EarlierWithdrawalFound>()->withdrawal == departure);
   // The process after that must find it as well, also if no backend server came meanwhile.
   CHECK_TRUE(GetWithdrawal(this->TakeLast<WriteMember>()->member) == departure);
@@ -311,10 +311,10 @@
   this->Dispatch(BackendServerReady{"fleet", {}, 6});
   const Member first = this->TakeLast<WriteMember>()->member;
   this->Dispatch(MemberWriteCompleted{true});
-  this->Dispatch(StreamReadSucceeded{Stream::kMembers, 2, nullptr, {first}});
+  this->Dispatch(StreamReadSucceeded{Stream::kMembers, 2, nullptr, {first}, {}});
   CHECK_FALSE(this->TakeLast<WriteMember>().has_value());
   const Member late_record = MakeMember("10.0.0.1:1", 60, MemberState::kReady);
-  this->Dispatch(StreamReadSucceeded{Stream::kMembers, 3, nullptr, {late_record}});
+  this->Dispatch(StreamReadSucceeded{Stream::kMembers, 3, nullptr, {late_record}, {}});
   const auto repeated_write = this->TakeLast<WriteMember>();
   CHECK_TRUE(repeated_write && repeated_write->member.incarnation > 60);
 }
@@ -363,7 +363,7 @@
       Member member = MakeMember("10.0.0.2:1", 1 + random.Uniform(5),
                                  static_cast<MemberState>(random.Uniform(4)));
       member.boot_id = 1 + random.Uniform(3);
-      reducer.Reduce(StreamReadSucceeded{Stream::kMembers, 1, nullptr, {member}},
+      reducer.Reduce(StreamReadSucceeded{Stream::kMembers, 1, nullptr, {member}, {}},
                      utils::Timestamp{});
       if (!highest || std::is_gt(membership::ComparePrecedence(member, *highest))) {
         highest = member;
--- a/libs/directory/tests/shared_reads_mesh.cc
+++ b/libs/directory/tests/shared_reads_mesh.cc
@@ -315,9 +315,9 @@
                      !this->nodes[pending.node].cut_from_register &&
                      !this->LosesAllAnswers(pending.node)) {
                    this->pending_reads.erase(id);
-                   this->Reply(
-                       pending.node, pending.process,
-                       StreamReadSucceeded{pending.read.stream, *pending.read.from, nullptr, {}});
+                   this->Reply(pending.node, pending.process,
+                               StreamReadSucceeded{
+                                   pending.read.stream, *pending.read.from, nullptr, {}, {}});
                  }
                });
     }
--- a/libs/directory/tests/shared_reads_test.cc
+++ b/libs/directory/tests/shared_reads_test.cc
@@ -289,9 +289,10 @@
   options.mesh_is_new = false;
   Directory directory = *Directory::Create(options);
   directory.Reduce(WakeUp{}, utils::Timestamp{});
-  directory.Reduce(StreamReadSucceeded{Stream::kMembers, 1, nullptr, {peer}}, utils::Timestamp{});
+  directory.Reduce(StreamReadSucceeded{Stream::kMembers, 1, nullptr, {peer}, {}},
+                   utils::Timestamp{});
   const auto subscribed = [&directory, &reader](std::uint64_t since) {
-    const Update update{true, 0, {}, since, {5, 9}, {}};
+    const Update update{true, 0, {}, since, {5, 9}, {}, {}};
     for (const Effect& effect :
          directory.Reduce(PeerMessageReceived{reader, update}, utils::Timestamp{})) {
       const auto* const source = std::get_if<ReadSourceChanged>(&effect);
@@ -314,7 +315,7 @@
   Directory& subscriber = *this->mesh.At(reader_index == 0 ? 1 : 0).directory;
   const auto change =
       details::EncodeChange(details::Difference(MakeConfiguration(8), *MakeConfiguration(9)));
-  const Update update{true, 9, change, 0, {5, 9}, {}};
+  const Update update{true, 9, change, 0, {5, 9}, {}, {}};
   const auto effects = subscriber.Reduce(PeerMessageReceived{reader, update}, this->mesh.Now());
   const Effect request = SendToPeer{reader, ConfigurationRequest{1}};
   CHECK_TRUE(std::find(effects.begin(), effects.end(), request) != effects.end());
--- a/libs/membership/include/amaranthlatch/membership/member.h
+++ b/libs/membership/include/amaranthlatch/membership/member.h
@@ -13,6 +13,9 @@
 // Address of the node for peer messages, as "ip:port".
 using NodeId = std::string;
 
+// Label with the version of the software of the backend server.
+inline constexpr const char* kVersionLabel = "version";
+
 // Among records of one incarnation and process, the higher value takes precedence.
 enum class MemberState : std::uint8_t {
   kJoining = 0,
--- a/libs/node/include/amaranthlatch/node/message.h
+++ b/libs/node/include/amaranthlatch/node/message.h
@@ -8,10 +8,11 @@
 #include "amaranthlatch/directory/message.h"
 #include "amaranthlatch/distribution/message.h"
 #include "amaranthlatch/membership/message.h"
+#include "amaranthlatch/rollout/message.h"
 
 namespace amaranthlatch::node {
 
-using Message =
-    std::variant<membership::Message, distribution::Message, calls::Message, directory::Message>;
+using Message = std::variant<membership::Message, distribution::Message, calls::Message,
+                             directory::Message, rollout::Message>;
 
 }  // namespace amaranthlatch::node
--- a/libs/node/include/amaranthlatch/node/register_node.h
+++ b/libs/node/include/amaranthlatch/node/register_node.h
@@ -13,6 +13,7 @@
 #include "amaranthlatch/directory/directory.h"
 #include "amaranthlatch/node/effect.h"
 #include "amaranthlatch/node/event.h"
+#include "amaranthlatch/rollout/rollout.h"
 #include "amaranthlatch/utils/result.h"
 
 namespace amaranthlatch::node {
@@ -22,6 +23,8 @@
   std::string secret;
   directory::Options directory;
   calls::Options calls;
+  // None where the deployment has no rollouts.
+  std::optional<rollout::Options> rollout;
   // Time after the start of a drain during which callers are still served, because they detect the
   // drain only through their own readiness checks.
   utils::Duration drain_grace_period = utils::Milliseconds(2600);
@@ -33,7 +36,8 @@
                  directory::StreamReadSucceeded, directory::StreamReadFailed,
                  directory::MemberWriteCompleted, directory::BackendServerReady,
                  directory::BackendServerUnavailable, calls::CallReceived, calls::CallerGone,
-                 calls::BackendServerAnswered, calls::BackendServerFailed>;
+                 calls::BackendServerAnswered, calls::BackendServerFailed, rollout::StatusRead,
+                 rollout::StatusReadFailed, rollout::StatusWritten>;
 
 // The drain grace period is over; the host accepts no new caller connections.
 struct CallerIntakeClosed {
@@ -45,8 +49,11 @@
                  directory::WriteMember, directory::ConfigurationActivated,
                  directory::MemberChanged, directory::RegisterReachabilityChanged,
                  directory::ReadSourceChanged, directory::EarlierWithdrawalFound,
-                 directory::ConfigurationOutdated, calls::AnswerCaller, calls::RunOnBackendServer,
-                 calls::CancelOnBackendServer, calls::DrainFinished, calls::QuarantineChanged>;
+                 directory::ConfigurationOutdated, directory::RolloutOrdersChanged,
+                 rollout::ReadStatus, rollout::WriteStatus, rollout::StageChanged,
+                 rollout::VerdictReached, rollout::AdmissionChanged, calls::AnswerCaller,
+                 calls::RunOnBackendServer, calls::CancelOnBackendServer, calls::DrainFinished,
+                 calls::QuarantineChanged>;
 
 class RegisterNode {
  public:
@@ -70,6 +77,9 @@
   directory::Gauges DirectoryGauges() const;
   const calls::Counters& CallCounters() const;
   calls::Gauges CallGauges() const;
+  // Zeros where the deployment has no rollouts.
+  rollout::Counters RolloutCounters() const;
+  rollout::Gauges RolloutGauges() const;
 
  private:
   struct Impl;
--- a/libs/node/src/message_codec.cc
+++ b/libs/node/src/message_codec.cc
@@ -11,6 +11,7 @@
 #include "amaranthlatch/distribution/message_codec.h"
 #include "amaranthlatch/document/json_guard.h"
 #include "amaranthlatch/membership/message_codec.h"
+#include "amaranthlatch/rollout/message_codec.h"
 
 namespace amaranthlatch::node {
 
@@ -49,6 +50,8 @@
 
 std::string Encode(const directory::Message& message) { return directory::ToCbor(message); }
 
+std::string Encode(const rollout::Message& message) { return rollout::ToCbor(message); }
+
 }  // namespace
 
 EncodedMessage EncodeMessage(const Message& message) {
@@ -68,6 +71,8 @@
       return ToMessage(calls::MessageFromCbor(payload));
     case 3:
       return ToMessage(directory::MessageFromCbor(payload));
+    case 4:
+      return ToMessage(rollout::MessageFromCbor(payload));
     default:
       return utils::Fail(ErrorCode::kMessageMalformed, "unknown module number");
   }
--- a/libs/node/src/register_node.cc
+++ b/libs/node/src/register_node.cc
@@ -10,6 +10,7 @@
 
 #include "amaranthlatch/node/envelope.h"
 #include "amaranthlatch/node/invariants.h"
+#include "rollout_events.h"
 
 namespace amaranthlatch::node {
 
@@ -46,11 +47,21 @@
   void Handle(const directory::BackendServerReady& event);
   void Handle(const directory::BackendServerUnavailable& event);
   void Handle(const calls::CallReceived& event);
+  void Handle(const calls::BackendServerAnswered& event);
+  void Handle(const calls::BackendServerFailed& event);
+  void Handle(const rollout::StatusRead& event) { this->ToRollout(event); }
+  void Handle(const rollout::StatusReadFailed& event) { this->ToRollout(event); }
+  void Handle(const rollout::StatusWritten& event) { this->ToRollout(event); }
   template <typename T>
   void Handle(const T& event);
 
   void DispatchToDirectory(const directory::Event& event);
   void DispatchToCalls(const calls::Event& event);
+  // Queues an event for the rollout reducer, if there is one.
+  void ToRollout(rollout::Event event);
+  void DispatchToRollout();
+  // Announces the backend server, or withdraws it, as the rollout allows.
+  void UpdateAnnouncement();
   // Notifies the directory if a call was routed with a newer configuration.
   void ReportNewerVersion(const membership::NodeId& from, const calls::Message& message);
   // Reports changes of admission and of the backend server to the calls module.
@@ -71,6 +82,17 @@
     this->invariants.OnCallAnswered(effect.call, this->violations);
     this->effects.emplace_back(std::move(effect));
   }
+  void HandleEffect(calls::RunOnBackendServer effect) {
+    this->ToRollout(rollout::RunStarted{effect.run, effect.route});
+    this->effects.emplace_back(std::move(effect));
+  }
+  void HandleEffect(directory::RolloutOrdersChanged effect) {
+    this->ToRollout(details::ToOrdersChanged(effect.orders));
+    this->effects.emplace_back(std::move(effect));
+  }
+  void HandleEffect(rollout::SendMessage effect) {
+    this->effects.emplace_back(SendMessage{std::move(effect.to), std::move(effect.message)});
+  }
   // Permits exist only in the native caller protocol, which register mode does not serve.
   void HandleEffect(const calls::AnswerPermit& /*effect*/) {
     this->violations.push_back({"permits", "a permit was answered without a request"});
@@ -81,6 +103,9 @@
   const EmptyRouteTable empty_routes;
   directory::Directory directory;
   calls::Calls calls;
+  std::optional<rollout::Rollout> rollout;
+  // Events that the rollout reducer gets at the end of the current one.
+  std::deque<rollout::Event> rollout_events;
   InvariantChecker invariants;
   std::vector<InvariantViolated> violations;
   std::vector<RegisterEffect> effects;
@@ -92,6 +117,12 @@
   calls::BackendServerChanged reported_backend;
   // State last announced by the backend server.
   calls::BackendServerChanged announced_backend;
+  // Its announcement, as long as it takes requests.
+  std::optional<directory::BackendServerReady> ready_backend;
+  // The server as the rollout reducer was told last.
+  rollout::BackendServerChanged rollout_backend;
+  // Whether the directory has been told that the server is ready.
+  bool announced = false;
   // Highest version that was in force; it never decreases.
   document::Version highest_version = 0;
   bool draining = false;
@@ -125,7 +156,8 @@
     this->DispatchToCalls(calls::AdmissionChanged{true});
   }
   calls::BackendServerChanged next = this->announced_backend;
-  next.available = next.available && !this->draining;
+  const bool is_held = this->rollout && !this->rollout->Admission().accept;
+  next.available = next.available && !this->draining && !is_held;
   if (next != this->reported_backend) {
     this->reported_backend = next;
     this->DispatchToCalls(next);
@@ -151,6 +183,9 @@
   if (due(this->calls.NextWake())) {
     this->DispatchToCalls(calls::WakeUp{});
   }
+  if (this->rollout && due(this->rollout->NextWake())) {
+    this->ToRollout(rollout::WakeUp{});
+  }
 }
 
 void RegisterNode::Impl::Handle(const MessageReceived& event) {
@@ -159,6 +194,8 @@
     this->DispatchToCalls(calls::PeerMessage{event.from, *call});
   } else if (const auto* message = std::get_if<directory::Message>(&event.message)) {
     this->DispatchToDirectory(directory::PeerMessageReceived{event.from, *message});
+  } else if (const auto* rollout_message = std::get_if<rollout::Message>(&event.message)) {
+    this->ToRollout(rollout::PeerMessage{event.from, *rollout_message});
   }
 }
 
@@ -183,6 +220,7 @@
 void RegisterNode::Impl::Handle(const PeerUnreachable& event) {
   this->DispatchToDirectory(directory::PeerUnreachable{event.id});
   this->DispatchToCalls(calls::PeerUnreachable{event.id});
+  this->ToRollout(rollout::PeerUnreachable{event.id});
 }
 
 void RegisterNode::Impl::Handle(const DrainRequested& /*event*/) {
@@ -196,14 +234,81 @@
 
 void RegisterNode::Impl::Handle(const directory::BackendServerReady& event) {
   this->announced_backend = {event.service, event.slots, true};
-  this->DispatchToDirectory(event);
+  this->ready_backend = event;
+  if (!this->rollout) {
+    this->DispatchToDirectory(event);
+    return;
+  }
+  rollout::BackendServerChanged next = details::ToServerChanged(event, true);
+  // Announcements are repeated while the server warms up; only a new process is cold for longer.
+  rollout::BackendServerChanged repeated = this->rollout_backend;
+  repeated.cold_left = next.cold_left;
+  if (next == repeated && next.cold_left <= this->rollout_backend.cold_left) {
+    next.cold_left = this->rollout_backend.cold_left;
+  }
+  if (next != this->rollout_backend) {
+    this->rollout_backend = next;
+    this->ToRollout(next);
+    this->DispatchToRollout();
+  }
+  this->UpdateAnnouncement();
 }
 
 void RegisterNode::Impl::Handle(const directory::BackendServerUnavailable& event) {
   this->announced_backend.available = false;
+  if (this->rollout && this->ready_backend) {
+    this->rollout_backend = details::ToServerChanged(*this->ready_backend, false);
+    this->rollout_backend.cold_left = {};
+    this->ToRollout(this->rollout_backend);
+  }
+  this->ready_backend.reset();
+  this->announced = false;
   this->DispatchToDirectory(event);
 }
 
+void RegisterNode::Impl::Handle(const calls::BackendServerAnswered& event) {
+  this->ToRollout(details::ToRunEnded(event));
+  this->DispatchToCalls(event);
+}
+
+void RegisterNode::Impl::Handle(const calls::BackendServerFailed& event) {
+  this->ToRollout(details::ToRunEnded(event));
+  this->DispatchToCalls(event);
+}
+
+void RegisterNode::Impl::ToRollout(rollout::Event event) {
+  if (this->rollout) {
+    this->rollout_events.push_back(std::move(event));
+  }
+}
+
+void RegisterNode::Impl::DispatchToRollout() {
+  while (!this->rollout_events.empty()) {
+    const rollout::Event event = std::move(this->rollout_events.front());
+    this->rollout_events.pop_front();
+    for (rollout::Effect& effect :
+         this->rollout->Reduce(event, this->now, this->directory.Members())) {
+      const bool is_admission = std::holds_alternative<rollout::AdmissionChanged>(effect);
+      std::visit([this](auto& value) { this->HandleEffect(std::move(value)); }, effect);
+      if (is_admission) {
+        this->UpdateCalls();
+        this->UpdateAnnouncement();
+      }
+    }
+  }
+}
+
+void RegisterNode::Impl::UpdateAnnouncement() {
+  const bool announce = this->ready_backend && this->rollout->Admission().announce;
+  if (announce) {
+    this->announced = true;
+    this->DispatchToDirectory(*this->ready_backend);
+  } else if (this->announced) {
+    this->announced = false;
+    this->DispatchToDirectory(directory::BackendServerUnavailable{});
+  }
+}
+
 void RegisterNode::Impl::Handle(const calls::CallReceived& event) {
   this->invariants.OnCallOpened(event.call, this->violations);
   this->DispatchToCalls(event);
@@ -257,8 +362,15 @@
   if (!calls) {
     return tl::unexpected(calls.error());
   }
-  return std::unique_ptr<RegisterNode>(
-      new RegisterNode(std::make_unique<Impl>(options, *std::move(directory), *std::move(calls))));
+  auto impl = std::make_unique<Impl>(options, *std::move(directory), *std::move(calls));
+  if (options.rollout) {
+    auto rollout = rollout::Rollout::Create(*options.rollout);
+    if (!rollout) {
+      return tl::unexpected(rollout.error());
+    }
+    impl->rollout = *std::move(rollout);
+  }
+  return std::unique_ptr<RegisterNode>(new RegisterNode(std::move(impl)));
 }
 
 RegisterNode::RegisterNode(std::unique_ptr<Impl> impl) : impl(std::move(impl)) {}
@@ -268,6 +380,7 @@
   Impl& modules = *this->impl;
   modules.now = now;
   std::visit([&modules](const auto& value) { modules.Handle(value); }, event);
+  modules.DispatchToRollout();
   modules.CloseCallerIntakeIfDue();
   modules.CheckInvariants();
   return std::exchange(modules.effects, {});
@@ -279,7 +392,9 @@
     return Timestamp{};
   }
   std::optional<Timestamp> next = modules.caller_intake_deadline;
-  for (const auto& wake : {modules.directory.NextWake(), modules.calls.NextWake()}) {
+  const auto rollout_wake =
+      modules.rollout ? modules.rollout->NextWake() : std::optional<Timestamp>();
+  for (const auto& wake : {modules.directory.NextWake(), modules.calls.NextWake(), rollout_wake}) {
     if (wake && (!next || *wake < *next)) {
       next = wake;
     }
@@ -315,4 +430,12 @@
 
 calls::Gauges RegisterNode::CallGauges() const { return this->impl->calls.GetGauges(); }
 
+rollout::Counters RegisterNode::RolloutCounters() const {
+  return this->impl->rollout ? this->impl->rollout->GetCounters() : rollout::Counters{};
+}
+
+rollout::Gauges RegisterNode::RolloutGauges() const {
+  return this->impl->rollout ? this->impl->rollout->GetGauges() : rollout::Gauges{};
+}
+
 }  // namespace amaranthlatch::node
--- a/libs/node/tests/register_node_test.cc
+++ b/libs/node/tests/register_node_test.cc
@@ -86,9 +86,9 @@
   }
   void Configure(document::Version version) {
     this->HandleEvent(WakeUp{});
-    this->HandleEvent(directory::StreamReadSucceeded{Stream::kMembers, 0, nullptr, {}});
-    this->HandleEvent(
-        directory::StreamReadSucceeded{Stream::kConfiguration, 1, MakeConfiguration(version), {}});
+    this->HandleEvent(directory::StreamReadSucceeded{Stream::kMembers, 0, nullptr, {}, {}});
+    this->HandleEvent(directory::StreamReadSucceeded{
+        Stream::kConfiguration, 1, MakeConfiguration(version), {}, {}});
   }
   void SendCall() {
     calls::HttpRequest request{"POST", "/x", "fleet.example", {}, "body"};
@@ -160,7 +160,7 @@
   peer.incarnation = 1;
   peer.boot_id = 9;
   peer.state = membership::MemberState::kReady;
-  this->HandleEvent(directory::StreamReadSucceeded{Stream::kMembers, 1, nullptr, {peer}});
+  this->HandleEvent(directory::StreamReadSucceeded{Stream::kMembers, 1, nullptr, {peer}, {}});
   this->HandleEvent(DrainRequested{});
   CHECK_FALSE(this->node->Ready());
   this->AdvanceTime(Seconds(2));
--- a/libs/runtime/include/amaranthlatch/runtime/adapter.h
+++ b/libs/runtime/include/amaranthlatch/runtime/adapter.h
@@ -12,6 +12,8 @@
 #include "amaranthlatch/calls/event.h"
 #include "amaranthlatch/directory/effect.h"
 #include "amaranthlatch/directory/event.h"
+#include "amaranthlatch/rollout/effect.h"
+#include "amaranthlatch/rollout/event.h"
 #include "amaranthlatch/runtime/announcement.h"
 #include "amaranthlatch/runtime/backend_server_link.h"
 #include "amaranthlatch/runtime/http_client.h"
@@ -41,11 +43,16 @@
 class RegisterClient {
  public:
   using Report = std::function<void(const directory::Event&)>;
+  // The result of one read or write of a rollout's status.
+  using StatusDone = std::function<void(const rollout::Event&)>;
 
   virtual ~RegisterClient() = default;
 
   virtual void Read(const directory::ReadStream& read) = 0;
   virtual void Write(const directory::WriteMember& write) = 0;
+  virtual void ReadStatus(const rollout::ReadStatus& read, StatusDone done) = 0;
+  // Stores the record only if the stream still ends at the expected position.
+  virtual void WriteStatus(const rollout::WriteStatus& write, StatusDone done) = 0;
 };
 
 // What the backend server and the platform may ask of the node.
--- a/libs/runtime/include/amaranthlatch/runtime/announcement.h
+++ b/libs/runtime/include/amaranthlatch/runtime/announcement.h
@@ -12,6 +12,7 @@
 #include "amaranthlatch/directory/withdrawal.h"
 #include "amaranthlatch/runtime/backend_server_link.h"
 #include "amaranthlatch/utils/result.h"
+#include "amaranthlatch/utils/time.h"
 
 namespace amaranthlatch::runtime {
 
@@ -22,6 +23,8 @@
   // Rises with every announcement of one process.
   std::uint64_t sequence = 0;
   bool draining = false;
+  // How much longer the server is slow after its start.
+  utils::Duration cold_left{};
 
   bool operator==(const Announcement&) const = default;
 };
--- a/libs/runtime/include/amaranthlatch/runtime/register_settings.h
+++ b/libs/runtime/include/amaranthlatch/runtime/register_settings.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <map>
 #include <span>
 #include <string>
 #include <string_view>
@@ -36,6 +37,12 @@
   // and for each budget window, this many more.
   double retry_ratio = 0.0;
   double retry_slack = 0.0;
+  // Share of the requests of a service that a new version may get before it has proved good, and
+  // that many more. Without a share the node takes part in no rollout.
+  double rollout_exposure_share = 0.0;
+  double rollout_exposure_slack = 0.0;
+  // Time within which a version that was found bad gets no more requests.
+  utils::Duration rollout_stop_time{};
   // Time from the start of a drain to the end of the process, at the latest.
   utils::Duration shutdown_limit{};
   std::size_t max_connections = 0;
@@ -51,6 +58,8 @@
 
 // Fails with a code of 6001..6005 and a pointer.
 utils::Result<RegisterSettings> ParseRegisterSettings(std::string_view text);
-utils::Result<RegisterSettings> ReadRegisterSettingsFile(const std::string& path);
+// `overrides`: JSON values by key, which replace those of the file.
+utils::Result<RegisterSettings> ReadRegisterSettingsFile(
+    const std::string& path, const std::map<std::string, std::string>& overrides = {});
 
 }  // namespace amaranthlatch::runtime
--- a/libs/runtime/src/node_metrics.cc
+++ b/libs/runtime/src/node_metrics.cc
@@ -84,6 +84,24 @@
   text.Counter("reader_takeovers_total", distribution.reader_takeovers);
 }
 
+void AppendRollout(MetricsText& text, const rollout::Counters& rollout,
+                   const rollout::Gauges& gauges) {
+  text.Gauge("rollout_active", gauges.active ? 1 : 0);
+  text.Gauge("rollout_coordinator", gauges.coordinating ? 1 : 0);
+  text.Gauge("rollout_phase", static_cast<double>(gauges.phase));
+  text.Gauge("rollout_runs", static_cast<double>(gauges.started));
+  text.Gauge("rollout_allowance", static_cast<double>(gauges.allowance));
+  text.Counter("rollout_reports_sent_total", rollout.reports_sent);
+  text.Counter("rollout_directives_sent_total", rollout.directives_sent);
+  text.Counter("rollout_directives_stale_total", rollout.directives_stale);
+  text.Counter("rollout_coordinators_lost_total", rollout.coordinators_lost);
+  text.Counter("rollout_claims_total", rollout.claims);
+  text.Counter("rollout_claims_lost_total", rollout.claims_lost);
+  text.Counter("rollout_verdicts_total", rollout.verdicts);
+  text.Counter("rollout_leases_expired_total", rollout.leases_expired);
+  text.Counter("rollout_holds_total", rollout.holds);
+}
+
 void AppendTransport(MetricsText& text, const TransportCounters& transport,
                      const node::Envelope::Counters& envelope) {
   text.Counter("messages_sent_total", transport.messages_sent);
@@ -155,6 +173,7 @@
                std::chrono::duration<double>(*metrics.configuration_confirmed_age).count());
   }
   AppendDirectory(text, metrics.directory, metrics.directory_gauges);
+  AppendRollout(text, metrics.rollout, metrics.rollout_gauges);
   AppendCalls(text, metrics.calls, metrics.gauges);
   AppendTransport(text, metrics.transport, metrics.envelope);
   AppendServer(text, metrics.data_server, R"(address="data")");
--- a/libs/runtime/src/register_host.cc
+++ b/libs/runtime/src/register_host.cc
@@ -26,6 +26,7 @@
 #include "memory_plan.h"
 #include "register_metrics.h"
 #include "register_options.h"
+#include "rollout_log.h"
 
 namespace amaranthlatch::runtime {
 
@@ -269,6 +270,8 @@
     metrics.directory_gauges = this->node->DirectoryGauges();
     metrics.calls = this->node->CallCounters();
     metrics.gauges = this->node->CallGauges();
+    metrics.rollout = this->node->RolloutCounters();
+    metrics.rollout_gauges = this->node->RolloutGauges();
     metrics.envelope = this->envelope->GetCounters();
     metrics.transport = this->transport->Counters();
     metrics.data_server = this->data_server->Counters();
@@ -292,8 +295,8 @@
   // Events of the link that concern register mode; the link reports no others.
   void OnBackendEvent(const node::Event& event) {
     if (const auto* announced = std::get_if<node::BackendServerAnnounced>(&event)) {
-      this->Apply(
-          directory::BackendServerReady{announced->service, announced->labels, announced->slots});
+      this->Apply(directory::BackendServerReady{announced->service, announced->labels,
+                                                announced->slots, this->ColdTimeLeft()});
     } else if (std::holds_alternative<node::BackendServerLost>(event)) {
       LogLine("backend-server-lost").Warn();
       this->Apply(directory::BackendServerUnavailable{});
@@ -311,6 +314,15 @@
     }
   }
 
+  void ApplyRollout(const rollout::Event& event) {
+    std::visit([this](const auto& inner) { this->ApplyDirectory(inner); }, event);
+  }
+
+  utils::Duration ColdTimeLeft() const {
+    const auto& newest = this->announcements.Newest();
+    return newest ? newest->cold_left : utils::Duration{};
+  }
+
   // The one place where the reducer is called.
   void Apply(const node::RegisterEvent& event) {
     if (this->stopped) {
@@ -406,6 +418,21 @@
         .Warn();
   }
 
+  void Perform(const directory::RolloutOrdersChanged& effect) { details::LogEffect(effect); }
+  void Perform(const rollout::StageChanged& effect) { details::LogEffect(effect); }
+  void Perform(const rollout::VerdictReached& effect) { details::LogEffect(effect); }
+  void Perform(const rollout::AdmissionChanged& effect) { details::LogEffect(effect); }
+
+  void Perform(const rollout::ReadStatus& effect) {
+    this->register_client->ReadStatus(effect,
+                                      [this](const auto& event) { this->ApplyRollout(event); });
+  }
+
+  void Perform(const rollout::WriteStatus& effect) {
+    this->register_client->WriteStatus(effect,
+                                       [this](const auto& event) { this->ApplyRollout(event); });
+  }
+
   void Perform(const directory::EarlierWithdrawalFound& effect) {
     const bool is_withdrawn = this->announcements.Restore(effect.withdrawal);
     LogLine("backend-server-withdrawn-before")
--- a/libs/runtime/src/register_options.cc
+++ b/libs/runtime/src/register_options.cc
@@ -98,6 +98,16 @@
   calls.gate.max_tracked_attempts = kMemoryCapacity;
   calls.gate.refusal_filter_bits = kRefusalFilterBits;
   calls.gate.transport_may_duplicate = kTransportRepeats;
+  if (settings.rollout_exposure_share > 0.0) {
+    rollout::Options rollout;
+    rollout.id = settings.node_address;
+    rollout.boot_id = boot_id;
+    rollout.seed = seed + 2;
+    rollout.exposure_share = settings.rollout_exposure_share;
+    rollout.exposure_slack = settings.rollout_exposure_slack;
+    rollout.rollback = settings.rollout_stop_time;
+    options.rollout = rollout;
+  }
   return options;
 }
 
--- a/libs/runtime/src/register_settings.cc
+++ b/libs/runtime/src/register_settings.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
+#include "amaranthlatch/document/json_guard.h"
 #include "settings_reader.h"
 
 namespace amaranthlatch::runtime {
@@ -16,6 +17,7 @@
 // The base of the memory plan and room for calls.
 constexpr std::int64_t kMinMemoryBytes = 100'000'000;
 constexpr std::int64_t kMaxMemoryBytes = 1'000'000'000'000;
+constexpr std::int64_t kMinRolloutStopMs = 1000;
 constexpr std::int64_t kMinShutdownMs = 1000;
 constexpr std::int64_t kMaxShutdownMs = 600'000;
 
@@ -58,6 +60,16 @@
        {"running", "new"}},
       {"retry_ratio", SettingType::kNumber, "ratio", "0.1", false, 0, 1, {}},
       {"retry_slack", SettingType::kNumber, "calls", "20", false, 0, kMaxSlack, {}},
+      {"rollout_exposure_share", SettingType::kNumber, "ratio", "0", false, 0, 1, {}},
+      {"rollout_exposure_slack", SettingType::kNumber, "calls", "0", false, 0, kMaxSlack, {}},
+      {"rollout_stop_time",
+       SettingType::kTime,
+       "time",
+       R"("5s")",
+       false,
+       kMinRolloutStopMs,
+       kMaxShutdownMs,
+       {}},
       {"shutdown_limit",
        SettingType::kTime,
        "time",
@@ -109,6 +121,9 @@
   settings.mesh_start = details::ChoiceOf<MeshStart>(*object, AllRegisterSettings(), "mesh_start");
   settings.retry_ratio = (*object)["retry_ratio"].get<double>();
   settings.retry_slack = (*object)["retry_slack"].get<double>();
+  settings.rollout_exposure_share = (*object)["rollout_exposure_share"].get<double>();
+  settings.rollout_exposure_slack = (*object)["rollout_exposure_slack"].get<double>();
+  settings.rollout_stop_time = *details::ParseTime(value("rollout_stop_time"));
   settings.shutdown_limit = *details::ParseTime(value("shutdown_limit"));
   settings.max_connections = (*object)["max_connections"].get<std::size_t>();
   settings.max_header_bytes = (*object)["max_header_bytes"].get<std::size_t>();
@@ -117,12 +132,20 @@
   return settings;
 }
 
-utils::Result<RegisterSettings> ReadRegisterSettingsFile(const std::string& path) {
+utils::Result<RegisterSettings> ReadRegisterSettingsFile(
+    const std::string& path, const std::map<std::string, std::string>& overrides) {
   const auto text = details::ReadSettingsText(path);
   if (!text) {
     return tl::unexpected(text.error());
   }
-  return ParseRegisterSettings(*text);
+  auto object = document::ParseJsonText(*text);
+  if (!object || !object->is_object()) {
+    return ParseRegisterSettings(*text);
+  }
+  for (const auto& [key, value] : overrides) {
+    (*object)[key] = nlohmann::json::parse(value, nullptr, false);
+  }
+  return ParseRegisterSettings(object->dump());
 }
 
 }  // namespace amaranthlatch::runtime
--- a/libs/utils/include/amaranthlatch/utils/error_code.h
+++ b/libs/utils/include/amaranthlatch/utils/error_code.h
@@ -46,6 +46,7 @@
   kNotReady = 3008,
   kConfigurationMalformed = 3009,
   kAnnouncementMalformed = 3010,
+  kRolloutOrderMalformed = 3011,
 
   // 4xxx: membership.
   kMemberMalformed = 4001,
--- a/libs/utils/src/error_code.cc
+++ b/libs/utils/src/error_code.cc
@@ -39,6 +39,7 @@
     {ErrorCode::kNotReady, "not-ready"},
     {ErrorCode::kConfigurationMalformed, "configuration-malformed"},
     {ErrorCode::kAnnouncementMalformed, "announcement-malformed"},
+    {ErrorCode::kRolloutOrderMalformed, "rollout-order-malformed"},
     {ErrorCode::kMemberMalformed, "member-malformed"},
     {ErrorCode::kNodeUnreachable, "node-unreachable"},
     {ErrorCode::kNoRoute, "no-route"},
