--- a/libs/rollout/src/coordinator.cc
+++ b/libs/rollout/src/coordinator.cc
@@ -150,6 +150,12 @@
     const double share =
         this->phase == Phase::kRamp ? kRampShare * this->options.exposure_share : canary_share;
     this->budget.AddRuns(report.started - known, is_new, share);
+    if (report.term == this->claim.term && report.sequence == peer.sequence) {
+      // No directive is on its way that could allow more.
+      const std::uint64_t usable = std::max(report.allowance, report.started);
+      this->budget.Reclaim(peer.allowance - std::min(usable, peer.allowance));
+      peer.allowance = std::min(usable, peer.allowance);
+    }
   }
   if (this->IsReplaced(report.version)) {
     return;
@@ -178,11 +184,13 @@
   directive.boot_id = peer.report.boot_id;
   directive.server = peer.report.server;
   directive.term = this->claim.term;
-  directive.sequence = ++this->sequence;
+  directive.sequence = peer.sequence = ++this->sequence;
   directive.phase = this->phase;
   directive.elapsed = this->elapsed.At(now);
   directive.sent_at = peer.report.sent_at;
   directive.replaced_versions = this->claim.replaced_versions;
+  // A gate that is no canary any more gives back what it has not used.
+  directive.allowance = std::min(peer.allowance, peer.report.started);
   if (IsLimited(this->phase) && peer.is_canary) {
     const std::uint64_t unspent = peer.allowance - std::min(peer.allowance, peer.report.started);
     const Duration lease =
@@ -280,8 +288,8 @@
   return Contains(this->claim.replaced_versions, version);
 }
 
-bool Coordinator::IsFresh(const Peer& peer, Timestamp now) const {
-  return now - peer.heard <= std::max(FreshTime(this->options), 2 * this->report_interval);
+Duration Coordinator::FreshAge() const {
+  return std::max(FreshTime(this->options), 2 * this->report_interval);
 }
 
 bool Coordinator::IsConfirmed(Timestamp now) const {
--- a/libs/rollout/src/coordinator.h
+++ b/libs/rollout/src/coordinator.h
@@ -80,6 +80,8 @@
     // Whether it announces its server while exposure is limited.
     bool is_canary = false;
     std::uint64_t allowance = 0;
+    // Of the last directive sent to it.
+    std::uint64_t sequence = 0;
   };
   // What is known of all participants at one moment.
   struct Survey {
@@ -106,7 +108,11 @@
 
   Survey MakeSurvey(utils::Timestamp now, const membership::MemberView& members);
   bool IsReplaced(const std::string& version) const;
-  bool IsFresh(const Peer& peer, utils::Timestamp now) const;
+  // Age of the last report up to which a participant is expected to receive what is pushed.
+  utils::Duration FreshAge() const;
+  bool IsFresh(const Peer& peer, utils::Timestamp now) const {
+    return now - peer.heard <= this->FreshAge();
+  }
   bool IsConfirmed(utils::Timestamp now) const;
   // End of the leases that may be granted now.
   utils::Timestamp LeaseLimit() const;
@@ -116,7 +122,11 @@
                 std::vector<Effect>& out);
   // Phases by time, evidence and capacity.
   void Advance(const Survey& survey, utils::Timestamp now, std::vector<Effect>& out);
-  void AdvanceRetire(const Survey& survey, utils::Timestamp now, std::vector<Effect>& out);
+  void AdvanceRetire(const Survey& survey, double phase_fraction, utils::Timestamp now,
+                     std::vector<Effect>& out);
+  // Shortest length of the current phase as a fraction of the duration: `usual`, but at most one of
+  // `phases_left` equal parts of the time left when it began.
+  double MinPhaseLength(double usual, double phases_left) const;
   void EnterPhase(Phase next, Reason why, utils::Timestamp now, std::vector<Effect>& out);
   void Stop(Reason why, utils::Timestamp now, std::vector<Effect>& out);
   void SelectCanaries(utils::Timestamp now);
--- a/libs/rollout/src/coordinator_link.cc
+++ b/libs/rollout/src/coordinator_link.cc
@@ -25,19 +25,23 @@
   this->lost_connection = false;
   this->asked_at.reset();
   this->redirects = 0;
-  this->avoided_until.clear();
+  this->avoided.clear();
 }
 
 bool CoordinatorLink::IsAvoided(const NodeId& id, Timestamp now) const {
-  const auto found = this->avoided_until.find(id);
-  return found != this->avoided_until.end() && now < found->second;
+  const auto found = this->avoided.find(id);
+  return found != this->avoided.end() && now < found->second.until;
+}
+
+bool CoordinatorLink::IsSilent(const NodeId& id, Timestamp now) const {
+  return this->IsAvoided(id, now) && this->avoided.at(id).is_silent;
 }
 
 void CoordinatorLink::Choose(const std::vector<NodeId>& candidates, Timestamp now) {
   if (!this->target.empty()) {
     return;
   }
-  std::erase_if(this->avoided_until, [now](const auto& entry) { return entry.second <= now; });
+  std::erase_if(this->avoided, [now](const auto& entry) { return entry.second.until <= now; });
   const auto found =
       std::find_if(candidates.begin(), candidates.end(),
                    [this, now](const NodeId& id) { return !this->IsAvoided(id, now); });
@@ -62,7 +66,7 @@
   this->lost_connection = false;
   this->redirects = 0;
   this->asked_at.reset();
-  this->avoided_until.erase(from);
+  this->avoided.erase(from);
 }
 
 bool CoordinatorLink::OnRedirect(const NodeId& from, const NodeId& coordinator,
@@ -98,16 +102,16 @@
     return false;
   }
   if (this->lost_connection) {
-    this->has_lost_coordinator = this->has_lost_coordinator || this->established;
-    this->Avoid(id, SilentAvoidance(this->options), now);
+    this->GiveUpTarget(now);
+    return true;
   }
   // A new connection shows whether the node still runs.
-  this->lost_connection = !this->lost_connection;
+  this->lost_connection = true;
   return true;
 }
 
 void CoordinatorLink::Avoid(const NodeId& id, Duration duration, Timestamp now) {
-  this->avoided_until[id] = now + duration;
+  this->avoided[id] = {now + duration, false};
   if (id == this->target) {
     this->target.clear();
     this->established = false;
@@ -125,11 +129,17 @@
   if (!is_silent && !is_idle) {
     return false;
   }
-  this->has_lost_coordinator = this->has_lost_coordinator || this->established;
-  this->Avoid(this->target, SilentAvoidance(this->options), now);
+  this->GiveUpTarget(now);
   return true;
 }
 
+void CoordinatorLink::GiveUpTarget(Timestamp now) {
+  this->has_lost_coordinator = this->has_lost_coordinator || this->established;
+  const NodeId lost = this->target;
+  this->Avoid(lost, SilentAvoidance(this->options), now);
+  this->avoided[lost].is_silent = true;
+}
+
 void CoordinatorLink::OnDelayed(Timestamp now) {
   if (this->asked_at) {
     this->asked_at = now;
--- a/libs/rollout/src/coordinator_link.h
+++ b/libs/rollout/src/coordinator_link.h
@@ -31,6 +31,8 @@
   // Whether an earlier coordinator was given up as silent.
   bool HasLostCoordinator() const { return this->has_lost_coordinator; }
   bool IsAvoided(const membership::NodeId& id, utils::Timestamp now) const;
+  // Whether the node is avoided because it gave no answer.
+  bool IsSilent(const membership::NodeId& id, utils::Timestamp now) const;
 
   // Chooses the first candidate that is not avoided, unless there is a target. `candidates` are
   // ranked, best first.
@@ -45,7 +47,7 @@
                   bool has_higher_term, utils::Timestamp now);
   // Returns whether to report at once.
   bool OnUnreachable(const membership::NodeId& id, utils::Timestamp now);
-  // Does not report to this node for some time.
+  // Does not report to this node for some time, because it cannot coordinate.
   void Avoid(const membership::NodeId& id, utils::Duration duration, utils::Timestamp now);
   // Gives up a target that is silent. Returns whether it did.
   bool Poll(utils::Timestamp now);
@@ -55,7 +57,14 @@
   std::optional<utils::Timestamp> NextWake() const;
 
  private:
+  struct Avoidance {
+    utils::Timestamp until{};
+    bool is_silent = false;
+  };
+
   utils::Duration AnswerTime() const;
+  // The target gave no answer.
+  void GiveUpTarget(utils::Timestamp now);
 
   const Options& options;
   membership::NodeId target;
@@ -69,7 +78,7 @@
   std::optional<utils::Timestamp> asked_at;
   // Redirects followed without a directive; a loop of outdated ones ends after some.
   std::uint32_t redirects = 0;
-  std::map<membership::NodeId, utils::Timestamp> avoided_until;
+  std::map<membership::NodeId, Avoidance> avoided;
 };
 
 }  // namespace amaranthlatch::rollout::details
--- a/libs/rollout/src/coordinator_phases.cc
+++ b/libs/rollout/src/coordinator_phases.cc
@@ -19,6 +19,8 @@
 // Points in time, as fractions of the duration of the order.
 constexpr double kCanaryEnd = 0.5;
 constexpr double kRampEnd = 0.6;
+// From then on a canary phase is followed by no ramp, because the deadline is close.
+constexpr double kLastRamp = 0.7;
 constexpr double kRetireAt = 0.75;
 // Without enough evidence the rollout is stopped; a verdict must be written before the deadline.
 constexpr double kEvidenceDeadline = 0.85;
@@ -32,11 +34,11 @@
 // Without any server of another version in sight until then, there is none.
 constexpr double kOldServersAwaited = 0.25;
 
-// Shortest lengths of phases, as fractions of the duration.
+// Shortest lengths of phases, as fractions of the duration; less if the deadline is close.
 constexpr double kMinRamp = 0.05;
-constexpr double kMinPromote = 0.1;
 // Entry nodes learn of the new servers meanwhile.
-constexpr Duration kPromoteTime = utils::Milliseconds(1500);
+constexpr double kMinPromote = 0.1;
+constexpr Duration kMaxMinPromote = utils::Milliseconds(1500);
 // A version that is bad only under load shows it when it serves alone, and the old servers are
 // still there then.
 constexpr double kMinRetire = 0.1;
@@ -86,74 +88,72 @@
   this->Advance(survey, now, out);
 }
 
+double Coordinator::MinPhaseLength(double usual, double phases_left) const {
+  const double entered =
+      std::chrono::duration<double>(this->phase_elapsed) / this->claim.order.duration;
+  return std::clamp((kCompletionDeadline - entered) / phases_left, 0.0, usual);
+}
+
 void Coordinator::Advance(const Survey& survey, Timestamp now, std::vector<Effect>& out) {
   const double fraction = this->Fraction(now);
-  const double in_phase =
-      std::chrono::duration<double>(this->elapsed.At(now) - this->phase_elapsed) /
-      this->claim.order.duration;
-  if (this->phase == Phase::kRetire) {
-    this->AdvanceRetire(survey, now, out);
-    return;
-  }
-  if (fraction >= kEvidenceDeadline && IsLimited(this->phase)) {
-    this->Stop(this->has_seen_new ? Reason::kNotEnoughEvidence : Reason::kNoServer, now, out);
-    return;
-  }
-  if (!this->IsConfirmed(now)) {
-    // Another node may coordinate.
-    return;
-  }
+  const Duration in_phase = this->elapsed.At(now) - this->phase_elapsed;
+  const double phase_fraction =
+      std::chrono::duration<double>(in_phase) / this->claim.order.duration;
+  // Another node may coordinate if the claim is not confirmed.
+  const bool is_confirmed = this->IsConfirmed(now);
   switch (this->phase) {
     case Phase::kCanary:
-      if (survey.old_servers == 0 && this->has_seen_new &&
+      if (is_confirmed && survey.old_servers == 0 && this->has_seen_new &&
           (survey.has_in_place || fraction >= kOldServersAwaited)) {
         this->EnterPhase(Phase::kPromote, Reason::kNoOldServer, now, out);
-      } else if (fraction >= kCanaryEnd && this->evidence.IsSufficient()) {
-        this->EnterPhase(Phase::kRamp, Reason::kEnoughEvidence, now, out);
+      } else if (is_confirmed && fraction >= kCanaryEnd && this->evidence.IsSufficient()) {
+        this->EnterPhase(fraction < kLastRamp ? Phase::kRamp : Phase::kPromote,
+                         Reason::kEnoughEvidence, now, out);
+      } else if (fraction >= kEvidenceDeadline) {
+        this->Stop(this->has_seen_new ? Reason::kNotEnoughEvidence : Reason::kNoServer, now, out);
       }
       break;
     case Phase::kRamp:
-      if (fraction >= kRampEnd && in_phase >= kMinRamp && this->evidence.IsSufficient()) {
+      if (is_confirmed && fraction >= kRampEnd && phase_fraction >= kMinRamp &&
+          this->evidence.IsSufficient()) {
         this->EnterPhase(Phase::kPromote, Reason::kEnoughEvidence, now, out);
+      } else if (fraction >= kEvidenceDeadline) {
+        this->Stop(Reason::kNotEnoughEvidence, now, out);
       }
       break;
-    case Phase::kPromote: {
-      const Duration shortest =
-          std::min(kPromoteTime,
-                   std::chrono::duration_cast<Duration>(
-                       std::chrono::duration<double>(this->claim.order.duration) * kMinPromote));
-      if (this->elapsed.At(now) - this->phase_elapsed < shortest) {
+    case Phase::kPromote:
+      if (phase_fraction < this->MinPhaseLength(kMinPromote, 3.0) && in_phase < kMaxMinPromote) {
         break;
       }
-      if (survey.ready_slots > 0 && survey.ready_slots >= survey.old_slots) {
+      if (is_confirmed && survey.ready_slots > 0 && survey.ready_slots >= survey.old_slots) {
         this->EnterPhase(Phase::kRetire, Reason::kEnoughCapacity, now, out);
-      } else if (fraction >= kRetireAt && survey.accepting_slots > 0) {
+      } else if (is_confirmed && fraction >= kRetireAt && survey.accepting_slots > 0) {
         this->EnterPhase(Phase::kRetire, Reason::kTimeReached, now, out);
-      } else if (fraction >= kEvidenceDeadline) {
+      } else if (fraction >= kCompletionDeadline) {
         this->Stop(Reason::kNoServer, now, out);
       }
       break;
-    }
+    case Phase::kRetire:
+      this->AdvanceRetire(survey, phase_fraction, now, out);
+      break;
     default:
       break;
   }
 }
 
-void Coordinator::AdvanceRetire(const Survey& survey, Timestamp now, std::vector<Effect>& out) {
-  const double fraction = this->Fraction(now);
-  const double in_phase =
-      std::chrono::duration<double>(this->elapsed.At(now) - this->phase_elapsed) /
-      this->claim.order.duration;
-  const Duration patience = std::max(FreshTime(this->options), 2 * this->report_interval);
+void Coordinator::AdvanceRetire(const Survey& survey, double phase_fraction, Timestamp now,
+                                std::vector<Effect>& out) {
   if (survey.accepting_slots == 0) {
-    if (this->elapsed.At(now) - this->phase_elapsed >= patience && this->IsConfirmed(now)) {
+    if (this->elapsed.At(now) - this->phase_elapsed >= this->FreshAge() && this->IsConfirmed(now)) {
       this->Stop(Reason::kNoServer, now, out);
     }
     return;
   }
+  const double fraction = this->Fraction(now);
   const bool are_idle =
       survey.busy_gates == 0 && (survey.silent_gates == 0 || fraction >= kSilentGatesGone);
-  if (!this->verdict && ((are_idle && in_phase >= kMinRetire) || fraction >= kCompletionDeadline)) {
+  const bool was_long_enough = phase_fraction >= this->MinPhaseLength(kMinRetire, 2.0);
+  if (!this->verdict && ((are_idle && was_long_enough) || fraction >= kCompletionDeadline)) {
     this->verdict = State::kComplete;
     this->reason = are_idle ? Reason::kOldServersIdle : Reason::kTimeReached;
   }
--- a/libs/rollout/src/evidence.cc
+++ b/libs/rollout/src/evidence.cc
@@ -139,6 +139,7 @@
 void Evidence::Comparison::Add(const Comparison& other) {
   this->answers += other.answers;
   this->failures += other.failures;
+  this->expected_failures += other.expected_failures;
   this->allowed_failures += other.allowed_failures;
   this->timed += other.timed;
   this->above_median += other.above_median;
@@ -196,6 +197,7 @@
     const double floor = is_matched ? kMinFailureRate : kUnmatchedFailureRate;
     result.answers += new_version.answers;
     result.failures += new_version.failures;
+    result.expected_failures += answers * rate;
     result.allowed_failures += answers * std::clamp(kFailureRateFactor * rate, floor, 1.0);
     if (!compares_latency || new_version.timed == 0) {
       continue;
@@ -280,33 +282,31 @@
   return std::nullopt;
 }
 
+bool Evidence::IsCleared(const Comparison& comparison) {
+  if (comparison.answers == 0) {
+    return false;
+  }
+  const double old_rate = comparison.expected_failures / static_cast<double>(comparison.answers);
+  const double bad_rate = old_rate + kBadShare * (1.0 - old_rate);
+  // Few answers cannot tell a bad version from one of a service that fails that often anyway.
+  return old_rate >= kBadShare ||
+         BinomialTail(comparison.answers, comparison.answers - comparison.failures,
+                      1.0 - bad_rate) < kClearedSignificance;
+}
+
 bool Evidence::IsSufficient() const {
-  const auto is_cleared = [](std::uint64_t answers, std::uint64_t failures, double old_rate) {
-    const double bad_rate = old_rate + kBadShare * (1.0 - old_rate);
-    // Few answers cannot tell a bad version from one of a service that fails that often anyway.
-    return old_rate >= kBadShare ||
-           BinomialTail(answers, answers - failures, 1.0 - bad_rate) < kClearedSignificance;
-  };
-  const auto rate_of = [](std::uint64_t answers, std::uint64_t failures) {
-    return answers == 0 ? 0.0 : static_cast<double>(failures) / static_cast<double>(answers);
-  };
-  std::uint64_t answers = 0;
-  std::uint64_t failures = 0;
+  Comparison all;
   for (const auto& [name, route] : this->routes) {
-    const Sample& old_version = route.old_version;
-    const Sample& new_version = route.new_version;
-    answers += new_version.answers;
-    failures += new_version.failures;
-    const double expected = this->canary_share * static_cast<double>(old_version.answers);
+    const Comparison comparison = this->Compare(route, 0);
+    const double expected = this->canary_share * static_cast<double>(route.old_version.answers);
     if (expected >= kMinExpected &&
-        (static_cast<double>(new_version.answers) < expected * kExpectedShare ||
-         !is_cleared(new_version.answers, new_version.failures,
-                     rate_of(old_version.answers, old_version.failures)))) {
+        (static_cast<double>(comparison.answers) < expected * kExpectedShare ||
+         !IsCleared(comparison))) {
       return false;
     }
+    all.Add(comparison);
   }
-  return answers >= kMinAnswers &&
-         is_cleared(answers, failures, rate_of(this->old_answers, this->old_failures));
+  return all.answers >= kMinAnswers && IsCleared(all);
 }
 
 Finding Evidence::Totals() const {
--- a/libs/rollout/src/evidence.h
+++ b/libs/rollout/src/evidence.h
@@ -84,7 +84,9 @@
   struct Comparison {
     std::uint64_t answers = 0;
     std::uint64_t failures = 0;
-    // Sum of the largest failure probabilities that are allowed for the answers.
+    // Failures that the old version's rates would give, and the sum of the largest failure
+    // probabilities that are allowed.
+    double expected_failures = 0.0;
     double allowed_failures = 0.0;
     std::uint64_t timed = 0;
     // Answers above the factor times the median and the upper quartile of the old version.
@@ -100,6 +102,8 @@
 
   Comparison Compare(const Route& route, std::size_t first) const;
   static Reason Judge(const Comparison& comparison);
+  // Whether the failures do not fit a bad version.
+  static bool IsCleared(const Comparison& comparison);
   static Finding ToFinding(Reason reason, const std::string& name, const Comparison& comparison);
 
   double canary_share;
--- a/libs/rollout/src/exposure_budget.h
+++ b/libs/rollout/src/exposure_budget.h
@@ -32,6 +32,9 @@
     this->earlier_sum = std::max(this->earlier_sum, granted);
   }
 
+  // Takes back runs that a gate was granted and can no longer start.
+  void Reclaim(std::uint64_t count) { this->own -= std::min(count, this->own); }
+
   // Runs to add to the allowance of a gate that has `unspent` runs left, one of `gates`. A gate
   // gets its share of all unspent runs, in steps of at least `chunk`, so that its server runs under
   // the usual load while it has any.
--- a/libs/rollout/src/message_codec.cc
+++ b/libs/rollout/src/message_codec.cc
@@ -27,7 +27,7 @@
 // More than a participant reports (run_counters.cc).
 constexpr std::size_t kMaxRoutes = 64;
 constexpr std::size_t kRouteFields = 4;
-constexpr std::size_t kReportFields = 23;
+constexpr std::size_t kReportFields = 24;
 constexpr std::size_t kDirectiveFields = 14;
 constexpr std::size_t kRedirectFields = 6;
 // Times in microseconds stay far below what a Duration holds.
@@ -77,8 +77,12 @@
 void Write(CborWriter& out, const Report& m) {
   out.Array(kReportFields).Number(static_cast<std::uint64_t>(MessageType::kReport));
   out.Text(m.service).Number(m.order).Text(m.version).Number(m.boot_id).Number(m.server);
-  out.Number(ToNumber(m.sent_at)).Number(m.term).Number(static_cast<std::uint64_t>(m.phase));
-  out.Flag(m.stopped).Flag(m.coordinator_lost).Flag(m.in_place).Flag(m.superseded);
+  out.Number(ToNumber(m.sent_at)).Number(m.term).Number(m.sequence);
+  out.Number(static_cast<std::uint64_t>(m.phase))
+      .Flag(m.stopped)
+      .Flag(m.coordinator_lost)
+      .Flag(m.in_place)
+      .Flag(m.superseded);
   out.Number(ToNumber(m.elapsed)).Flag(m.available).Number(m.slots).Flag(m.accepting);
   out.Number(ToNumber(m.cold_left)).Number(m.started).Number(m.running);
   out.Number(m.allowance).Number(m.granted).Array(m.routes.size());
@@ -96,6 +100,7 @@
   m.server = in.Number();
   m.sent_at = ReadDuration(in);
   m.term = in.Number();
+  m.sequence = in.Number();
   m.phase = ReadPhase(in);
   m.stopped = in.Flag();
   m.coordinator_lost = in.Flag();
--- a/libs/rollout/src/participant.cc
+++ b/libs/rollout/src/participant.cc
@@ -16,6 +16,9 @@
 // How often a held version is compared with the members.
 constexpr Duration kHoldCheckInterval = utils::Milliseconds(200);
 
+// Typical time from the write of an order until the first node learns of it.
+constexpr Duration kOrderTransit = utils::Milliseconds(500);
+
 constexpr AdmissionChanged kOpen{true, true};
 constexpr AdmissionChanged kClosed{false, false};
 
@@ -84,7 +87,7 @@
   }
   this->order = next;
   this->verdict.reset();
-  this->elapsed = ElapsedTime({}, now);
+  this->elapsed = ElapsedTime(std::min(kOrderTransit, next.duration / 8), now);
   this->term = 0;
   this->sequence = 0;
   this->phase = Phase::kNone;
@@ -231,6 +234,7 @@
   this->last_report = std::max(now.time_since_epoch(), this->last_report + Duration(1));
   report.sent_at = this->last_report;
   report.term = this->term;
+  report.sequence = this->sequence;
   report.phase = this->highest_phase;
   report.stopped = this->stopped;
   report.coordinator_lost = coordinator_lost;
--- a/libs/rollout/src/rollout_status.cc
+++ b/libs/rollout/src/rollout_status.cc
@@ -61,7 +61,7 @@
   }
   const bool is_alive = id == this->link.Target() &&
                         this->link.IsAlive(this->now, details::SilenceTime(this->options));
-  return this->link.IsAvoided(id, this->now) || (this->claim_insisted && !is_alive);
+  return this->link.IsSilent(id, this->now) || (this->claim_insisted && !is_alive);
 }
 
 void Rollout::Impl::Handle(const StatusRead& event) {
--- /dev/null
+++ b/libs/rollout/tests/rollout_mesh.cc
@@ -0,0 +1,473 @@
+// Simulation of nodes, network, register, servers and callers.
+
+#include "rollout_mesh.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "amaranthlatch/rollout/message_codec.h"
+
+namespace amaranthlatch::rollout::testing {
+
+namespace {
+
+using membership::Member;
+using membership::MemberState;
+using utils::Duration;
+using utils::Milliseconds;
+using utils::Seconds;
+using utils::Timestamp;
+
+constexpr const char* kService = "fleet";
+// Time until a member record, an order or a configuration is known everywhere.
+constexpr Duration kPropagation = Milliseconds(300);
+constexpr Duration kMaxOrderDelay = Milliseconds(900);
+constexpr std::uint32_t kSlots = 8;
+constexpr std::array<const char*, 3> kRoutes = {"list", "book", "pay"};
+constexpr int kMaxTries = 6;
+
+Member Observer() {
+  Member member;
+  member.id = "observer";
+  return member;
+}
+
+}  // namespace
+
+Mesh::Mesh(const Setup& from) : setup(from), random(from.seed), members(Observer()) {
+  const auto speed = [this] {
+    return this->setup.mixed_speeds ? 0.5 + this->random.UniformReal() : 1.0;
+  };
+  for (std::size_t i = 0; i < this->setup.old_nodes; ++i) {
+    this->StartNode(this->AddNode("1", speed()));
+  }
+  this->RunFor(Seconds(4));
+  this->PlaceOrder("2", this->setup.duration);
+  for (std::size_t i = 0; i < this->setup.new_nodes; ++i) {
+    const std::size_t node = this->AddNode("2", speed());
+    this->At(this->random.Jitter(Milliseconds(500)), [this, node] { this->StartNode(node); });
+  }
+  this->Call();
+}
+
+void Mesh::At(Duration delay, std::function<void()> action) {
+  this->actions.push({this->now + delay, ++this->last_order, std::move(action)});
+}
+
+void Mesh::RunFor(Duration duration) {
+  const Timestamp end = this->now + duration;
+  while (!this->actions.empty() && this->actions.top().at <= end) {
+    const Action action = this->actions.top();
+    this->actions.pop();
+    this->now = action.at;
+    action.run();
+  }
+  this->now = end;
+}
+
+bool Mesh::RunUntil(const std::function<bool()>& condition) {
+  const Timestamp end = this->ordered_at + this->orders.back().duration;
+  while (!condition() && this->now < end) {
+    this->RunFor(Milliseconds(10));
+  }
+  return condition();
+}
+
+void Mesh::PlaceOrder(const std::string& version, Duration duration) {
+  this->orders.push_back({kService, version, duration, this->orders.size() + 1});
+  this->ordered_at = this->now;
+  this->calls = 0;
+  this->exposure = 0;
+  this->refused = 0;
+  this->bad_answers = 0;
+  this->stopped_at.reset();
+  this->verdict_at.reset();
+  for (std::size_t node = 0; node < this->nodes.size(); ++node) {
+    const std::uint64_t boot = this->nodes[node].boot;
+    this->At(kPropagation + this->random.Jitter(kMaxOrderDelay),
+             [this, node, boot, orders = this->orders] {
+               this->Deliver(node, boot, OrdersChanged{orders});
+             });
+  }
+}
+
+std::size_t Mesh::AddNode(const std::string& version, double speed) {
+  const std::size_t index = this->nodes.size();
+  Node& node = this->nodes.emplace_back();
+  node.id = "10.0.0." + std::to_string(index) + ":1";
+  node.version = version;
+  node.speed = speed;
+  node.record.id = node.id;
+  this->indices[node.id] = index;
+  return index;
+}
+
+void Mesh::StartNode(std::size_t index) {
+  Node& node = this->nodes[index];
+  if (node.node_alive) {
+    return;
+  }
+  Options options;
+  options.id = node.id;
+  options.boot_id = node.boot = ++this->last_boot;
+  options.seed = this->random.Next();
+  node.rollout = std::make_unique<Rollout>(std::move(*Rollout::Create(options)));
+  node.node_alive = true;
+  node.server_alive = true;
+  node.paused_until = {};
+  node.server_started = this->now;
+  node.running = 0;
+  node.wake.reset();
+  node.record.service.clear();
+  node.record.slots = 0;
+  const std::uint64_t boot = node.boot;
+  this->At(Milliseconds(50), [this, index, boot] {
+    this->Deliver(index, boot, this->Announcement(this->nodes[index], true));
+    this->Publish(index);
+  });
+  // The orders come with the configuration, which a node gets soon after its start.
+  this->At(Milliseconds(30) + this->random.Jitter(kPropagation),
+           [this, index, boot] { this->Deliver(index, boot, OrdersChanged{this->orders}); });
+}
+
+void Mesh::KillNode(std::size_t node) {
+  this->nodes[node].node_alive = false;
+  this->nodes[node].server_alive = false;
+}
+
+void Mesh::KillServer(std::size_t index) {
+  Node& node = this->nodes[index];
+  node.server_alive = false;
+  this->Deliver(index, node.boot, this->Announcement(node, false));
+  this->Publish(index);
+}
+
+void Mesh::Pause(std::size_t node, Duration duration) {
+  this->nodes[node].paused_until = this->now + duration;
+}
+
+BackendServerChanged Mesh::Announcement(const Node& node, bool available) const {
+  const Duration age = this->now - node.server_started;
+  return {kService, node.version, kSlots, available, std::max(Duration{}, this->setup.cold - age)};
+}
+
+void Mesh::Deliver(std::size_t index, std::uint64_t boot, Event event) {
+  Node& node = this->nodes[index];
+  if (!node.node_alive || node.boot != boot) {
+    return;
+  }
+  if (this->now < node.paused_until) {
+    this->At(node.paused_until - this->now,
+             [this, index, boot, event = std::move(event)]() mutable {
+               this->Deliver(index, boot, std::move(event));
+             });
+    return;
+  }
+  for (const Effect& effect : node.rollout->Reduce(event, this->now, this->members)) {
+    this->HandleEffect(index, effect);
+  }
+  this->ScheduleWake(index);
+}
+
+void Mesh::ScheduleWake(std::size_t index) {
+  Node& node = this->nodes[index];
+  const std::optional<Timestamp> next = node.rollout->NextWake();
+  if (!next || (node.wake && *node.wake <= *next)) {
+    return;
+  }
+  node.wake = std::max(*next, this->now);
+  const std::uint64_t boot = node.boot;
+  this->At(*node.wake - this->now, [this, index, boot, at = *node.wake] {
+    if (this->nodes[index].boot == boot && this->nodes[index].wake == at) {
+      this->nodes[index].wake.reset();
+      this->Deliver(index, boot, WakeUp{});
+    }
+  });
+}
+
+void Mesh::HandleEffect(std::size_t index, const Effect& effect) {
+  if (const auto* send = std::get_if<SendMessage>(&effect)) {
+    this->Send(index, send->to, send->message);
+  } else if (std::holds_alternative<ReadStatus>(effect)) {
+    this->Read(index);
+  } else if (const auto* write = std::get_if<WriteStatus>(&effect)) {
+    this->Write(index, *write);
+  } else if (std::holds_alternative<AdmissionChanged>(effect)) {
+    this->Publish(index);
+  } else if (const auto* stage = std::get_if<StageChanged>(&effect)) {
+    const Figures& f = stage->figures;
+    if (f.phase == Phase::kStopped && f.order == this->orders.size() && !this->stopped_at) {
+      this->stopped_at = this->now;
+    } else if (!this->stopped_at) {
+      this->stopped_in = f.phase;
+    }
+    this->log.push_back(
+        std::to_string(utils::ToMilliseconds(this->now - this->ordered_at)) + " ms " +
+        this->nodes[index].id + " order " + std::to_string(f.order) + " " +
+        std::string(ToString(f.phase)) + " " + std::string(ToString(f.reason)) + " route '" +
+        f.route + "' " + std::to_string(f.failures) + "/" + std::to_string(f.answers) + " old " +
+        std::to_string(f.old_failures) + "/" + std::to_string(f.old_answers) + " median " +
+        std::to_string(f.median.count()) + "/" + std::to_string(f.old_median.count()) +
+        " exposure " + std::to_string(f.exposure) + "/" + std::to_string(f.total) + " term " +
+        std::to_string(f.term));
+  } else if (const auto* verdict = std::get_if<VerdictReached>(&effect)) {
+    if (verdict->figures.order == this->orders.size() && verdict->state != this->Verdict()) {
+      this->error = "a node learned a verdict that the register does not hold";
+    }
+    if (verdict->figures.order == this->orders.size() && !this->verdict_at) {
+      this->verdict_at = this->now;
+      this->log.push_back(std::to_string(utils::ToMilliseconds(this->now - this->ordered_at)) +
+                          " ms verdict " + std::string(ToString(verdict->state)));
+    }
+  }
+}
+
+void Mesh::Send(std::size_t from, const membership::NodeId& to, const Message& message) {
+  ++this->messages;
+  const std::string bytes = ToCbor(message);
+  const utils::Result<Message> decoded = MessageFromCbor(bytes);
+  if (!decoded || *decoded != message) {
+    this->error = "the codec changed a message";
+  }
+  const std::size_t index = this->IndexOf(to);
+  const Node& receiver = this->nodes[index];
+  const std::uint64_t boot = this->nodes[from].boot;
+  if (receiver.group != this->nodes[from].group || !receiver.node_alive ||
+      this->random.Bernoulli(this->network.loss_share)) {
+    // A closed connection is noticed only if the instance still runs.
+    if (!receiver.node_alive && this->random.Bernoulli(0.5)) {
+      this->At(Milliseconds(2),
+               [this, from, boot, to] { this->Deliver(from, boot, PeerUnreachable{to}); });
+    }
+    return;
+  }
+  Duration delay = Milliseconds(1) + this->random.Jitter(Milliseconds(4));
+  if (this->random.Bernoulli(this->network.delay_share)) {
+    delay += this->random.Jitter(Seconds(3));
+  }
+  // A late message reaches whichever process runs then.
+  this->At(delay, [this, index, id = this->nodes[from].id, message] {
+    this->Deliver(index, this->nodes[index].boot, PeerMessage{id, message});
+  });
+}
+
+void Mesh::Read(std::size_t index) {
+  const std::uint64_t boot = this->nodes[index].boot;
+  this->At(Milliseconds(10) + this->random.Jitter(Milliseconds(30)), [this, index, boot] {
+    if (!this->status.available || !this->nodes[index].reaches_register) {
+      this->At(Milliseconds(100),
+               [this, index, boot] { this->Deliver(index, boot, StatusReadFailed{kService}); });
+      return;
+    }
+    StatusRead read{kService, this->status.end, std::nullopt};
+    if (!this->status.records.empty()) {
+      read.record = this->status.records.back();
+    }
+    this->At(Milliseconds(5) + this->random.Jitter(Milliseconds(20)),
+             [this, index, boot, read] { this->Deliver(index, boot, read); });
+  });
+  // Another service writes to the stream from time to time.
+  this->status.end += this->random.Bernoulli(0.05) ? 1 : 0;
+}
+
+void Mesh::Write(std::size_t index, const WriteStatus& write) {
+  const std::uint64_t boot = this->nodes[index].boot;
+  this->At(Milliseconds(10) + this->random.Jitter(Milliseconds(30)), [this, index, boot, write] {
+    StatusWritten result{kService, WriteOutcome::kUnknown, 0};
+    if (this->status.available && this->nodes[index].reaches_register) {
+      if (write.expected_end == this->status.end) {
+        const auto is_verdict = [&write](const StatusRecord& record) {
+          return record.order == write.record.order && record.state != State::kRunning;
+        };
+        if (std::any_of(this->status.records.begin(), this->status.records.end(), is_verdict)) {
+          this->error = "a record follows the verdict of its order";
+        }
+        result.position = this->status.end++;
+        this->status.records.push_back(write.record);
+        result.outcome = this->random.Bernoulli(this->status.lost_answers) ? WriteOutcome::kUnknown
+                                                                           : WriteOutcome::kWritten;
+      } else {
+        result.outcome = WriteOutcome::kConflict;
+      }
+    }
+    this->At(Milliseconds(5) + this->random.Jitter(Milliseconds(20)),
+             [this, index, boot, result] { this->Deliver(index, boot, result); });
+  });
+}
+
+void Mesh::Publish(std::size_t index) {
+  Node& node = this->nodes[index];
+  if (!node.node_alive) {
+    return;
+  }
+  const bool announced = node.server_alive && node.rollout->Admission().announce;
+  Member& record = node.record;
+  if (announced) {
+    record.service = kService;
+    record.slots = kSlots;
+    record.labels["version"] = node.version;
+  }
+  record.state = announced           ? MemberState::kReady
+                 : record.slots == 0 ? MemberState::kJoining
+                                     : MemberState::kDraining;
+  record.boot_id = node.boot;
+  ++record.incarnation;
+  this->At(kPropagation, [this, record] { this->members.Merge(record, this->now); });
+}
+
+void Mesh::Call() {
+  const auto interval = static_cast<Duration::rep>(1e6 / this->setup.rate);
+  this->At(Duration(interval / 2) + this->random.Jitter(Duration(interval)),
+           [this] { this->Call(); });
+  ++this->calls;
+  const std::string route = kRoutes.at(this->random.Uniform(kRoutes.size()));
+  std::vector<std::size_t> ready;
+  const int group = this->nodes[this->random.Uniform(this->nodes.size())].group;
+  for (const Member& member : *this->members.ServiceMembers(kService)) {
+    const std::size_t index = this->IndexOf(member.id);
+    if (member.state == MemberState::kReady && this->nodes[index].group == group) {
+      ready.push_back(index);
+    }
+  }
+  for (int i = 0; i < kMaxTries && !ready.empty(); ++i) {
+    const std::size_t choice = this->random.Uniform(ready.size());
+    const std::size_t index = ready[choice];
+    ready.erase(ready.begin() + static_cast<std::ptrdiff_t>(choice));
+    const Node& node = this->nodes[index];
+    const bool runs = node.node_alive && node.server_alive && this->now >= node.paused_until;
+    if (runs && node.running < kSlots && node.rollout->Admission(this->now).accept) {
+      this->Run(index, route);
+      return;
+    }
+  }
+  ++this->refused;
+}
+
+void Mesh::Run(std::size_t index, const std::string& route) {
+  Node& node = this->nodes[index];
+  const std::uint64_t run = ++this->last_run;
+  const std::uint64_t boot = node.boot;
+  const bool is_target = node.version == this->orders.back().target_version;
+  const Duration age = this->now - node.server_started;
+  ++node.running;
+  ++this->runs[node.version];
+  this->Deliver(index, boot, RunStarted{run, route});
+  double factor = (0.7 + 0.6 * this->random.UniformReal()) / node.speed;
+  factor *= age < this->setup.cold ? 2.0 : 1.0;
+  bool fails = false;
+  bool is_bad = false;
+  const Fault& service = this->setup.service;
+  if (service.Matches(this->now - this->ordered_at, node.running, route)) {
+    factor *= service.slow_factor;
+    fails = this->random.Bernoulli(service.failure_share);
+  }
+  const Fault& bad = this->setup.bad_version;
+  if (is_target && bad.Matches(age, node.running, route)) {
+    factor *= bad.slow_factor;
+    fails = fails || this->random.Bernoulli(bad.failure_share);
+    is_bad = fails || bad.slow_factor > 1.0;
+  }
+  if (is_target) {
+    ++this->exposure;
+    this->last_exposure = this->now;
+  }
+  this->bad_answers += is_bad ? 1 : 0;
+  if (this->bad_answers == 50 && is_bad) {
+    this->fiftieth_bad_answer = this->now;
+  }
+  const auto work = static_cast<double>(this->setup.work.count());
+  this->At(Duration(static_cast<Duration::rep>(work * factor)), [this, index, boot, run, fails] {
+    Node& ended = this->nodes[index];
+    if (ended.boot != boot) {
+      return;
+    }
+    --ended.running;
+    const RunOutcome outcome = !ended.server_alive ? RunOutcome::kServerLost
+                               : fails             ? RunOutcome::kFailed
+                                                   : RunOutcome::kAnswered;
+    this->Deliver(index, boot, RunEnded{run, outcome});
+  });
+}
+
+std::optional<std::size_t> Mesh::Coordinator() const {
+  std::optional<std::size_t> result;
+  std::uint64_t term = 0;
+  for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+    if (!this->nodes[i].node_alive) {
+      continue;
+    }
+    const Gauges gauges = this->nodes[i].rollout->GetGauges();
+    if (gauges.coordinating && gauges.term >= term) {
+      result = i;
+      term = gauges.term;
+    }
+  }
+  return result;
+}
+
+bool Mesh::IsInPhase(Phase phase) const {
+  const std::optional<std::size_t> coordinator = this->Coordinator();
+  return coordinator && this->nodes[*coordinator].rollout->GetGauges().phase == phase;
+}
+
+State Mesh::Verdict() const {
+  if (this->status.records.empty() || this->status.records.back().order != this->orders.size()) {
+    return State::kRunning;
+  }
+  return this->status.records.back().state;
+}
+
+std::uint64_t Mesh::RunsOf(const std::string& version) const {
+  const auto found = this->runs.find(version);
+  return found == this->runs.end() ? 0 : found->second;
+}
+
+std::string Mesh::Describe() const {
+  std::string text = "seed " + std::to_string(this->setup.seed) + " verdict " +
+                     std::string(ToString(this->Verdict())) + " calls " +
+                     std::to_string(this->calls) + " exposure " + std::to_string(this->exposure) +
+                     " bad " + std::to_string(this->bad_answers) + " refused " +
+                     std::to_string(this->refused) + " messages " + std::to_string(this->messages);
+  for (const std::string& line : this->log) {
+    text += "\n  " + line;
+  }
+  return text;
+}
+
+std::string Mesh::CheckAlways() const {
+  return this->error.empty() ? std::string() : this->error + "\n" + this->Describe();
+}
+
+std::string Mesh::CheckGood() const {
+  std::string problem = this->CheckAlways();
+  if (problem.empty() && (this->Verdict() != State::kComplete ||
+                          *this->verdict_at > this->ordered_at + this->orders.back().duration)) {
+    problem = "a good version was not completed in time: " + this->Describe();
+  }
+  return problem;
+}
+
+std::string Mesh::CheckBad() const {
+  constexpr double kShare = 0.1;
+  constexpr double kSlack = 50.0;
+  std::string problem = this->CheckAlways();
+  if (!problem.empty()) {
+    return problem;
+  }
+  if (this->Verdict() != State::kRolledBack ||
+      *this->verdict_at > this->ordered_at + this->orders.back().duration) {
+    problem = "a bad version was not rolled back in time: ";
+  } else if (static_cast<double>(this->exposure) >
+             kShare * static_cast<double>(this->calls) + kSlack) {
+    problem = "a bad version received too many requests: ";
+  } else if (this->last_exposure > *this->stopped_at + Milliseconds(1750)) {
+    problem = "the version ran after its stop: ";
+  } else if (this->fiftieth_bad_answer &&
+             this->last_exposure > *this->fiftieth_bad_answer + Seconds(5)) {
+    problem = "the version ran 5 s after its 50th bad answer: ";
+  }
+  return problem.empty() ? problem : problem + this->Describe();
+}
+
+}  // namespace amaranthlatch::rollout::testing
