--- a/libs/runtime/src/traffic.cc
+++ b/libs/runtime/src/traffic.cc
@@ -57,10 +57,17 @@
     {"confirmation", false, false},
 }};
 
+constexpr std::array<MessageKind, std::variant_size_v<rollout::Message>> kRollout = {{
+    {"rollout-report", false, true},
+    {"rollout-directive", false, false, true},
+    {"rollout-redirect", false, false, true},
+}};
+
 MessageKind Find(const membership::Message& message) { return kMembership.at(message.index()); }
 MessageKind Find(const distribution::Message& message) { return kDistribution.at(message.index()); }
 MessageKind Find(const calls::Message& message) { return kCalls.at(message.index()); }
 MessageKind Find(const directory::Message& message) { return kDirectory.at(message.index()); }
+MessageKind Find(const rollout::Message& message) { return kRollout.at(message.index()); }
 
 std::string Label(std::string_view name, std::string_view value) {
   return std::string(name).append("=\"").append(LabelValue(value)).append("\"");
