--- a/libs/rollout/src/coordinator.cc
+++ b/libs/rollout/src/coordinator.cc
@@ -26,6 +26,9 @@
 constexpr Duration kEvaluationInterval = utils::Milliseconds(50);
 // Participants count for the majority for this long after their last report.
 constexpr Duration kMemoryTime = utils::Seconds(10);
+// Announcements to members that do not report: how often, and to how many at once.
+constexpr Duration kAnnouncementInterval = utils::Milliseconds(500);
+constexpr std::size_t kMaxAnnouncements = 16;
 constexpr Duration kMinSlice = utils::Seconds(1);
 // Bounds the memory of the evidence.
 constexpr Duration::rep kMaxSlices = 32;
@@ -110,6 +113,7 @@
   if (now >= this->next_poll) {
     this->next_poll = now + kPollInterval;
     this->Evaluate(now, members, out);
+    this->AnnounceToSilentMembers(now, members, out);
   }
 }
 
@@ -118,6 +122,7 @@
     peer.confirmed = {};
   }
   this->confirmed_at = {};
+  this->majority_heard = {};
   this->deaf_until = now + kDeafTime;
 }
 
@@ -173,9 +178,7 @@
 
 void Coordinator::Answer(const NodeId& to, Peer& peer, Timestamp now, std::vector<Effect>& out) {
   if (this->collect_until) {
-    out.emplace_back(
-        SendMessage{to, Redirect{this->claim.order.service, this->claim.order.position,
-                                 this->options.id, this->claim.term, this->learned_stop}});
+    out.emplace_back(SendMessage{to, this->MakeRedirect()});
     return;
   }
   Directive directive;
@@ -207,6 +210,35 @@
   out.emplace_back(SendMessage{to, std::move(directive)});
 }
 
+void Coordinator::AnnounceToSilentMembers(Timestamp now, const membership::MemberView& members,
+                                          std::vector<Effect>& out) {
+  if (now < this->next_announcement) {
+    return;
+  }
+  this->next_announcement = now + kAnnouncementInterval;
+  std::vector<NodeId> silent;
+  for (const Member& member : *members.ServiceMembers(this->claim.order.service)) {
+    const auto peer = this->peers.find(member.id);
+    if (IsServing(member) && member.id != this->options.id &&
+        (peer == this->peers.end() || !this->IsFresh(peer->second, now))) {
+      silent.push_back(member.id);
+    }
+  }
+  // Members are in ascending order; each round continues after the last one.
+  const auto next = std::upper_bound(silent.begin(), silent.end(), this->announced_to);
+  std::rotate(silent.begin(), next, silent.end());
+  silent.resize(std::min(silent.size(), kMaxAnnouncements));
+  for (const NodeId& id : silent) {
+    out.emplace_back(SendMessage{id, this->MakeRedirect()});
+    this->announced_to = id;
+  }
+}
+
+Redirect Coordinator::MakeRedirect() const {
+  return {this->claim.order.service, this->claim.order.position, this->options.id, this->claim.term,
+          this->learned_stop || this->phase == Phase::kStopped};
+}
+
 void Coordinator::PushAll(Timestamp now, std::vector<Effect>& out) {
   for (const NodeId& id : this->FreshPeers(now)) {
     this->Answer(id, this->peers.at(id), now, out);
@@ -292,13 +324,23 @@
   return std::max(FreshTime(this->options), 2 * this->report_interval);
 }
 
+bool Coordinator::NeedsConfirmation(Timestamp now) const {
+  return now - this->confirmed_at >=
+         (IsLimited(this->phase) ? LeaseTime(this->options) / 3 : SilenceTime(this->options));
+}
+
 bool Coordinator::IsConfirmed(Timestamp now) const {
   // Half of the lease is left for the reports of the participants.
   return this->LeaseLimit() - LeaseTime(this->options) / 2 > now;
 }
 
 Timestamp Coordinator::LeaseLimit() const {
-  return this->confirmed_at + LeaseTime(this->options) + this->report_interval;
+  const Timestamp by_register = this->confirmed_at + LeaseTime(this->options);
+  if (this->register_answers) {
+    return by_register;
+  }
+  return std::max(by_register,
+                  this->majority_heard + LeaseTime(this->options) + this->report_interval);
 }
 
 std::size_t Coordinator::SliceAt(Timestamp time) const {
--- a/libs/rollout/src/coordinator.h
+++ b/libs/rollout/src/coordinator.h
@@ -42,6 +42,8 @@
   void Poll(utils::Timestamp now, const membership::MemberView& members, std::vector<Effect>& out);
   // The register held the claim of this coordinator as the newest record at this time or later.
   void OnConfirmed(utils::Timestamp at) { this->confirmed_at = std::max(this->confirmed_at, at); }
+  // While the register does not answer, contact with most participants confirms the claim.
+  void SetRegisterAnswers(bool answers) { this->register_answers = answers; }
   // The process was paused: another node may coordinate by now, and reports may have waited.
   void OnDelayed(utils::Timestamp now);
   void OnRefreshed() { this->refresh_wanted = false; }
@@ -50,8 +52,9 @@
   std::uint64_t Term() const { return this->claim.term; }
   // Whether another node is known to have claimed the order later.
   bool IsSuperseded() const { return this->superseded; }
-  // Whether the register must confirm the claim before leases are granted.
-  bool NeedsConfirmation(utils::Timestamp now) const { return !this->IsConfirmed(now); }
+  // Whether the register is to confirm the claim again: after a later claim no lease may be
+  // granted.
+  bool NeedsConfirmation(utils::Timestamp now) const;
   // Whether the elapsed time must be stored, for the case that all nodes are lost.
   bool NeedsRefresh() const { return this->refresh_wanted; }
   // The verdict to write; none if there is none yet.
@@ -102,9 +105,14 @@
 
   void Learn(const Report& report, utils::Timestamp now);
   void Count(Peer& peer, const Report& report, bool is_same_process, utils::Timestamp now);
+  Redirect MakeRedirect() const;
   void Answer(const membership::NodeId& to, Peer& peer, utils::Timestamp now,
               std::vector<Effect>& out);
   void PushAll(utils::Timestamp now, std::vector<Effect>& out);
+  // Announces itself to members that do not report here: they may follow another coordinator, or be
+  // one.
+  void AnnounceToSilentMembers(utils::Timestamp now, const membership::MemberView& members,
+                               std::vector<Effect>& out);
 
   Survey MakeSurvey(utils::Timestamp now, const membership::MemberView& members);
   bool IsReplaced(const std::string& version) const;
@@ -124,6 +132,8 @@
   void Advance(const Survey& survey, utils::Timestamp now, std::vector<Effect>& out);
   void AdvanceRetire(const Survey& survey, double phase_fraction, utils::Timestamp now,
                      std::vector<Effect>& out);
+  // Whether no other node is known to coordinate and nothing looks bad that more answers may show.
+  bool MayAdvance(utils::Timestamp now) const;
   // Shortest length of the current phase as a fraction of the duration: `usual`, but at most one of
   // `phases_left` equal parts of the time left when it began.
   double MinPhaseLength(double usual, double phases_left) const;
@@ -133,6 +143,7 @@
 
   double Fraction(utils::Timestamp now) const;
   std::size_t SliceAt(utils::Timestamp time) const;
+  std::size_t RecentSlice(utils::Timestamp now) const;
   std::uint64_t Chunk(utils::Timestamp now) const;
 
   const Options& options;
@@ -165,10 +176,16 @@
   std::size_t old_servers = 0;
   std::size_t canaries = 0;
 
+  // When the register last confirmed the claim, and when most participants were last heard.
   utils::Timestamp confirmed_at{};
+  utils::Timestamp majority_heard{};
+  bool register_answers = true;
   // Reports received until then may have waited during a pause.
   utils::Timestamp deaf_until{};
   utils::Timestamp evaluated_at{};
+  utils::Timestamp next_announcement{};
+  // The last member it was sent to.
+  membership::NodeId announced_to;
   utils::Timestamp next_poll{};
 };
 
--- a/libs/rollout/src/coordinator_link.cc
+++ b/libs/rollout/src/coordinator_link.cc
@@ -21,6 +21,7 @@
 void CoordinatorLink::Reset() {
   this->target.clear();
   this->established = false;
+  this->last_answer.reset();
   this->has_lost_coordinator = false;
   this->lost_connection = false;
   this->asked_at.reset();
@@ -62,7 +63,7 @@
   }
   this->established = true;
   this->has_lost_coordinator = false;
-  this->last_directive = now;
+  this->last_answer = now;
   this->lost_connection = false;
   this->redirects = 0;
   this->asked_at.reset();
@@ -81,6 +82,7 @@
   this->lost_connection = false;
   if (coordinator == from) {
     // It claims the order, or collects reports.
+    this->last_answer = now;
     this->asked_at.reset();
     return false;
   }
@@ -115,6 +117,7 @@
   if (id == this->target) {
     this->target.clear();
     this->established = false;
+    this->last_answer.reset();
     this->asked_at.reset();
   }
 }
@@ -134,7 +137,7 @@
 }
 
 void CoordinatorLink::GiveUpTarget(Timestamp now) {
-  this->has_lost_coordinator = this->has_lost_coordinator || this->established;
+  this->has_lost_coordinator = this->has_lost_coordinator || this->last_answer;
   const NodeId lost = this->target;
   this->Avoid(lost, SilentAvoidance(this->options), now);
   this->avoided[lost].is_silent = true;
@@ -165,6 +168,7 @@
 void CoordinatorLink::Follow(const NodeId& id, Timestamp now) {
   this->target = id;
   this->established = false;
+  this->last_answer.reset();
   this->lost_connection = false;
   this->targeted_at = now;
   this->asked_at.reset();
--- a/libs/rollout/src/coordinator_link.h
+++ b/libs/rollout/src/coordinator_link.h
@@ -24,9 +24,9 @@
   const membership::NodeId& Target() const { return this->target; }
   // Whether the target has sent a directive.
   bool IsEstablished() const { return this->established; }
-  // Whether the target has sent a directive within `age`.
+  // Whether the target has said within `age` that it coordinates or claims the order.
   bool IsAlive(utils::Timestamp now, utils::Duration age) const {
-    return this->established && now - this->last_directive <= age;
+    return this->last_answer && now - *this->last_answer <= age;
   }
   // Whether an earlier coordinator was given up as silent.
   bool HasLostCoordinator() const { return this->has_lost_coordinator; }
@@ -73,7 +73,8 @@
   // The connection to the target was lost after its last answer.
   bool lost_connection = false;
   utils::Timestamp targeted_at{};
-  utils::Timestamp last_directive{};
+  // The last directive of the target, or redirect to itself; none if it has sent neither.
+  std::optional<utils::Timestamp> last_answer;
   // When the first report was sent that the target has not answered; none if there is none.
   std::optional<utils::Timestamp> asked_at;
   // Redirects followed without a directive; a loop of outdated ones ends after some.
--- a/libs/rollout/src/coordinator_phases.cc
+++ b/libs/rollout/src/coordinator_phases.cc
@@ -58,7 +58,7 @@
   this->evaluated_at = now;
   const Survey survey = this->MakeSurvey(now, members);
   this->old_servers = survey.old_servers;
-  this->confirmed_at = std::max(this->confirmed_at, survey.majority_heard);
+  this->majority_heard = std::max(this->majority_heard, survey.majority_heard);
   if (this->phase == Phase::kStopped) {
     return;
   }
@@ -75,8 +75,7 @@
     this->Stop(Reason::kStopLearned, now, out);
     return;
   }
-  const Timestamp recent = std::max(this->claimed_at, now - RecentTime(this->options));
-  if (std::optional<Finding> found = this->evidence.FindFault(this->SliceAt(recent))) {
+  if (std::optional<Finding> found = this->evidence.FindFault(this->RecentSlice(now))) {
     this->finding = std::move(found);
     this->Stop(this->finding->reason, now, out);
     return;
@@ -88,36 +87,46 @@
   this->Advance(survey, now, out);
 }
 
+std::size_t Coordinator::RecentSlice(Timestamp now) const {
+  return this->SliceAt(std::max(this->claimed_at, now - RecentTime(this->options)));
+}
+
 double Coordinator::MinPhaseLength(double usual, double phases_left) const {
   const double entered =
       std::chrono::duration<double>(this->phase_elapsed) / this->claim.order.duration;
   return std::clamp((kCompletionDeadline - entered) / phases_left, 0.0, usual);
 }
 
+bool Coordinator::MayAdvance(Timestamp now) const {
+  return this->IsConfirmed(now) && !this->evidence.IsSuspicious(this->RecentSlice(now));
+}
+
 void Coordinator::Advance(const Survey& survey, Timestamp now, std::vector<Effect>& out) {
   const double fraction = this->Fraction(now);
   const Duration in_phase = this->elapsed.At(now) - this->phase_elapsed;
   const double phase_fraction =
       std::chrono::duration<double>(in_phase) / this->claim.order.duration;
-  // Another node may coordinate if the claim is not confirmed.
-  const bool is_confirmed = this->IsConfirmed(now);
+  // A coordinator that reaches few participants leaves the decision to another one for longer.
+  const bool has_majority = now - survey.majority_heard <= this->FreshAge();
+  const bool is_late = this->IsConfirmed(now) &&
+                       fraction >= (has_majority ? kEvidenceDeadline : kCompletionDeadline);
   switch (this->phase) {
     case Phase::kCanary:
-      if (is_confirmed && survey.old_servers == 0 && this->has_seen_new &&
-          (survey.has_in_place || fraction >= kOldServersAwaited)) {
+      if (survey.old_servers == 0 && this->has_seen_new &&
+          (survey.has_in_place || fraction >= kOldServersAwaited) && this->MayAdvance(now)) {
         this->EnterPhase(Phase::kPromote, Reason::kNoOldServer, now, out);
-      } else if (is_confirmed && fraction >= kCanaryEnd && this->evidence.IsSufficient()) {
+      } else if (fraction >= kCanaryEnd && this->evidence.IsSufficient() && this->MayAdvance(now)) {
         this->EnterPhase(fraction < kLastRamp ? Phase::kRamp : Phase::kPromote,
                          Reason::kEnoughEvidence, now, out);
-      } else if (fraction >= kEvidenceDeadline) {
+      } else if (is_late) {
         this->Stop(this->has_seen_new ? Reason::kNotEnoughEvidence : Reason::kNoServer, now, out);
       }
       break;
     case Phase::kRamp:
-      if (is_confirmed && fraction >= kRampEnd && phase_fraction >= kMinRamp &&
-          this->evidence.IsSufficient()) {
+      if (fraction >= kRampEnd && phase_fraction >= kMinRamp && this->evidence.IsSufficient() &&
+          this->MayAdvance(now)) {
         this->EnterPhase(Phase::kPromote, Reason::kEnoughEvidence, now, out);
-      } else if (fraction >= kEvidenceDeadline) {
+      } else if (is_late) {
         this->Stop(Reason::kNotEnoughEvidence, now, out);
       }
       break;
@@ -125,12 +134,14 @@
       if (phase_fraction < this->MinPhaseLength(kMinPromote, 3.0) && in_phase < kMaxMinPromote) {
         break;
       }
-      if (is_confirmed && survey.ready_slots > 0 && survey.ready_slots >= survey.old_slots) {
+      if (survey.ready_slots > 0 && survey.ready_slots >= survey.old_slots &&
+          this->MayAdvance(now)) {
         this->EnterPhase(Phase::kRetire, Reason::kEnoughCapacity, now, out);
-      } else if (is_confirmed && fraction >= kRetireAt && survey.accepting_slots > 0) {
+      } else if (fraction >= kRetireAt && survey.accepting_slots > 0 && this->MayAdvance(now)) {
         this->EnterPhase(Phase::kRetire, Reason::kTimeReached, now, out);
-      } else if (fraction >= kCompletionDeadline) {
-        this->Stop(Reason::kNoServer, now, out);
+      } else if (fraction >= kCompletionDeadline && this->IsConfirmed(now)) {
+        this->Stop(survey.accepting_slots > 0 ? Reason::kNotEnoughEvidence : Reason::kNoServer, now,
+                   out);
       }
       break;
     case Phase::kRetire:
@@ -153,7 +164,13 @@
   const bool are_idle =
       survey.busy_gates == 0 && (survey.silent_gates == 0 || fraction >= kSilentGatesGone);
   const bool was_long_enough = phase_fraction >= this->MinPhaseLength(kMinRetire, 2.0);
-  if (!this->verdict && ((are_idle && was_long_enough) || fraction >= kCompletionDeadline)) {
+  if (this->verdict) {
+    return;
+  }
+  if (fraction >= kCompletionDeadline && this->evidence.IsSuspicious(this->RecentSlice(now))) {
+    this->Stop(Reason::kNotEnoughEvidence, now, out);
+  } else if (fraction >= kCompletionDeadline ||
+             (are_idle && was_long_enough && this->MayAdvance(now))) {
     this->verdict = State::kComplete;
     this->reason = are_idle ? Reason::kOldServersIdle : Reason::kTimeReached;
   }
--- a/libs/rollout/src/evidence.cc
+++ b/libs/rollout/src/evidence.cc
@@ -14,11 +14,9 @@
 constexpr double kFirstBucketEnd = 100.0;  // Microseconds.
 constexpr double kBucketsPerOctave = 4.0;
 
-// Failures: at least this many, and more than twice the old version's rate would give.
-constexpr std::uint64_t kMinFailures = 5;
+// Failures: more than twice the old version's rate would give.
 constexpr double kFailureRateFactor = 2.0;
 constexpr double kMinFailureRate = 0.02;
-constexpr double kFailureSignificance = 1e-4;
 // Where the old version has answered much fewer calls than the new one at the same time, because
 // its gates have withdrawn, a fault of both versions cannot be told from one of the new version:
 // only a failure rate above this and a larger factor of the latency count.
@@ -30,9 +28,7 @@
 // quantile times the factor less often than the quantile says, whatever the distribution. Servers
 // differ by a factor of 3. The upper quartile shows a version of which half of the answers are
 // slow.
-constexpr std::uint64_t kMinTimed = 15;
 constexpr double kLatencyFactor = 3.5;
-constexpr double kLatencySignificance = 1e-3;
 constexpr double kQuartile = 0.75;
 
 // Weight of the old version's totals on the route in the estimate of one slice, in answers.
@@ -46,10 +42,10 @@
 constexpr double kExpectedShare = 1.0 / 3.0;
 // A route is not cleared while its failures fit a version that fails this share of the answers
 // which the old version would not.
-constexpr double kBadShare = 0.4;
+constexpr double kBadShare = 0.5;
 constexpr double kClearedSignificance = 0.05;
-// Answers on all routes together: fewer would not show half of the answers failing or slow.
-constexpr std::uint64_t kMinAnswers = 15;
+// Answers on all routes together: of fewer, half failing or slow would not look suspicious.
+constexpr std::uint64_t kMinAnswers = 10;
 
 // Routes that are compared by themselves; further ones are pooled under the empty name.
 constexpr std::size_t kMaxRoutes = 64;
@@ -231,18 +227,20 @@
   return result;
 }
 
-Reason Evidence::Judge(const Comparison& comparison) {
-  if (comparison.failures >= kMinFailures) {
+Reason Evidence::Judge(const Comparison& comparison, const Criteria& criteria) {
+  if (comparison.failures >= criteria.min_failures) {
     // The tail for unequal probabilities is at most that for their mean (Hoeffding 1956).
     const double rate = comparison.allowed_failures / static_cast<double>(comparison.answers);
-    if (BinomialTail(comparison.answers, comparison.failures, rate) < kFailureSignificance) {
+    if (BinomialTail(comparison.answers, comparison.failures, rate) <
+        criteria.failure_significance) {
       return Reason::kFailures;
     }
   }
-  if (comparison.timed >= kMinTimed &&
-      (BinomialTail(comparison.timed, comparison.above_median, 0.5) < kLatencySignificance ||
+  if (comparison.timed >= criteria.min_timed &&
+      (BinomialTail(comparison.timed, comparison.above_median, 0.5) <
+           criteria.latency_significance ||
        BinomialTail(comparison.timed, comparison.above_quartile, 1 - kQuartile) <
-           kLatencySignificance)) {
+           criteria.latency_significance)) {
     return Reason::kLatency;
   }
   return Reason::kNone;
@@ -260,6 +258,14 @@
 }
 
 std::optional<Finding> Evidence::FindFault(std::size_t recent) const {
+  return this->Find(recent, kFault);
+}
+
+bool Evidence::IsSuspicious(std::size_t recent) const {
+  return this->Find(recent, kSuspicion).has_value();
+}
+
+std::optional<Finding> Evidence::Find(std::size_t recent, const Criteria& criteria) const {
   for (const std::size_t first : {std::size_t{0}, recent}) {
     Comparison all;
     for (const auto& [name, route] : this->routes) {
@@ -267,14 +273,14 @@
         continue;
       }
       const Comparison comparison = this->Compare(route, first);
-      const Reason reason = Judge(comparison);
+      const Reason reason = Judge(comparison, criteria);
       if (reason != Reason::kNone) {
         return ToFinding(reason, name, comparison);
       }
       all.Add(comparison);
     }
     // Many routes with few calls each show a bad version only together.
-    const Reason reason = Judge(all);
+    const Reason reason = Judge(all, criteria);
     if (reason != Reason::kNone) {
       return ToFinding(reason, {}, all);
     }
--- a/libs/rollout/src/evidence.h
+++ b/libs/rollout/src/evidence.h
@@ -64,6 +64,8 @@
   // Whether the new version is bad over all slices, or over those from `recent` on: a version that
   // turns bad late would otherwise be judged by its good start.
   std::optional<Finding> FindFault(std::size_t recent) const;
+  // Whether the new version may turn out to be bad with some more answers.
+  bool IsSuspicious(std::size_t recent) const;
   // Whether the new version has answered enough calls without looking like a bad one.
   bool IsSufficient() const;
   // Figures of all routes together, without a finding.
@@ -101,7 +103,18 @@
   };
 
   Comparison Compare(const Route& route, std::size_t first) const;
-  static Reason Judge(const Comparison& comparison);
+  // What has to be seen for a finding.
+  struct Criteria {
+    std::uint64_t min_failures = 0;
+    double failure_significance = 0.0;
+    std::uint64_t min_timed = 0;
+    double latency_significance = 0.0;
+  };
+  static constexpr Criteria kFault{5, 1e-4, 15, 1e-3};
+  static constexpr Criteria kSuspicion{3, 1e-2, 5, 5e-2};
+
+  std::optional<Finding> Find(std::size_t recent, const Criteria& criteria) const;
+  static Reason Judge(const Comparison& comparison, const Criteria& criteria);
   // Whether the failures do not fit a bad version.
   static bool IsCleared(const Comparison& comparison);
   static Finding ToFinding(Reason reason, const std::string& name, const Comparison& comparison);
--- a/libs/rollout/src/participant.cc
+++ b/libs/rollout/src/participant.cc
@@ -111,10 +111,10 @@
   }
   this->hold_checked = now;
   const OtherVersions others = FindOtherVersions(this->server, this->options.id, members);
-  // Without other ready members all nodes may have been restarted in the middle of a rollout, which
-  // shows as soon as the orders are known.
+  // Records of nodes that were lost in the middle of a rollout still name its version, so that
+  // nothing is explained before the orders are known.
   const bool is_explained =
-      others.same || (!others.different && orders_known) || this->has_directive;
+      (orders_known && (others.same || !others.different)) || this->has_directive;
   if (is_explained || now >= this->hold_until) {
     this->held = false;
   }
--- a/libs/rollout/src/rollout_messages.cc
+++ b/libs/rollout/src/rollout_messages.cc
@@ -59,7 +59,8 @@
     this->SendRedirect(from, target);
     return;
   }
-  this->RequestClaim(report.coordinator_lost);
+  // The coordinator of an earlier term may have been replaced already.
+  this->RequestClaim(report.coordinator_lost && report.term >= this->participant.Term());
   if (this->status.IsFailing()) {
     this->SendRedirect(from, {});
     return;
