--- a/libs/runtime/src/memory_plan.h
+++ b/libs/runtime/src/memory_plan.h
@@ -24,12 +24,14 @@
   std::uint64_t answer_bytes = 0;
   // The same for the register.
   std::uint64_t register_bytes = 0;
+  // Large messages that wait for the link, and as many that are being received.
+  std::uint64_t link_bytes = 0;
 };
 
-// `limit` is lowered to the memory of the machine.
-MemoryPlan MakeMemoryPlan(std::uint64_t limit);
+// `limit` is lowered to the memory of the machine. `connections` are those that callers may have.
+MemoryPlan MakeMemoryPlan(std::uint64_t limit, std::uint64_t connections);
 
 // Without the machine.
-MemoryPlan DivideMemory(std::uint64_t limit);
+MemoryPlan DivideMemory(std::uint64_t limit, std::uint64_t connections);
 
 }  // namespace amaranthlatch::runtime::details
