--- a/libs/calls/src/gate.cc
+++ b/libs/calls/src/gate.cc
@@ -134,30 +134,6 @@
   return is_busy ? ErrorCode::kQueueFull : ErrorCode::kOk;
 }
 
-ErrorCode Gate::CheckQueueCapacity(const Context& context, const AdmittedCall& call) const {
-  const auto document = context.routes.Find(this->service);
-  const document::Priority priority = call.request.priority;
-  if (document && this->queue.Size(priority) >= document->protection.queue_length) {
-    return ErrorCode::kQueueFull;
-  }
-  if (!this->shared.options.gate.bound_queue_by_deadline) {
-    return ErrorCode::kOk;
-  }
-  const utils::Duration expected = this->ExpectedWait(call) + this->service_times.Mean(call.route);
-  return context.now + expected > std::min(call.deadline, call.latency_deadline)
-             ? ErrorCode::kQueueFull
-             : ErrorCode::kOk;
-}
-
-utils::Duration Gate::ExpectedWait(const AdmittedCall& call) const {
-  // The work of the calls ahead, and of one that runs.
-  utils::Duration work = this->service_times.Mean();
-  this->queue.ForEachAhead(
-      call.request.priority, call.latency_deadline,
-      [this, &work](const AdmittedCall& ahead) { work += this->service_times.Mean(ahead.route); });
-  return work / std::max<std::uint32_t>(1, this->limit.Get());
-}
-
 void Gate::Admit(const Context& context, AdmittedCall call) {
   ErrorCode code = this->CheckAdmission(call.request.service, call.request.request.body.size());
   membership::NodeId redirect;
--- a/libs/calls/tests/call_components_test.cc
+++ b/libs/calls/tests/call_components_test.cc
@@ -269,7 +269,7 @@
   options.capacity = 50;
   details::PermitLedger ledger(options);
   Answer answer{
-      ResultKind::kAnswered, ErrorCode::kOk, "", {200, {}, std::string(1'000, 'x')}, false};
+      ResultKind::kAnswered, ErrorCode::kOk, "", {200, {}, std::string(1'000, 'x')}, false, {}};
   for (int i = 0; i < 50; ++i) {
     const auto sequence = ledger.Issue(Timestamp{});
     CHECK_TRUE(sequence.has_value());
--- a/libs/calls/tests/entry_test.cc
+++ b/libs/calls/tests/entry_test.cc
@@ -188,7 +188,7 @@
       return true;
     }
     CallReply marked = *reply;
-    marked.answer = Answer{ResultKind::kNotRun, ErrorCode::kQueueFull, "deeper", {}, true};
+    marked.answer = Answer{ResultKind::kNotRun, ErrorCode::kQueueFull, "deeper", {}, true, {}};
     this->mesh.At({}, [this, from, marked] {
       this->mesh.Deliver(0, PeerMessage{this->mesh.NodeName(from), marked});
     });
--- a/tools/calls_benchmark/costs.cc
+++ b/tools/calls_benchmark/costs.cc
@@ -20,6 +20,10 @@
 constexpr int kCalls = 50'000;
 constexpr std::size_t kBodyBytes = 1'024;
 constexpr std::size_t kMembers = 16;
+// A large service: its members are in six zones of three regions.
+constexpr std::size_t kChoiceMembers = 300;
+constexpr std::size_t kZones = 6;
+constexpr int kChoices = 20'000;
 
 class Stopwatch {
  public:
@@ -116,8 +120,56 @@
   }
   return {{"entry_and_gate_us_per_call", watch.MicrosecondsFor(kCalls)}, {"answered", answered}};
 }
+
+// The entry side of one call to a service with many backend servers, all of them with recent
+// reports of different loads: the choice dominates.
+json MeasureChoice() {
+  FakeRoutes routes;
+  routes.Set(testing::FleetDocument());
+  FakeMembers view(MakeMember(0).id);
+  for (std::size_t i = 0; i < kChoiceMembers; ++i) {
+    membership::Member member = MakeMember(i);
+    member.zone = "z" + std::to_string(i % kZones);
+    member.region = "r" + std::to_string(i % kZones / 2);
+    // The entry's own gate takes no work.
+    member.state = i == 0 ? membership::MemberState::kJoining : member.state;
+    view.Set(member);
+  }
+  Calls entry = std::move(
+      *Calls::Create(Options{}, std::make_unique<ExpectedTimePolicy>(ExpectedTimePolicy::Costs{})));
+  Timestamp now(utils::Seconds(1));
+  entry.Reduce(AdmissionChanged{true}, now, view, routes);
+  CallReceived received;
+  received.request = HttpRequest{"POST", "/read", "fleet", {}, "x"};
+  std::uint64_t state = 1;
+  int answered = 0;
+  const Stopwatch watch;
+  for (int i = 0; i < kChoices; ++i) {
+    now += utils::Duration(100);
+    received.call = static_cast<std::uint64_t>(i) + 1;
+    CallReply reply;
+    for (const Effect& effect : entry.Reduce(received, now, view, routes)) {
+      if (const auto* send = std::get_if<SendMessage>(&effect)) {
+        reply.id = std::get<CallRequest>(send->message).id;
+      }
+    }
+    // A linear congruential generator: loads between 2 and 9 calls on 8 slots.
+    state = state * 6'364'136'223'846'793'005ULL + 1'442'695'040'888'963'407ULL;
+    reply.load.in_flight = 2 + static_cast<std::uint32_t>(state >> 61U);
+    reply.answer.kind = ResultKind::kAnswered;
+    reply.answer.response = {200, {{kBackendTimeField, "20000"}}, "y"};
+    const auto effects = entry.Reduce(PeerMessage{"", reply}, now, view, routes);
+    answered += !effects.empty() && std::holds_alternative<AnswerCaller>(effects[0]) ? 1 : 0;
+  }
+  return {{"candidates", kChoiceMembers},
+          {"entry_us_per_call", watch.MicrosecondsFor(kChoices)},
+          {"answered", answered}};
+}
 }  // namespace
 
-json MeasureCosts() { return {{"codec_1_kib", MeasureCodec()}, {"reducer", MeasureReducer()}}; }
+json MeasureCosts() {
+  return {
+      {"codec_1_kib", MeasureCodec()}, {"reducer", MeasureReducer()}, {"choice", MeasureChoice()}};
+}
 
 }  // namespace amaranthlatch::calls::benchmark
