Admit calls by the link that their answers need

Change: LinkBudget, a model of the link in five lanes, at the gate: a call of another instance is refused at once as link-busy if the link would move its answer after its target latency or deadline. Gates report the wait by class (CallReply has four more fields, so builds without them reject the reply); entries learn answer sizes by service and route and avoid gates with busy links for bulk. The means by route stand in RouteAverages. Nothing changes with link_bits_per_second 0. The quarantine checks of gate.cc stand in a file of their own.

--- a/libs/calls/include/amaranthlatch/calls/balance_policy.h
+++ b/libs/calls/include/amaranthlatch/calls/balance_policy.h
@@ -33,6 +33,9 @@
   // Calls that run before a new one of its priority: the last report plus calls sent since, or
   // this node's own calls in flight if there is no recent report.
   std::uint32_t calls_ahead = 0;
+  // Time that the answer waits for the link of the backend server's instance, in microseconds, as
+  // last reported; 0 if the answer uses no link or is small.
+  double link_wait_us = 0.0;
   Distance distance = Distance::kZone;
 };
 
@@ -43,7 +46,8 @@
   // Whether the policy accounts for distance itself and expects all locality levels in one set.
   virtual bool WeighsDistance() const { return false; }
 
-  // Estimated queueing time of a new call at the candidate; zero if the policy has no estimate.
+  // Estimated time that a new call at the candidate waits for a slot, and its answer for the link;
+  // zero if the policy has no estimate.
   virtual utils::Duration ExpectedWait(const Candidate& /*candidate*/) const { return {}; }
 
   // Returns the index of the chosen candidate. `candidates` must not be empty.
--- a/libs/calls/include/amaranthlatch/calls/counters.h
+++ b/libs/calls/include/amaranthlatch/calls/counters.h
@@ -28,6 +28,8 @@
   std::uint64_t queued = 0;
   std::uint64_t runs = 0;
   std::uint64_t refused = 0;
+  // Part of `refused`.
+  std::uint64_t refused_link_busy = 0;
   std::uint64_t dropped_from_queue = 0;
   std::uint64_t cancelled_runs = 0;
   std::uint64_t duplicates = 0;
--- a/libs/calls/include/amaranthlatch/calls/message.h
+++ b/libs/calls/include/amaranthlatch/calls/message.h
@@ -55,6 +55,8 @@
   std::uint32_t in_flight = 0;
   // Number of queued calls for each priority.
   std::array<std::uint32_t, document::kPriorityCount> queued{};
+  // Time in milliseconds that a new bulk answer of each priority waits for the link of the gate.
+  std::array<std::uint32_t, document::kPriorityCount> link_wait_ms{};
 
   // Number of running calls plus queued calls that precede a new one of this priority.
   std::uint32_t CallsAhead(document::Priority priority) const {
--- a/libs/calls/include/amaranthlatch/calls/options.h
+++ b/libs/calls/include/amaranthlatch/calls/options.h
@@ -64,6 +64,8 @@
   // Whether the transport may deliver a message twice, including to a later process at the same
   // address. If not, a request for the previous process is refused as not run.
   bool transport_may_duplicate = true;
+  // Rate of this instance's outbound link; 0 if it is not known, then admission ignores the link.
+  std::uint64_t link_bits_per_second = 0;
 };
 
 struct PermitOptions {
--- a/libs/calls/src/balance_policy.cc
+++ b/libs/calls/src/balance_policy.cc
@@ -56,7 +56,9 @@
   const double load = candidate.calls_ahead + 1.0;
   // Calls wait once the slots are in use; the margin avoids servers that are nearly full.
   const double waiting = std::max(0.0, load - kFreeSlotShare * slots) / slots;
-  return utils::Duration(static_cast<utils::Duration::rep>(waiting * service_time));
+  // The answer waits for the link only if the link is busy for longer than the call takes.
+  const double wait = std::max(waiting * service_time, candidate.link_wait_us - service_time);
+  return utils::Duration(static_cast<utils::Duration::rep>(wait));
 }
 
 double ExpectedTimePolicy::ExpectedCostUs(const Candidate& candidate) const {
--- a/libs/calls/src/balancer.cc
+++ b/libs/calls/src/balancer.cc
@@ -7,6 +7,8 @@
 #include <numeric>
 #include <utility>
 
+#include "link_budget.h"
+
 namespace amaranthlatch::calls::details {
 
 namespace {
@@ -83,7 +85,7 @@
   }
   // If a target has no ready backend server, its share goes to the next one unless the split is
   // strict.
-  const Demand demand{route.priority, RouteKeyOf(route)};
+  const Demand demand{route.priority, RouteKeyOf(route), 0.0};
   const std::size_t count = route.strict_split ? 1 : route.split.size();
   for (std::size_t i = 0; i < count; ++i) {
     const std::size_t index = (*target + i) % route.split.size();
@@ -117,7 +119,7 @@
 }
 
 const Member* Balancer::ChooseTarget(const Context& context, const document::SplitTarget& target,
-                                     const Demand& demand, const std::vector<NodeId>& tried,
+                                     Demand demand, const std::vector<NodeId>& tried,
                                      utils::Duration max_wait) {
   const auto document = context.routes.Find(target.service);
   if (!document) {
@@ -127,6 +129,9 @@
   if (version == document->versions.end()) {
     return nullptr;
   }
+  if (const auto* averages = this->statistics.Find(target.service)) {
+    demand.answer_bytes = averages->answer_bytes.Find(demand.route).value_or(0.0);
+  }
   if (!this->Collect(context, *document, version->second, demand, tried) &&
       (tried.empty() || !this->Collect(context, *document, version->second, demand, {}))) {
     return nullptr;
@@ -165,6 +170,9 @@
     Candidate candidate =
         this->MakeCandidate(member, peer, document.protection.slow_start, demand, context.now);
     candidate.distance = DistanceOf(self, member);
+    if (candidate.distance == Distance::kInstance) {
+      candidate.link_wait_us = 0.0;
+    }
     this->levels[level].push_back(candidate);
     found = true;
   }
@@ -219,6 +227,12 @@
         peer.sent_since_report.begin() + static_cast<std::ptrdiff_t>(demand.priority) + 1;
     candidate.calls_ahead =
         std::accumulate(peer.sent_since_report.begin(), end, candidate.reported_load);
+    // The transport sends small answers ahead of bulk.
+    if (demand.answer_bytes > static_cast<double>(kMaxSmallAnswerBytes)) {
+      const std::uint32_t wait_ms =
+          peer.load.link_wait_ms.at(static_cast<std::size_t>(demand.priority));
+      candidate.link_wait_us = static_cast<double>(utils::Milliseconds(wait_ms).count());
+    }
   }
   const utils::Duration age = now - peer.ready_at;
   if (age < slow_start) {
@@ -297,8 +311,12 @@
   }
 }
 
-void Balancer::OnServiceTime(const NodeId& gate, RouteKey route, utils::Duration time) {
-  this->GetPeer(gate).service_times.Record(route, time);
+void Balancer::OnAnswer(const NodeId& gate, const std::string& service, RouteKey route,
+                        std::optional<utils::Duration> time, std::uint64_t answer_bytes) {
+  if (time) {
+    this->GetPeer(gate).service_times.Record(route, *time);
+  }
+  this->statistics.Record(service, route, time, answer_bytes);
 }
 
 void Balancer::OnLoadReport(const NodeId& gate, const GateLoad& load, utils::Timestamp now) {
--- a/libs/calls/src/balancer.h
+++ b/libs/calls/src/balancer.h
@@ -12,6 +12,7 @@
 
 #include "amaranthlatch/calls/balance_policy.h"
 #include "context.h"
+#include "service_statistics.h"
 #include "service_times.h"
 
 namespace amaranthlatch::calls::details {
@@ -47,8 +48,10 @@
   // `latency` counts only if the attempt was answered.
   void OnEnded(const membership::NodeId& gate, RouteKey route, AttemptOutcome outcome,
                utils::Duration latency, utils::Timestamp now);
-  // The backend server of the gate worked this long on a call.
-  void OnServiceTime(const membership::NodeId& gate, RouteKey route, utils::Duration time);
+  // The backend server of the gate answered a call of the service; `time` is how long it worked on
+  // it, if it is known.
+  void OnAnswer(const membership::NodeId& gate, const std::string& service, RouteKey route,
+                std::optional<utils::Duration> time, std::uint64_t answer_bytes);
   void OnLoadReport(const membership::NodeId& gate, const GateLoad& load, utils::Timestamp now);
   // The process with this boot id has been replaced, although the member list may still name it.
   void OnProcessReplaced(const membership::NodeId& gate, std::uint64_t boot);
@@ -92,10 +95,12 @@
   struct Demand {
     document::Priority priority = document::Priority::kNormal;
     RouteKey route = 0;
+    // Usual size of an answer; 0 if it is not known.
+    double answer_bytes = 0.0;
   };
 
   const membership::Member* ChooseTarget(const Context& context,
-                                         const document::SplitTarget& target, const Demand& demand,
+                                         const document::SplitTarget& target, Demand demand,
                                          const std::vector<membership::NodeId>& tried,
                                          utils::Duration max_wait);
   // Fills `levels`; returns false if there is no candidate.
@@ -116,6 +121,7 @@
   SharedState& shared;
   std::unique_ptr<BalancePolicy> policy;
   std::unordered_map<membership::NodeId, Peer> peers;
+  ServiceStatistics statistics;
   // Members to reuse their memory. The candidates point into `service_members`.
   Levels levels;
   membership::MemberList service_members;
--- a/libs/calls/src/entry.cc
+++ b/libs/calls/src/entry.cc
@@ -258,8 +258,12 @@
   if (answer.kind == ResultKind::kAnswered) {
     this->balancer.OnEnded(attempt->gate, RouteKeyOf(*call), AttemptOutcome::kAnswered,
                            context.now - attempt->sent, context.now);
-    if (const auto time = BackendTimeOf(answer.response)) {
-      this->balancer.OnServiceTime(attempt->gate, RouteKeyOf(*call), *time);
+    if (call->match) {
+      const document::RouteMatch& match = *call->match;
+      const std::string& service =
+          call->target ? match.route->split[*call->target].service : match.document->service;
+      this->balancer.OnAnswer(attempt->gate, service, RouteKeyOf(*call),
+                              BackendTimeOf(answer.response), answer.response.body.size());
     }
     attempt->stage = AttemptStage::kUnknown;
     this->Finish(context, *call, answer);
--- a/libs/calls/src/gate.cc
+++ b/libs/calls/src/gate.cc
@@ -49,6 +49,7 @@
       ledger(shared.options.permit),
       queue(shared.options.gate.fairness_interval),
       limit(shared.options.gate.adaptive_concurrency_limit),
+      link(shared.options.gate.link_bits_per_second),
       quarantine(shared) {}
 
 void Gate::OnRequest(const Context& context, CallRequest request) {
@@ -83,6 +84,7 @@
   }
   call.request = std::move(request);
   call.route = utils::Hash64(call.request.route);
+  call.uses_link = call.request.id.entry != self.id;
   if (!call.request.permit.empty() && !this->CheckPermit(context, call)) {
     return;
   }
@@ -110,30 +112,6 @@
              : ErrorCode::kOk;
 }
 
-ErrorCode Gate::CheckQuarantine(const Context& context, std::uint64_t fingerprint,
-                                membership::NodeId& redirect) const {
-  const QuarantineState quarantine_state = this->quarantine.StateOf(this->service, fingerprint);
-  if (quarantine_state == QuarantineState::kNone) {
-    return ErrorCode::kOk;
-  }
-  if (quarantine_state == QuarantineState::kQuarantined) {
-    return ErrorCode::kPoisoned;
-  }
-  const membership::NodeId owner = Quarantine::OwnerOf(context, this->service, fingerprint);
-  if (owner != context.members.Self().id) {
-    redirect = owner;
-    return ErrorCode::kSuspectElsewhere;
-  }
-  const bool is_contested = this->quarantine.IsContested(this->service, fingerprint);
-  const bool is_busy = std::any_of(this->runs.begin(), this->runs.end(), [&](const auto& entry) {
-    const Run& run = entry.second;
-    const bool excludes =
-        is_contested || this->quarantine.IsContested(this->service, run.fingerprint);
-    return run.fingerprint == fingerprint || (run.is_trial && excludes);
-  });
-  return is_busy ? ErrorCode::kQueueFull : ErrorCode::kOk;
-}
-
 void Gate::Admit(const Context& context, AdmittedCall call) {
   ErrorCode code = this->CheckAdmission(call.request.service, call.request.request.body.size());
   membership::NodeId redirect;
@@ -145,8 +123,8 @@
   }
   this->UpdateSlots(context);
   const bool has_slot = this->queue.Size() == 0 && this->runs.size() < this->limit.Get();
-  if (code == ErrorCode::kOk && !has_slot) {
-    code = this->CheckQueueCapacity(context, call);
+  if (code == ErrorCode::kOk) {
+    code = this->CheckExpectedTime(context, call, has_slot);
   }
   if (code != ErrorCode::kOk) {
     this->Refuse(context, call, code, redirect);
@@ -154,6 +132,9 @@
   }
   ++this->shared.counters.admitted;
   this->memory.Admit(call.key);
+  if (call.uses_link) {
+    this->link.OnAdmitted(call.route, call.request.priority);
+  }
   if (call.permit != 0) {
     PermitRecord* record = this->ledger.Find(call.permit);
     record->state = PermitState::kPending;
@@ -182,6 +163,7 @@
 void Gate::Refuse(const Context& context, const AdmittedCall& call, ErrorCode code,
                   membership::NodeId redirect) {
   ++this->shared.counters.refused;
+  this->shared.counters.refused_link_busy += code == ErrorCode::kLinkBusy ? 1 : 0;
   this->memory.Refuse(call.key);
   if (call.permit != 0) {
     this->InvalidatePermit(context, call.permit, NotRunAnswer(code));
@@ -195,6 +177,9 @@
   const std::optional<AttemptState> state = this->memory.Find(call.key);
   this->shared.Require(state == AttemptState::kQueued, "P5: dropped call was not queued");
   this->memory.Finish(call.key, false, context.now);
+  if (call.uses_link) {
+    this->link.OnEnded(call.route, call.request.priority, 0, context.now);
+  }
   if (call.permit != 0) {
     this->InvalidatePermit(context, call.permit, NotRunAnswer(code));
   }
@@ -228,6 +213,8 @@
   run.started = context.now;
   run.deadline = call.deadline;
   run.route = call.route;
+  run.priority = call.request.priority;
+  run.uses_link = call.uses_link;
   run.is_trial =
       this->quarantine.StateOf(this->service, run.fingerprint) == QuarantineState::kSuspect;
   this->running_bytes += run.body_bytes;
@@ -362,6 +349,7 @@
   } else {
     answer.kind = ResultKind::kAnswered;
     answer.response = response;
+    this->link.RecordAnswerSize(run->route, response.body.size());
   }
   answer.no_retry = FindHeader(response, kNoRetryHeader) != nullptr;
   if (!refused) {
@@ -395,50 +383,13 @@
   this->Finish(context, *run, UnknownAnswer(code), true);
 }
 
-void Gate::OnProcessCrash(const Context& context, const Run& run, BackendFailure failure) {
-  if (run.crash_reported) {
-    return;
-  }
-  std::vector<std::uint64_t> fingerprints;
-  std::set<std::uint64_t> trials;
-  const auto add = [&fingerprints, &trials](const auto& affected) {
-    fingerprints.push_back(affected.fingerprint);
-    if (affected.is_trial) {
-      trials.insert(affected.fingerprint);
-    }
-  };
-  if (failure != BackendFailure::kNotConnected) {
-    add(run);
-  }
-  for (auto& [id, other] : this->runs) {
-    if (!other.crash_reported) {
-      add(other);
-      other.crash_reported = true;
-    }
-  }
-  const utils::Duration window = this->shared.options.quarantine.crash_window;
-  for (const LostConnection& lost : this->lost_connections) {
-    if (context.now - lost.at < window) {
-      add(lost);
-    }
-  }
-  this->lost_connections.clear();
-  if (!fingerprints.empty()) {
-    this->quarantine.ReportCrash(context, this->service, std::move(fingerprints));
-  }
-  if (trials.size() == 1) {
-    this->quarantine.ReportConfirmed(context, this->service, *trials.begin());
-    return;
-  }
-  for (const std::uint64_t fingerprint : trials) {
-    this->quarantine.SetContested(this->service, fingerprint);
-  }
-}
-
 void Gate::Finish(const Context& context, const Run& run, const Answer& answer, bool ran) {
   this->shared.Require(!ran || answer.kind != ResultKind::kNotRun,
                        "P5: \"not run\" reported for a request that the backend server received");
   this->memory.Finish(run.key, ran, context.now);
+  if (run.uses_link) {
+    this->link.OnEnded(run.route, run.priority, answer.response.body.size(), context.now);
+  }
   this->Reply(context, run.id, answer);
   if (run.permit != 0 && ran) {
     this->FinishPermit(context, run.permit, answer);
@@ -476,11 +427,7 @@
   CallReply reply;
   reply.id = id;
   reply.answer = std::move(answer);
-  reply.load.in_flight = static_cast<std::uint32_t>(this->runs.size());
-  for (std::size_t i = 0; i < reply.load.queued.size(); ++i) {
-    reply.load.queued.at(i) =
-        static_cast<std::uint32_t>(this->queue.Size(static_cast<document::Priority>(i)));
-  }
+  reply.load = this->CurrentLoad(context.now);
   reply.redirect = std::move(redirect);
   context.Send(id.entry, std::move(reply));
 }
--- a/libs/calls/src/gate.h
+++ b/libs/calls/src/gate.h
@@ -14,6 +14,7 @@
 #include "attempt_memory.h"
 #include "concurrency_limit.h"
 #include "context.h"
+#include "link_budget.h"
 #include "permit_codec.h"
 #include "permit_ledger.h"
 #include "priority_queue.h"
@@ -58,6 +59,9 @@
     std::uint64_t permit = 0;
     std::uint64_t max_response_bytes = 0;
     std::uint64_t body_bytes = 0;
+    document::Priority priority = document::Priority::kNormal;
+    // Whether the answer uses the link of this instance.
+    bool uses_link = false;
     utils::Timestamp started{};
     utils::Timestamp deadline{};
     RouteKey route = 0;
@@ -82,10 +86,11 @@
   // Sets `redirect` for kSuspectElsewhere.
   utils::ErrorCode CheckQuarantine(const Context& context, std::uint64_t fingerprint,
                                    membership::NodeId& redirect) const;
-  // Returns kOk, or the reason why the call cannot be queued.
   // Expected time until a slot is free for a new call.
   utils::Duration ExpectedWait(const AdmittedCall& call) const;
-  utils::ErrorCode CheckQueueCapacity(const Context& context, const AdmittedCall& call) const;
+  // Returns kOk, or the reason why the call would not be answered in time.
+  utils::ErrorCode CheckExpectedTime(const Context& context, const AdmittedCall& call,
+                                     bool has_slot) const;
 
   // Returns true if the call may proceed to admission; otherwise the call has been replied to,
   // ignored as a duplicate or added to the copies that wait for the answer of an earlier one.
@@ -112,6 +117,7 @@
 
   void Reply(const Context& context, const AttemptId& id, Answer answer,
              membership::NodeId redirect = {}) const;
+  GateLoad CurrentLoad(utils::Timestamp now) const;
   void UpdateSlots(const Context& context);
 
   SharedState& shared;
@@ -121,6 +127,7 @@
   PriorityQueue queue;
   ConcurrencyLimit limit;
   ServiceTimes service_times{kServiceTimeSmoothing};
+  LinkBudget link;
   Quarantine quarantine;
 
   std::string service;
--- a/libs/calls/src/gate_admission.cc
+++ b/libs/calls/src/gate_admission.cc
@@ -1,4 +1,4 @@
-// Admission at the gate: queue capacity and expected wait of a new call.
+// Admission at the gate: expected time of a new call, and the load that decides it elsewhere.
 
 #include <algorithm>
 
@@ -7,31 +7,58 @@
 namespace amaranthlatch::calls::details {
 
 namespace {
+using utils::Duration;
 using utils::ErrorCode;
+using utils::Timestamp;
 }  // namespace
 
-ErrorCode Gate::CheckQueueCapacity(const Context& context, const AdmittedCall& call) const {
-  const auto document = context.routes.Find(this->service);
+ErrorCode Gate::CheckExpectedTime(const Context& context, const AdmittedCall& call,
+                                  bool has_slot) const {
   const document::Priority priority = call.request.priority;
-  if (document && this->queue.Size(priority) >= document->protection.queue_length) {
+  const auto document = context.routes.Find(this->service);
+  if (!has_slot && document && this->queue.Size(priority) >= document->protection.queue_length) {
     return ErrorCode::kQueueFull;
   }
   if (!this->shared.options.gate.bound_queue_by_deadline) {
     return ErrorCode::kOk;
   }
-  const utils::Duration expected = this->ExpectedWait(call) + this->service_times.Mean(call.route);
-  return context.now + expected > std::min(call.deadline, call.latency_deadline)
-             ? ErrorCode::kQueueFull
-             : ErrorCode::kOk;
+  const Duration wait = has_slot ? Duration{} : this->ExpectedWait(call);
+  const Duration run = wait + this->service_times.Mean(call.route);
+  const Duration link_wait =
+      call.uses_link ? this->link.Wait(call.route, priority, context.now) : Duration{};
+  const Duration transfer =
+      call.uses_link ? this->link.TransferTime(call.route, priority) : Duration{};
+  const Timestamp limit = std::min(call.deadline, call.latency_deadline);
+  if (context.now + std::max(run, link_wait) + transfer <= limit) {
+    return ErrorCode::kOk;
+  }
+  if (link_wait > run) {
+    return ErrorCode::kLinkBusy;
+  }
+  // A call that is late for another reason than a queue may use what is free: no other gate would
+  // answer it earlier.
+  return has_slot ? ErrorCode::kOk : ErrorCode::kQueueFull;
 }
 
-utils::Duration Gate::ExpectedWait(const AdmittedCall& call) const {
+Duration Gate::ExpectedWait(const AdmittedCall& call) const {
   // The work of the calls ahead, and of one that runs.
-  utils::Duration work = this->service_times.Mean();
+  Duration work = this->service_times.Mean();
   this->queue.ForEachAhead(
       call.request.priority, call.latency_deadline,
       [this, &work](const AdmittedCall& ahead) { work += this->service_times.Mean(ahead.route); });
   return work / std::max<std::uint32_t>(1, this->limit.Get());
 }
 
+GateLoad Gate::CurrentLoad(Timestamp now) const {
+  GateLoad load;
+  load.in_flight = static_cast<std::uint32_t>(this->runs.size());
+  for (std::size_t i = 0; i < load.queued.size(); ++i) {
+    const auto priority = static_cast<document::Priority>(i);
+    load.queued.at(i) = static_cast<std::uint32_t>(this->queue.Size(priority));
+    load.link_wait_ms.at(i) =
+        static_cast<std::uint32_t>(utils::ToMilliseconds(this->link.BulkWait(priority, now)));
+  }
+  return load;
+}
+
 }  // namespace amaranthlatch::calls::details
--- a/libs/calls/src/priority_queue.h
+++ b/libs/calls/src/priority_queue.h
@@ -33,6 +33,8 @@
   // end of its queue time and the last time at which it could be answered before
   // `latency_deadline`.
   utils::Timestamp expiry;
+  // Whether the answer uses the link of this instance.
+  bool uses_link = false;
   // Sequence number of the permit; 0 without one.
   std::uint64_t permit = 0;
 };
--- a/libs/calls/src/service_times.h
+++ b/libs/calls/src/service_times.h
@@ -6,51 +6,42 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
-#include <vector>
+#include <optional>
 
-#include "amaranthlatch/document/service_document.h"
-#include "amaranthlatch/utils/hash.h"
 #include "amaranthlatch/utils/time.h"
+#include "route_averages.h"
 
 namespace amaranthlatch::calls::details {
 
-// Identifies a route by a hash of its name.
-using RouteKey = std::uint64_t;
-
-inline RouteKey RouteKeyOf(const document::Route& route) { return utils::Hash64(route.name); }
-
 class ServiceTimes {
  public:
   // `smoothing`: weight of a new sample, in (0, 1].
-  explicit ServiceTimes(double smoothing) : smoothing(smoothing) {}
+  explicit ServiceTimes(double smoothing) : averages(smoothing) {}
 
-  void Record(RouteKey route, utils::Duration time);
+  void Record(RouteKey route, utils::Duration time) {
+    // A mean of 0 would read as unknown.
+    this->averages.Record(route, static_cast<double>(time.count()) + 1.0);
+  }
 
+  // Moving average of the route; empty without a sample of it.
+  std::optional<utils::Duration> Find(RouteKey route) const {
+    return ToDuration(this->averages.Find(route));
+  }
   // Moving average of the route; of all routes if this one has no sample, 0 without any.
-  utils::Duration Mean(RouteKey route) const;
-  utils::Duration Mean() const { return ToDuration(this->overall_us); }
+  utils::Duration Mean(RouteKey route) const { return this->Find(route).value_or(this->Mean()); }
+  utils::Duration Mean() const {
+    return ToDuration(this->averages.Overall()).value_or(utils::Duration{});
+  }
 
-  // Number of routes tracked; the one that was used longest ago makes way for another.
-  static constexpr std::size_t kMaxRoutes = 16;
+  static constexpr std::size_t kMaxRoutes = RouteAverages::kMaxRoutes;
 
  private:
-  struct RouteTime {
-    RouteKey route = 0;
-    double mean_us = 0.0;
-    std::uint64_t last_sample = 0;
-  };
-
-  static utils::Duration ToDuration(double time_us) {
-    return utils::Duration(static_cast<utils::Duration::rep>(time_us));
+  static std::optional<utils::Duration> ToDuration(std::optional<double> time_us) {
+    return time_us ? std::optional(utils::Duration(static_cast<utils::Duration::rep>(*time_us)))
+                   : std::nullopt;
   }
-  void Update(double& mean, double sample) const;
 
-  double smoothing;
-  std::vector<RouteTime> routes;
-  std::uint64_t samples = 0;
-  // 0 before the first sample.
-  double overall_us = 0.0;
+  RouteAverages averages;
 };
 
 }  // namespace amaranthlatch::calls::details
--- a/libs/runtime/src/node_metrics.cc
+++ b/libs/runtime/src/node_metrics.cc
@@ -28,6 +28,7 @@
   text.Counter("gate_queued_total", calls.queued);
   text.Counter("gate_runs_total", calls.runs);
   text.Counter("gate_refused_total", calls.refused);
+  text.Counter("gate_refused_link_busy_total", calls.refused_link_busy);
   text.Counter("gate_dropped_from_queue_total", calls.dropped_from_queue);
   text.Counter("gate_runs_cancelled_total", calls.cancelled_runs);
   text.Counter("gate_duplicates_total", calls.duplicates);
