--- a/libs/calls/tests/call_components_test.cc
+++ b/libs/calls/tests/call_components_test.cc
@@ -71,6 +71,9 @@
       for (std::uint32_t& queued : m.load.queued) {
         queued = *rc::gen::arbitrary<std::uint32_t>();
       }
+      for (std::uint32_t& wait_ms : m.load.link_wait_ms) {
+        wait_ms = *rc::gen::arbitrary<std::uint32_t>();
+      }
       return m;
     }
     case 2:
@@ -269,7 +272,7 @@
   options.capacity = 50;
   details::PermitLedger ledger(options);
   Answer answer{
-      ResultKind::kAnswered, ErrorCode::kOk, "", {200, {}, std::string(1'000, 'x')}, false};
+      ResultKind::kAnswered, ErrorCode::kOk, "", {200, {}, std::string(1'000, 'x')}, false, {}};
   for (int i = 0; i < 50; ++i) {
     const auto sequence = ledger.Issue(Timestamp{});
     CHECK_TRUE(sequence.has_value());
