--- a/libs/node/include/amaranthlatch/node/register_node.h
+++ b/libs/node/include/amaranthlatch/node/register_node.h
@@ -28,8 +28,6 @@
   // Time after the start of a drain during which callers are still served, because they detect the
   // drain only through their own readiness checks.
   utils::Duration drain_grace_period = utils::Milliseconds(2600);
-  // Of the instance's link in each direction; 0 if unknown. Not used by the node itself yet.
-  double link_rate_bits_per_second = 0.0;
 };
 
 // Events of the reducer. WakeUp, messages and the drain are those of node::Event.
--- a/libs/runtime/tests/register_settings_test.cc
+++ b/libs/runtime/tests/register_settings_test.cc
@@ -81,7 +81,7 @@
   const auto transport = details::MakeTransportOptions(*settings, details::MemoryPlan());
   DOUBLES_EQUAL(1'375'000, transport.link_bytes_per_second, 1e-6);
   const auto node = details::MakeRegisterNodeOptions(*settings, 1, 1);
-  DOUBLES_EQUAL(11e6, node.link_rate_bits_per_second, 1e-6);
+  LONGS_EQUAL(11'000'000, node.calls.gate.link_bits_per_second);
 }
 
 // Guards against settings that start a node with something else than was meant.
