--- /dev/null
+++ b/libs/quota/src/claims.cc
@@ -0,0 +1,68 @@
+// Integration of the share over time.
+
+#include "claims.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace amaranthlatch::quota::details {
+
+using utils::Duration;
+using utils::Timestamp;
+
+namespace {
+constexpr Duration kSampleInterval = utils::Seconds(1);
+}  // namespace
+
+bool Claims::Advance(Timestamp now, std::uint64_t count) {
+  const double share_before = this->Share();
+  if (!this->advanced_to) {
+    this->advanced_to = now;
+  }
+  Duration claimed{};
+  for (auto claim = this->ends.begin(); claim != this->ends.end();) {
+    claimed += std::max(Duration{}, std::min(claim->second, now) - *this->advanced_to);
+    claim = claim->second <= now ? this->ends.erase(claim) : std::next(claim);
+  }
+  const std::uint64_t greatest = std::max(this->member_count, count);
+  this->integral += std::chrono::duration<double>(claimed).count() / static_cast<double>(greatest);
+  this->member_count = count;
+  this->advanced_to = now;
+  const double share = this->Share();
+  if (this->samples.empty() || now - this->samples.back().time >= kSampleInterval) {
+    this->samples.push_back(Sample{now, this->integral, share});
+    while (now - this->samples.front().time > this->options.idle_time) {
+      this->samples.pop_front();
+    }
+  }
+  this->samples.back().lowest_share = std::min(this->samples.back().lowest_share, share);
+  return share < share_before;
+}
+
+void Claims::Renew(const membership::NodeId& node, Timestamp stamp, Timestamp now) {
+  const Timestamp end =
+      this->options.guards.claims_expire ? stamp + this->options.delegation_term : Timestamp::max();
+  if (end > now) {
+    Timestamp& known = this->ends[node];
+    known = std::max(known, end);
+  }
+}
+
+double Claims::Share() const {
+  return std::min(1.0,
+                  static_cast<double>(this->ends.size()) / static_cast<double>(this->member_count));
+}
+
+double Claims::RecentIntegral() const {
+  return this->samples.empty() ? 0.0 : this->integral - this->samples.front().integral;
+}
+
+double Claims::RecentLowestShare() const {
+  double lowest = this->Share();
+  for (const Sample& sample : this->samples) {
+    lowest = std::min(lowest, sample.lowest_share);
+  }
+  return lowest;
+}
+
+}  // namespace amaranthlatch::quota::details
