Test the service of the quota library, and each kind of fault by itself

Cause: demand at two nodes lost 6% of its quota to grants that overtook each other; holders in a cut zone held calls for 140 ms; a holder that had given everything was not asked again for a second. Change: grants are accepted in any order, once each; rounds wait only for holders that answer; service tests.

--- a/libs/quota/include/amaranthlatch/quota/options.h
+++ b/libs/quota/include/amaranthlatch/quota/options.h
@@ -59,7 +59,7 @@
 
   // A holder that leaves requests unanswered for this long is replaced by another one. A process
   // with 0.1 cores may be delayed by 100 ms at a time.
-  utils::Duration silence_limit = utils::Milliseconds(400);
+  utils::Duration silence_limit = utils::Milliseconds(300);
   // How long a node that did not answer is not asked again.
   utils::Duration avoidance_time = utils::Seconds(5);
   // Time after which a node that found no holder uses its own share.
--- a/libs/quota/src/bucket.cc
+++ b/libs/quota/src/bucket.cc
@@ -3,7 +3,6 @@
 #include "bucket.h"
 
 #include <algorithm>
-#include <limits>
 
 #include "limit_table.h"
 
@@ -11,6 +10,10 @@
 
 using utils::Timestamp;
 
+namespace {
+constexpr double kUnguardedCapacity = 1e6;
+}  // namespace
+
 Bucket::Bucket(const quota::Limit& limit, const Options& options, const Claims& claims)
     : limit(limit),
       options(options),
@@ -19,6 +22,11 @@
       refilled_to(claims.Integral()) {}
 
 void Bucket::SetLimit(const quota::Limit& to, const Claims& claims) {
+  if (to.rate < this->limit.rate || to.burst < this->limit.burst) {
+    // It accrued under the former limit.
+    this->received.clear();
+    this->received_sum = 0.0;
+  }
   this->limit = to;
   this->max_credit = MaxCredit(to, this->options);
   this->CutToCapacity(claims);
@@ -44,7 +52,7 @@
 
 double Bucket::Capacity(const Claims& claims) const {
   if (!this->options.guards.buckets_are_capped) {
-    return std::numeric_limits<double>::infinity();
+    return kUnguardedCapacity;
   }
   return claims.Share() * this->max_credit;
 }
--- a/libs/quota/src/client.cc
+++ b/libs/quota/src/client.cc
@@ -24,6 +24,8 @@
 constexpr double kMinRetryFactor = 0.75;
 constexpr double kRetryFactorSpread = 0.5;
 constexpr double kRecentSeconds = 1.0;
+// A node that is its own holder asks itself at once, but not for each call of a burst.
+constexpr Duration kLocalRequestGap = utils::Milliseconds(2);
 
 }  // namespace
 
@@ -149,7 +151,7 @@
   this->waiting_calls[call] = &workspace;
   this->deadlines.emplace_back(now + this->options.wait_limit, call);
   this->RequestBy(this->has_local_holder
-                      ? now
+                      ? std::max(now, this->last_request + kLocalRequestGap)
                       : std::max(now + this->options.request_delay,
                                  this->last_request + this->options.waiting_request_gap));
 }
@@ -179,7 +181,7 @@
   const double factor = kMinRetryFactor + kRetryFactorSpread * this->random.UniformReal();
   const double limit = std::chrono::duration<double>(this->options.window).count();
   const double seconds =
-      rate > 0.0 ? std::min(limit, factor * workspace.recent_refused / rate) : factor * limit;
+      factor * (rate > 0.0 ? std::min(limit, workspace.recent_refused / rate) : limit);
   return std::max(kMinRetryAfter, Duration(static_cast<Duration::rep>(seconds * 1e6)));
 }
 
--- a/libs/quota/src/client.h
+++ b/libs/quota/src/client.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <bitset>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -97,8 +98,8 @@
   struct SentRequest {
     utils::Timestamp time{};
     membership::NodeId to;
-    // The lowest number of a grant that has not been accepted yet.
-    std::uint32_t next_part = 0;
+    // The numbers of the grants that were accepted.
+    std::bitset<64> accepted;
   };
 
   void Admit(Workspace& workspace, std::uint64_t call);
--- a/libs/quota/src/client_requests.cc
+++ b/libs/quota/src/client_requests.cc
@@ -125,7 +125,7 @@
   while (!this->sent.empty() && this->sent.front().time + lifetime <= now) {
     this->sent.pop_front();
   }
-  this->sent.push_back(SentRequest{this->last_stamp, to, 0});
+  this->sent.push_back(SentRequest{this->last_stamp, to, {}});
   return Stamp{this->options.boot_id, this->last_stamp};
 }
 
@@ -134,10 +134,10 @@
       this->sent.begin(), this->sent.end(),
       [&grant](const SentRequest& request) { return request.time == grant.request.time; });
   if (grant.request.boot_id != this->options.boot_id || found == this->sent.end() ||
-      found->to != from || grant.part < found->next_part) {
+      found->to != from || grant.part >= found->accepted.size() || found->accepted[grant.part]) {
     return false;
   }
-  found->next_part = grant.part + 1;
+  found->accepted.set(grant.part);
   return !this->options.guards.credit_expires || now < found->time + this->options.credit_lifetime;
 }
 
--- a/libs/quota/src/holder.cc
+++ b/libs/quota/src/holder.cc
@@ -228,7 +228,7 @@
 }
 
 bool Holder::MayReceive(const Account& account, double missing, Timestamp now) const {
-  if (this->rounds.HolderCount() == 0) {
+  if (!this->rounds.HasResponsiveHolder(now)) {
     return false;
   }
   double left = 0.0;
--- a/libs/quota/src/holder.h
+++ b/libs/quota/src/holder.h
@@ -88,6 +88,8 @@
     utils::Timestamp next_round{};
     double asked = 0.0;
     double received = 0.0;
+    // Whether the round before brought next to nothing.
+    bool was_in_vain = false;
     // Until then, the answers of the latest round are taken for the present state of the others.
     utils::Timestamp others_known_until{};
     // Credit per second received lately, as of `inflow_at`.
--- a/libs/quota/src/holder_selection.cc
+++ b/libs/quota/src/holder_selection.cc
@@ -117,7 +117,8 @@
     keep_earliest(since + this->options.silence_limit);
   }
   if (this->holder.empty()) {
-    keep_earliest(this->search_started + this->options.search_limit);
+    keep_earliest(this->search_started ? *this->search_started + this->options.search_limit
+                                       : Timestamp{});
     return next;
   }
   if (this->unanswered_since && !this->HoldsItself()) {
@@ -134,6 +135,7 @@
 
 void HolderSelection::Adopt(const NodeId& id, Timestamp now) {
   this->holder = id;
+  this->search_started.reset();
   this->next_holder.clear();
   this->received.reset();
   this->unanswered_since.reset();
@@ -184,10 +186,13 @@
 }
 
 void HolderSelection::Search(Timestamp now, std::vector<NodeId>& probes) {
+  if (!this->search_started) {
+    this->search_started = now;
+  }
   const std::size_t pending = std::min(kProbesAtOnce, this->probed.size());
   probes = this->ToProbe(this->RankOf(this->options.id), kProbesAtOnce - pending, now);
   const bool is_best = probes.empty() && this->probed.empty();
-  if (is_best || now - this->search_started >= this->options.search_limit) {
+  if (is_best || now - *this->search_started >= this->options.search_limit) {
     this->Adopt(this->options.id, now);
   }
 }
--- a/libs/quota/src/holder_selection.h
+++ b/libs/quota/src/holder_selection.h
@@ -27,7 +27,7 @@
   // `ranked`: the candidates, best first.
   void SetCandidates(std::vector<membership::NodeId> ranked, utils::Timestamp now);
   // When this process started. A delegation of the process before it may last for one term.
-  void OnStarted(utils::Timestamp now) { this->started_at = this->search_started = now; }
+  void OnStarted(utils::Timestamp now) { this->started_at = now; }
   void OnMembersListed(bool was_listed, utils::Timestamp now);
   // Returns whether this is the first grant of a new holder: the share can be delegated to it.
   bool OnGrant(const membership::NodeId& from, const Stamp& sent, utils::Timestamp now);
@@ -84,7 +84,8 @@
   utils::Timestamp started_at{};
   // From when this node owns a share; none before the members were listed.
   std::optional<utils::Timestamp> share_owned_from;
-  utils::Timestamp search_started{};
+  // Since when there is no holder; none while there is one, and before the first Poll().
+  std::optional<utils::Timestamp> search_started;
   utils::Timestamp next_probe{};
   // Nodes that have not answered yet, and when they were probed.
   std::map<membership::NodeId, utils::Timestamp> probed;
--- a/libs/quota/src/holder_transfers.cc
+++ b/libs/quota/src/holder_transfers.cc
@@ -24,7 +24,7 @@
 constexpr double kMinMissing = 0.1;
 // Credit for the own calls of this time is not given to others.
 constexpr double kKeptSeconds = 0.15;
-// A round that brought less than this part of what was asked for shows that the others have no
+// Two rounds that brought less than this part of what was asked for show that the others have no
 // surplus; they are not asked again for some time.
 constexpr double kMinReceivedPart = 0.05;
 // The answers of a round count for this time.
@@ -106,9 +106,11 @@
     Account& account = found->second;
     account.is_round_open = false;
     account.others_known_until = now + kKnownTime;
-    if (account.received < kMinReceivedPart * account.asked) {
+    const bool is_in_vain = account.received < kMinReceivedPart * account.asked;
+    if (is_in_vain && account.was_in_vain) {
       account.next_round = now + kExhaustedTime;
     }
+    account.was_in_vain = is_in_vain;
     if (this->waiting.contains(workspace)) {
       this->next_service = now;
     }
--- a/libs/quota/src/quota.cc
+++ b/libs/quota/src/quota.cc
@@ -168,7 +168,7 @@
 
 void Quota::Impl::DeliverOwnMessages() {
   for (std::size_t i = 0; i < this->effects.size();) {
-    const auto* const sent = std::get_if<SendMessage>(&this->effects[i]);
+    auto* const sent = std::get_if<SendMessage>(&this->effects[i]);
     if (sent == nullptr || sent->to != this->options.id) {
       ++i;
       continue;
--- a/libs/quota/src/transfer_rounds.cc
+++ b/libs/quota/src/transfer_rounds.cc
@@ -17,12 +17,33 @@
 
 // Time after which calls do not wait for the answers of further holders.
 constexpr Duration kRoundTime = utils::Milliseconds(100);
-// A surplus counts as unknown after this time, so that holders without one are asked again.
+// A surplus counts as unknown after this time, and at least as this part of what is lacking from
+// each: a holder that has just given all it had refills its bucket.
 constexpr Duration kSurplusMemory = utils::Seconds(1);
+constexpr double kMinGuess = 0.25;
 // The surplus of a holder may have become less than it was; somewhat more is asked for in all.
 constexpr double kExcess = 1.2;
 // Less than this part of what is lacking is not asked for.
 constexpr double kMinPart = 0.01;
+// Without calls that wait, only so many holders are asked that together had this multiple of what
+// is lacking.
+constexpr double kEnough = 1.5;
+
+// Sets the smallest parts to 0 that are not needed for this sum, and returns the sum of the others.
+double KeepLargest(std::vector<double>& parts, double enough) {
+  std::vector<std::size_t> order(parts.size());
+  std::iota(order.begin(), order.end(), 0);
+  std::sort(order.begin(), order.end(),
+            [&parts](std::size_t left, std::size_t right) { return parts[left] > parts[right]; });
+  double sum = 0.0;
+  for (const std::size_t i : order) {
+    if (sum >= enough) {
+      parts[i] = 0.0;
+    }
+    sum += parts[i];
+  }
+  return sum;
+}
 
 }  // namespace
 
@@ -70,6 +91,9 @@
     Group& group = this->groups[chosen[i]];
     if (!requests[i].demands.empty()) {
       round.open[group.holder] = chosen[i];
+      if (IsResponsive(group, now)) {
+        round.awaited.insert(group.holder);
+      }
       group.unanswered_since = group.unanswered_since.value_or(now);
       effects.emplace_back(SendMessage{group.holder, std::move(requests[i])});
     }
@@ -104,6 +128,7 @@
       }
     }
     round.open.erase(open);
+    round.awaited.erase(from);
   }
   return accepted;
 }
@@ -116,6 +141,7 @@
   }
   for (Round& round : this->rounds) {
     round.open.erase(id);
+    round.awaited.erase(id);
   }
 }
 
@@ -127,7 +153,7 @@
   }
   std::vector<std::string> ended;
   for (Round& round : this->rounds) {
-    if (!round.is_ended && (round.open.empty() || now - round.stamp >= kRoundTime)) {
+    if (!round.is_ended && (round.awaited.empty() || now - round.stamp >= kRoundTime)) {
       round.is_ended = true;
       ended.insert(ended.end(), round.workspaces.begin(), round.workspaces.end());
     }
@@ -142,12 +168,21 @@
 std::optional<Timestamp> TransferRounds::NextWake() const {
   for (const Round& round : this->rounds) {
     if (!round.is_ended) {
-      return round.open.empty() ? round.stamp : round.stamp + kRoundTime;
+      return round.awaited.empty() ? round.stamp : round.stamp + kRoundTime;
     }
   }
   return std::nullopt;
 }
 
+bool TransferRounds::HasResponsiveHolder(Timestamp now) const {
+  return std::any_of(this->groups.begin(), this->groups.end(),
+                     [now](const Group& group) { return IsResponsive(group, now); });
+}
+
+bool TransferRounds::IsResponsive(const Group& group, Timestamp now) {
+  return !group.unanswered_since || now - *group.unanswered_since < kRoundTime;
+}
+
 void TransferRounds::ReplaceHolder(Group& group, Timestamp now) {
   group.avoided_until[group.holder] = now + this->options.avoidance_time;
   group.unanswered_since.reset();
@@ -177,11 +212,14 @@
     if (chosen[i] < need.surplus->size()) {
       const Surplus& known = (*need.surplus)[chosen[i]];
       if (known.known_at != Timestamp{} && now - known.known_at < kSurplusMemory) {
-        parts[i] = known.amount;
+        parts[i] = std::max(known.amount, kMinGuess * parts[i]);
       }
     }
     sum += parts[i];
   }
+  if (!need.urgent) {
+    sum = KeepLargest(parts, kEnough * need.amount);
+  }
   for (double& part : parts) {
     part = sum > 0.0 ? kExcess * need.amount * part / sum : 0.0;
     if (part < kMinPart * need.amount) {
--- a/libs/quota/src/transfer_rounds.h
+++ b/libs/quota/src/transfer_rounds.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,8 @@
   // next change, which ends all rounds.
   void SetGroups(const std::vector<std::vector<membership::NodeId>>& groups);
   std::size_t HolderCount() const { return this->groups.size(); }
+  // Whether any holder answers, as far as is known.
+  bool HasResponsiveHolder(utils::Timestamp now) const;
 
   void Ask(const std::vector<Need>& needs, std::uint64_t member_count, utils::Timestamp now,
            std::vector<Effect>& effects);
@@ -62,7 +65,7 @@
                                    utils::Timestamp now);
   void OnPeerUnreachable(const membership::NodeId& id, utils::Timestamp now);
   // Replaces holders that do not respond. Returns the workspaces of the rounds that have ended: all
-  // holders answered, or the time for that is over. Each round is returned once.
+  // holders answered that usually do, or the time for that is over. Each round is returned once.
   std::vector<std::string> TakeEnded(utils::Timestamp now);
   // When the time of the oldest open round is over.
   std::optional<utils::Timestamp> NextWake() const;
@@ -80,10 +83,13 @@
     utils::Timestamp stamp{};
     // The holders that have not answered, and their indexes.
     std::map<membership::NodeId, std::size_t> open;
+    // Those of them that answered the rounds before, so that calls wait for them.
+    std::set<membership::NodeId> awaited;
     std::vector<std::string> workspaces;
     bool is_ended = false;
   };
 
+  static bool IsResponsive(const Group& group, utils::Timestamp now);
   void ReplaceHolder(Group& group, utils::Timestamp now);
   std::vector<std::size_t> ChooseHolders();
   // How much to ask each of the chosen holders for; 0 where that is in vain.
--- a/libs/quota/tests/bound_test.cc
+++ b/libs/quota/tests/bound_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <string>
+#include <vector>
 
 #include "quota_mesh.h"
 
@@ -131,7 +132,6 @@
   double greatest = 0.0;
   for (std::uint64_t seed = first; seed < first + runs; ++seed) {
     const Worst worst = RunWithFaults(seed, {});
-    if (getenv("V")) printf("seed %lu %.3f %s\n", seed, worst.ratio, worst.workspace.c_str());
     greatest = std::max(greatest, worst.ratio);
     if (worst.ratio > 1.0) {
       FAIL(("seed " + std::to_string(seed) + ": " + worst.workspace + " admitted " +
@@ -139,11 +139,81 @@
                .c_str());
     }
   }
-  printf("greatest %.3f\n", greatest);
   // Otherwise the runs would not come near the bound.
   CHECK_TRUE(greatest > 0.8);
 }
 
+// Guards against a single way to create credit: each fault by itself, often, and under a load that
+// uses all credit. Without a burst, the bound is close.
+TEST(Bound, HoldsWithOneKindOfFault) {
+  struct Fault {
+    const char* name;
+    Faults messages;
+    void (*repeated)(QuotaMesh& mesh);
+  };
+  const std::vector<Fault> faults = {
+      {"doubled messages", {0.0, 1.0, 0.0, 0.0}, [](QuotaMesh&) {}},
+      {"late messages", {0.0, 0.5, 0.5, 0.0}, [](QuotaMesh&) {}},
+      {"calls not run", {0.0, 0.0, 0.0, 0.3}, [](QuotaMesh&) {}},
+      {"restarts", {}, [](QuotaMesh& mesh) { mesh.Restart(mesh.random.Uniform(12)); }},
+      {"restarts of holders",
+       {},
+       [](QuotaMesh& mesh) {
+         for (std::size_t i = 0; i < 12; ++i) {
+           if (mesh.nodes[i].quota->GetGauges().delegations > 0) {
+             mesh.Restart(i);
+           }
+         }
+       }},
+      {"pauses",
+       {},
+       [](QuotaMesh& mesh) {
+         mesh.Pause(mesh.random.Uniform(12), Milliseconds(100) + mesh.random.Jitter(Seconds(2)));
+       }},
+      {"cuts",
+       {},
+       [](QuotaMesh& mesh) {
+         const std::size_t node = mesh.random.Uniform(12);
+         mesh.nodes[node].cut_off = !mesh.nodes[node].cut_off;
+       }},
+      {"joins", {}, [](QuotaMesh& mesh) { mesh.Join(mesh.random.Uniform(3)); }},
+  };
+  for (const Fault& fault : faults) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      QuotaMesh mesh(seed, 3, 12, {});
+      mesh.faults = fault.messages;
+      mesh.SetLimits({{"workspace", {300.0, 0.0}}});
+      mesh.Run(Seconds(4));
+      for (int i = 0; i < 30; ++i) {
+        const std::vector<std::size_t> nodes = {mesh.random.Uniform(12), mesh.random.Uniform(12)};
+        mesh.SetLoads(
+            {{"workspace", i % 6 == 0 ? 30.0 : 1500.0, i % 2 == 0 ? nodes : decltype(nodes)()}});
+        fault.repeated(mesh);
+        mesh.Run(Milliseconds(400));
+      }
+      const double ratio = mesh.WorstWindow();
+      printf("%s %.3f\n", fault.name, ratio);
+      CHECK_TRUE_TEXT(ratio <= 1.0, fault.name);
+    }
+  }
+}
+
+// Guards against credit of a former limit that is used after a lower one is in force.
+TEST(Bound, HoldsForLoweredLimits) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    QuotaMesh mesh(seed, 3, 12, {});
+    mesh.SetLimits({{"workspace", {600.0, 600.0}}});
+    mesh.Run(Seconds(6));
+    mesh.SetLimits({{"workspace", {20.0, 5.0}}});
+    mesh.SetLoads({{"workspace", 40.0, {}}});
+    mesh.Run(Milliseconds(950));
+    mesh.SetLoads({{"workspace", 2000.0, {}}});
+    mesh.Run(Seconds(6));
+    printf("lowered %.3f\n", mesh.WorstWindow());
+    CHECK_TRUE(mesh.WorstWindow() <= 1.0);
+  }
+}
+
 // Without the guard, a run of the same calls and faults must break the bound.
 #define CHECK_GUARD(guard, run)         \
   {                                     \
