--- a/libs/node/include/amaranthlatch/node/register_node.h
+++ b/libs/node/include/amaranthlatch/node/register_node.h
@@ -13,6 +13,7 @@
 #include "amaranthlatch/directory/directory.h"
 #include "amaranthlatch/node/effect.h"
 #include "amaranthlatch/node/event.h"
+#include "amaranthlatch/quota/quota.h"
 #include "amaranthlatch/rollout/rollout.h"
 #include "amaranthlatch/utils/result.h"
 
@@ -25,6 +26,8 @@
   calls::Options calls;
   // None where the deployment has no rollouts.
   std::optional<rollout::Options> rollout;
+  // None where no quotas are enforced.
+  std::optional<quota::Options> quota;
   // Time after the start of a drain during which callers are still served, because they detect the
   // drain only through their own readiness checks.
   utils::Duration drain_grace_period = utils::Milliseconds(2600);
@@ -51,7 +54,7 @@
                  directory::ReadSourceChanged, directory::EarlierWithdrawalFound,
                  directory::ConfigurationOutdated, directory::RolloutOrdersChanged,
                  rollout::ReadStatus, rollout::WriteStatus, rollout::StageChanged,
-                 rollout::VerdictReached, rollout::AdmissionChanged, calls::AnswerCaller,
+                 rollout::VerdictReached, rollout::AdmissionChanged, quota::LimitStateChanged, calls::AnswerCaller,
                  calls::RunOnBackendServer, calls::CancelOnBackendServer, calls::DrainFinished,
                  calls::QuarantineChanged>;
 
@@ -80,6 +83,9 @@
   // Zeros where the deployment has no rollouts.
   rollout::Counters RolloutCounters() const;
   rollout::Gauges RolloutGauges() const;
+  // Zeros where no quotas are enforced.
+  quota::Counters QuotaCounters() const;
+  quota::Gauges QuotaGauges() const;
 
  private:
   struct Impl;
--- a/libs/node/src/message_codec.cc
+++ b/libs/node/src/message_codec.cc
@@ -11,6 +11,7 @@
 #include "amaranthlatch/distribution/message_codec.h"
 #include "amaranthlatch/document/json_guard.h"
 #include "amaranthlatch/membership/message_codec.h"
+#include "amaranthlatch/quota/message_codec.h"
 #include "amaranthlatch/rollout/message_codec.h"
 
 namespace amaranthlatch::node {
@@ -52,6 +53,8 @@
 
 std::string Encode(const rollout::Message& message) { return rollout::ToCbor(message); }
 
+std::string Encode(const quota::Message& message) { return quota::ToCbor(message); }
+
 }  // namespace
 
 EncodedMessage EncodeMessage(const Message& message) {
@@ -73,6 +76,8 @@
       return ToMessage(directory::MessageFromCbor(payload));
     case 4:
       return ToMessage(rollout::MessageFromCbor(payload));
+    case 5:
+      return ToMessage(quota::MessageFromCbor(payload));
     default:
       return utils::Fail(ErrorCode::kMessageMalformed, "unknown module number");
   }
--- a/libs/runtime/include/amaranthlatch/runtime/register_settings.h
+++ b/libs/runtime/include/amaranthlatch/runtime/register_settings.h
@@ -37,6 +37,11 @@
   // and for each budget window, this many more.
   double retry_ratio = 0.0;
   double retry_slack = 0.0;
+  // Quotas of workspaces hold for every window of this length, with this share and that many calls
+  // beyond them. Without a window no quota is enforced.
+  utils::Duration quota_window{};
+  double quota_overshoot = 0.0;
+  double quota_slack = 0.0;
   // Share of the requests of a service that a new version may get before it has proved good, and
   // that many more. Without a share the node takes part in no rollout.
   double rollout_exposure_share = 0.0;
--- a/libs/runtime/src/node_metrics.cc
+++ b/libs/runtime/src/node_metrics.cc
@@ -85,6 +85,22 @@
   text.Counter("reader_takeovers_total", distribution.reader_takeovers);
 }
 
+void AppendQuota(MetricsText& text, const quota::Counters& quota, const quota::Gauges& gauges) {
+  text.Counter("quota_calls_admitted_total", quota.calls_admitted);
+  text.Counter("quota_calls_refused_total", quota.calls_refused);
+  text.Counter("quota_calls_waited_total", quota.calls_waited);
+  text.Counter("quota_calls_timed_out_total", quota.calls_timed_out);
+  text.Counter("quota_requests_sent_total", quota.requests_sent);
+  text.Counter("quota_transfer_requests_sent_total", quota.transfer_requests_sent);
+  text.Counter("quota_grants_rejected_total", quota.grants_rejected);
+  text.Counter("quota_credit_received_total", quota.credit_received);
+  text.Counter("quota_credit_expired_total", quota.credit_expired);
+  text.Counter("quota_holder_changes_total", quota.holder_changes);
+  text.Gauge("quota_active_workspaces", static_cast<double>(gauges.active_workspaces));
+  text.Gauge("quota_delegations", static_cast<double>(gauges.delegations));
+  text.Gauge("quota_calls_waiting", static_cast<double>(gauges.calls_waiting));
+}
+
 void AppendRollout(MetricsText& text, const rollout::Counters& rollout,
                    const rollout::Gauges& gauges) {
   text.Gauge("rollout_active", gauges.active ? 1 : 0);
@@ -180,6 +196,7 @@
                std::chrono::duration<double>(*metrics.configuration_confirmed_age).count());
   }
   AppendDirectory(text, metrics.directory, metrics.directory_gauges);
+  AppendQuota(text, metrics.quota, metrics.quota_gauges);
   AppendRollout(text, metrics.rollout, metrics.rollout_gauges);
   AppendCalls(text, metrics.calls, metrics.gauges);
   AppendTransport(text, metrics.transport, metrics.envelope);
--- a/libs/runtime/src/register_host.cc
+++ b/libs/runtime/src/register_host.cc
@@ -27,6 +27,7 @@
 #include "message_class.h"
 #include "register_metrics.h"
 #include "register_options.h"
+#include "quota_log.h"
 #include "rollout_log.h"
 
 namespace amaranthlatch::runtime {
@@ -267,6 +268,8 @@
     metrics.gauges = this->node->CallGauges();
     metrics.rollout = this->node->RolloutCounters();
     metrics.rollout_gauges = this->node->RolloutGauges();
+    metrics.quota = this->node->QuotaCounters();
+    metrics.quota_gauges = this->node->QuotaGauges();
     metrics.envelope = this->envelope->GetCounters();
     metrics.transport = this->transport->Counters();
     metrics.data_server = this->data_server->Counters();
@@ -404,6 +407,7 @@
   void Perform(const rollout::StageChanged& effect) { details::LogEffect(effect); }
   void Perform(const rollout::VerdictReached& effect) { details::LogEffect(effect); }
   void Perform(const rollout::AdmissionChanged& effect) { details::LogEffect(effect); }
+  void Perform(const quota::LimitStateChanged& effect) { details::LogEffect(effect); }
 
   void Perform(const rollout::ReadStatus& effect) {
     this->register_client->ReadStatus(effect,
--- a/libs/runtime/src/register_metrics.h
+++ b/libs/runtime/src/register_metrics.h
@@ -9,6 +9,7 @@
 #include "amaranthlatch/calls/counters.h"
 #include "amaranthlatch/directory/directory.h"
 #include "amaranthlatch/node/envelope.h"
+#include "amaranthlatch/quota/quota.h"
 #include "amaranthlatch/rollout/rollout.h"
 #include "amaranthlatch/runtime/http_client.h"
 #include "amaranthlatch/runtime/http_server.h"
@@ -22,6 +23,8 @@
   directory::Gauges directory_gauges;
   calls::Counters calls;
   calls::Gauges gauges;
+  quota::Counters quota;
+  quota::Gauges quota_gauges;
   rollout::Counters rollout;
   rollout::Gauges rollout_gauges;
   node::Envelope::Counters envelope;
--- a/libs/runtime/src/register_options.cc
+++ b/libs/runtime/src/register_options.cc
@@ -110,6 +110,17 @@
   calls.gate.max_tracked_attempts = kMemoryCapacity;
   calls.gate.refusal_filter_bits = kRefusalFilterBits;
   calls.gate.transport_may_duplicate = kTransportRepeats;
+  if (settings.quota_window.count() > 0) {
+    quota::Options quota;
+    quota.id = settings.node_address;
+    quota.zone = settings.zone;
+    quota.boot_id = boot_id;
+    quota.seed = seed + 3;
+    quota.window = settings.quota_window;
+    quota.overshoot = settings.quota_overshoot;
+    quota.slack = settings.quota_slack;
+    options.quota = quota;
+  }
   if (settings.rollout_exposure_share > 0.0) {
     rollout::Options rollout;
     rollout.id = settings.node_address;
--- a/libs/runtime/src/register_settings.cc
+++ b/libs/runtime/src/register_settings.cc
@@ -64,6 +64,9 @@
        {"running", "new"}},
       {"retry_ratio", SettingType::kNumber, "ratio", "0.1", false, 0, 1, {}},
       {"retry_slack", SettingType::kNumber, "calls", "20", false, 0, kMaxSlack, {}},
+      {"quota_window", SettingType::kTime, "time", R"("0s")", false, 0, kMaxShutdownMs, {}},
+      {"quota_overshoot", SettingType::kNumber, "ratio", "0.1", false, 0, 1, {}},
+      {"quota_slack", SettingType::kNumber, "calls", "0", false, 0, kMaxSlack, {}},
       {"rollout_exposure_share", SettingType::kNumber, "ratio", "0", false, 0, 1, {}},
       {"rollout_exposure_slack", SettingType::kNumber, "calls", "0", false, 0, kMaxSlack, {}},
       {"rollout_stop_time",
@@ -128,6 +131,9 @@
   settings.mesh_start = details::ChoiceOf<MeshStart>(*object, AllRegisterSettings(), "mesh_start");
   settings.retry_ratio = (*object)["retry_ratio"].get<double>();
   settings.retry_slack = (*object)["retry_slack"].get<double>();
+  settings.quota_window = *details::ParseTime(value("quota_window"));
+  settings.quota_overshoot = (*object)["quota_overshoot"].get<double>();
+  settings.quota_slack = (*object)["quota_slack"].get<double>();
   settings.rollout_exposure_share = (*object)["rollout_exposure_share"].get<double>();
   settings.rollout_exposure_slack = (*object)["rollout_exposure_slack"].get<double>();
   settings.rollout_stop_time = *details::ParseTime(value("rollout_stop_time"));
--- a/libs/runtime/src/traffic.cc
+++ b/libs/runtime/src/traffic.cc
@@ -63,11 +63,19 @@
     {"rollout-redirect", false, false, true},
 }};
 
+constexpr std::array<MessageKind, std::variant_size_v<quota::Message>> kQuota = {{
+    {"credit-request", false, true},
+    {"credit-grant", false, false, true},
+    {"transfer-request", false, true},
+    {"transfer", false, false, true},
+}};
+
 MessageKind Find(const membership::Message& message) { return kMembership.at(message.index()); }
 MessageKind Find(const distribution::Message& message) { return kDistribution.at(message.index()); }
 MessageKind Find(const calls::Message& message) { return kCalls.at(message.index()); }
 MessageKind Find(const directory::Message& message) { return kDirectory.at(message.index()); }
 MessageKind Find(const rollout::Message& message) { return kRollout.at(message.index()); }
+MessageKind Find(const quota::Message& message) { return kQuota.at(message.index()); }
 
 std::string Label(std::string_view name, std::string_view value) {
   return std::string(name).append("=\"").append(LabelValue(value)).append("\"");
