--- a/libs/rollout/tests/components_test.cc
+++ b/libs/rollout/tests/components_test.cc
@@ -12,6 +12,7 @@
 #include "evidence.h"
 #include "exposure_budget.h"
 #include "participant.h"
+#include "run_counters.h"
 
 namespace amaranthlatch::rollout::testing {
 
@@ -57,6 +58,32 @@
   }
 }
 
+// Guards against runs that are no evidence but counted, and against the loss of one server that
+// counts as many failures.
+TEST(RolloutComponents, RunsAreCountedByOutcome) {
+  const Timestamp start(Seconds(1000));
+  details::RunCounters counters;
+  std::uint64_t run = 0;
+  const auto count = [&](RunOutcome outcome, bool is_cold = false) {
+    counters.OnStarted({++run, "pay"}, is_cold, start);
+    counters.OnEnded({run, outcome}, start + Milliseconds(40));
+  };
+  count(RunOutcome::kAnswered, true);
+  count(RunOutcome::kFailed, true);
+  count(RunOutcome::kNotRun);
+  CHECK_TRUE(counters.ToRoutes().empty());
+  count(RunOutcome::kAnswered);
+  count(RunOutcome::kCancelled);
+  count(RunOutcome::kFailed);
+  for (int i = 0; i < 4; ++i) {
+    count(RunOutcome::kServerLost);
+  }
+  CHECK_EQUAL(10, counters.Started());
+  const RouteCounters expected{
+      "pay", 4, 2, {{static_cast<std::uint8_t>(details::BucketOf(Milliseconds(40))), 2}}};
+  CHECK_TRUE(counters.ToRoutes() == std::vector<RouteCounters>{expected});
+}
+
 // Guards against grants above the budget, whatever is reported in which order.
 TEST(RolloutComponents, GrantsNeverExceedTheBudget) {
   utils::Random random(1);
--- a/libs/rollout/tests/failures_test.cc
+++ b/libs/rollout/tests/failures_test.cc
@@ -43,7 +43,7 @@
 
 TEST_GROUP(RolloutFailures){};
 
-// Guards against a rollout that ends with the node that coordinates it.
+// Guards against a rollout that ends, or starts again, with the node that coordinates it.
 TEST(RolloutFailures, AnotherNodeCoordinatesAGoodVersion) {
   for (const Phase phase : {Phase::kCanary, Phase::kRamp, Phase::kPromote, Phase::kRetire}) {
     for (const Loss loss : {Loss::kKilled, Loss::kCutOff, Loss::kPaused}) {
@@ -55,6 +55,7 @@
       mesh.RunFor(kLongRollout - (mesh.Now() - mesh.ordered_at));
       const std::string problem = mesh.CheckGood();
       CHECK_TRUE_TEXT(problem.empty(), (Name(phase, loss) + problem).c_str());
+      CHECK_FALSE_TEXT(mesh.went_back, (Name(phase, loss) + mesh.Describe()).c_str());
     }
   }
 }
@@ -132,6 +133,24 @@
   STRCMP_EQUAL("", lost.CheckGood().c_str());
 }
 
+// Guards against the verdict of a coordinator that was replaced without noticing.
+TEST(RolloutFailures, ReplacedCoordinatorWritesNoVerdict) {
+  Setup setup;
+  Mesh mesh(setup);
+  CHECK_TRUE(mesh.RunUntil([&mesh] { return mesh.exposure > 2; }));
+  mesh.status.available = false;
+  mesh.setup.bad_version.failure_share = 0.5;
+  CHECK_TRUE(mesh.RunUntil([&mesh] { return mesh.stopped_at.has_value(); }));
+  StatusRecord claim = mesh.status.records.back();
+  claim.coordinator = mesh.nodes[*mesh.Coordinator() == 0 ? 1 : 0].id;
+  mesh.status.records.push_back(claim);
+  ++mesh.status.end;
+  const std::size_t records = mesh.status.records.size();
+  mesh.status.available = true;
+  CHECK_TRUE(mesh.RunUntil([&mesh] { return mesh.Verdict() == State::kRolledBack; }));
+  CHECK_TRUE(mesh.status.records.at(records).state == State::kRunning);
+}
+
 // Guards against a canary that a partition leaves without limits, and against old servers that stop
 // with it.
 TEST(RolloutFailures, PartitionedCanaryLosesItsLease) {
@@ -183,6 +202,13 @@
     CHECK_TRUE(
         mesh.RunUntil([&mesh, phase] { return mesh.IsInPhase(phase) && mesh.exposure > 2; }));
     mesh.PlaceOrder("3", Seconds(12));
+    // Nodes that were restarted do not remember the replaced order.
+    for (std::size_t i = 0; i < mesh.nodes.size(); ++i) {
+      if (mesh.nodes[i].version == "2" && phase == Phase::kCanary) {
+        mesh.KillNode(i);
+        mesh.At(Seconds(1), [&mesh, i] { mesh.StartNode(i); });
+      }
+    }
     for (int i = 0; i < 6; ++i) {
       mesh.StartNode(mesh.AddNode("3"));
     }
@@ -204,26 +230,34 @@
   }
 }
 
-// Guards against the death of a server of the new version that removes what it has shown, and
-// against one that counts for as many failures as it had calls.
+// Guards against the loss of a server that counts for as many failures as it had calls, and against
+// the loss of a process that removes what it has shown.
 TEST(RolloutFailures, ServersOfTheNewVersionDie) {
   for (const bool is_good : {true, false}) {
     Setup setup;
+    setup.rate = 200.0;
     setup.bad_version.failure_share = is_good ? 0.0 : 0.5;
     Mesh mesh(setup);
-    // Each bad server dies before its failures alone could decide.
+    // Each bad process dies before its own failures could decide.
     const std::uint64_t step = is_good ? 20 : 6;
-    for (std::uint64_t next = step; next <= 2 * step; next += step) {
+    for (std::uint64_t next = step; next <= 3 * step; next += step) {
       mesh.RunUntil([&mesh, next] { return mesh.exposure >= next; });
       for (std::size_t i = 0; i < mesh.nodes.size(); ++i) {
-        if (mesh.nodes[i].node_alive && mesh.nodes[i].rollout->GetGauges().allowance > 0) {
+        if (!mesh.nodes[i].node_alive || mesh.nodes[i].rollout->GetGauges().allowance == 0) {
+          continue;
+        }
+        if (is_good) {
           mesh.KillServer(i);
+        } else {
+          mesh.KillNode(i);
+          mesh.At(Milliseconds(300), [&mesh, i] { mesh.StartNode(i); });
         }
       }
     }
     mesh.RunFor(Seconds(12) - (mesh.Now() - mesh.ordered_at));
     const std::string problem = is_good ? mesh.CheckGood() : mesh.CheckBad();
     STRCMP_EQUAL("", problem.c_str());
+    CHECK_TRUE(is_good || mesh.exposure < 60);
   }
 }
 
--- a/libs/rollout/tests/rollout_mesh.cc
+++ b/libs/rollout/tests/rollout_mesh.cc
@@ -86,6 +86,8 @@
   this->refused = 0;
   this->bad_answers = 0;
   this->promoted = false;
+  this->went_back = false;
+  this->phase = Phase::kNone;
   this->term = 0;
   this->stopped_at.reset();
   this->verdict_at.reset();
@@ -207,6 +209,8 @@
     const Figures& f = stage->figures;
     if (f.order == this->orders.size() && f.term >= this->term) {
       this->term = f.term;
+      this->went_back = this->went_back || f.phase < this->phase;
+      this->phase = f.phase;
       this->promoted = this->promoted || f.phase == Phase::kPromote || f.phase == Phase::kRetire;
       // The stop of a coordinator that reaches nobody has no effect elsewhere.
       if (f.phase == Phase::kStopped && !this->stopped_at && this->nodes[index].group == 0) {
--- a/libs/rollout/tests/rollout_mesh.h
+++ b/libs/rollout/tests/rollout_mesh.h
@@ -133,6 +133,8 @@
   utils::Timestamp last_exposure{};
   // Whether a coordinator let the target version serve without limit.
   bool promoted = false;
+  // Whether a coordinator went back to an earlier phase.
+  bool went_back = false;
   utils::Random random;
   std::vector<std::string> log;
   std::uint64_t messages = 0;
@@ -168,8 +170,9 @@
   std::map<std::string, std::uint64_t> runs;
   membership::details::MemberTable members;
   std::string error;
-  // Highest term of a coordinator of the order.
+  // Highest term of a coordinator of the order, and its phase.
   std::uint64_t term = 0;
+  Phase phase = Phase::kNone;
 };
 
 }  // namespace amaranthlatch::rollout::testing
--- a/libs/rollout/tests/rollout_test.cc
+++ b/libs/rollout/tests/rollout_test.cc
@@ -130,7 +130,7 @@
   }
   // Fewer calls than any version could be judged by.
   Setup setup;
-  setup.rate = 2.0;
+  setup.rate = 0.5;
   setup.bad_version = BadVersions().front().second;
   Mesh mesh(setup);
   mesh.RunFor(setup.duration);
