--- a/libs/calls/include/amaranthlatch/calls/request.h
+++ b/libs/calls/include/amaranthlatch/calls/request.h
@@ -64,7 +64,7 @@
   bool no_retry = false;
   // When a caller should send a refused request again; unset to derive it from the code. Not sent
   // between nodes.
-  std::optional<utils::Duration> retry_after;
+  std::optional<utils::Duration> retry_after = std::nullopt;
 
   bool operator==(const Answer&) const = default;
 };
