--- a/libs/calls/src/gate.cc
+++ b/libs/calls/src/gate.cc
@@ -85,6 +85,7 @@
   call.request = std::move(request);
   call.route = utils::Hash64(call.request.route);
   call.uses_link = call.request.id.entry != self.id;
+  call.weight = context.WeightOf(call.request.workspace);
   if (!call.request.permit.empty() && !this->CheckPermit(context, call)) {
     return;
   }
@@ -95,8 +96,7 @@
   this->Admit(context, std::move(call));
 }
 
-ErrorCode Gate::CheckAdmission(const std::string& requested_service,
-                               std::uint64_t body_bytes) const {
+ErrorCode Gate::CheckAdmission(const std::string& requested_service) const {
   if (this->draining) {
     return ErrorCode::kDraining;
   }
@@ -106,14 +106,11 @@
   if (!this->available || this->service != requested_service) {
     return ErrorCode::kNoBackendServer;
   }
-  const std::uint64_t bytes = this->running_bytes + this->queue.BodyBytes() + body_bytes;
-  return this->memory.IsFull() || bytes > this->shared.options.gate.max_admitted_bytes
-             ? ErrorCode::kQueueFull
-             : ErrorCode::kOk;
+  return this->memory.IsFull() ? ErrorCode::kQueueFull : ErrorCode::kOk;
 }
 
 void Gate::Admit(const Context& context, AdmittedCall call) {
-  ErrorCode code = this->CheckAdmission(call.request.service, call.request.request.body.size());
+  ErrorCode code = this->CheckAdmission(call.request.service);
   membership::NodeId redirect;
   if (code == ErrorCode::kOk) {
     code = this->CheckQuarantine(context, call.request.fingerprint, redirect);
@@ -126,6 +123,9 @@
   if (code == ErrorCode::kOk) {
     code = this->CheckExpectedTime(context, call, has_slot);
   }
+  if (code == ErrorCode::kOk && !this->MakeRoom(context, call, has_slot)) {
+    code = ErrorCode::kQueueFull;
+  }
   if (code != ErrorCode::kOk) {
     this->Refuse(context, call, code, redirect);
     return;
@@ -168,7 +168,8 @@
   if (call.permit != 0) {
     this->InvalidatePermit(context, call.permit, NotRunAnswer(code));
   }
-  this->Reply(context, call.request.id, NotRunAnswer(code), std::move(redirect));
+  const Share share = ShareOf(call);
+  this->Reply(context, call.request.id, NotRunAnswer(code), std::move(redirect), &share);
 }
 
 void Gate::Drop(const Context& context, const AdmittedCall& call, ErrorCode code,
@@ -183,7 +184,8 @@
   if (call.permit != 0) {
     this->InvalidatePermit(context, call.permit, NotRunAnswer(code));
   }
-  this->Reply(context, call.request.id, NotRunAnswer(code), std::move(redirect));
+  const Share share = ShareOf(call);
+  this->Reply(context, call.request.id, NotRunAnswer(code), std::move(redirect), &share);
 }
 
 void Gate::Start(const Context& context, AdmittedCall call) {
@@ -205,6 +207,7 @@
   const std::uint64_t run_id = ++this->last_run_id;
   Run run;
   run.id = call.request.id;
+  run.share = ShareOf(call);
   run.key = call.key;
   run.fingerprint = call.request.fingerprint;
   run.permit = call.permit;
@@ -221,9 +224,10 @@
   this->runs.emplace(run_id, std::move(run));
   this->run_by_key.emplace(call.key, run_id);
   this->run_deadlines.emplace(call.deadline, run_id);
-  context.effects.emplace_back(RunOnBackendServer{
-      run_id, std::move(call.request.route), std::move(call.request.request),
-      call.deadline - context.now, call.request.idempotent, call.request.max_response_bytes});
+  context.effects.emplace_back(
+      RunOnBackendServer{run_id, std::move(call.request.route), std::move(call.request.request),
+                         call.deadline - context.now, call.request.idempotent,
+                         call.request.max_response_bytes, std::move(call.request.workspace)});
 }
 
 void Gate::UpdateSlots(const Context& context) {
@@ -358,31 +362,6 @@
   this->Finish(context, *run, answer, !refused);
 }
 
-void Gate::OnFailed(const Context& context, const BackendServerFailed& failed) {
-  const std::optional<Run> run = this->RemoveRun(failed.run);
-  if (!run) {
-    return;
-  }
-  if (failed.process_dead) {
-    this->OnProcessCrash(context, *run, failed.failure);
-  } else if (failed.failure == BackendFailure::kConnectionLost) {
-    this->lost_connections.push_back(LostConnection{context.now, run->fingerprint, run->is_trial});
-  }
-  if (failed.failure == BackendFailure::kNotConnected) {
-    this->Finish(context, *run, NotRunAnswer(ErrorCode::kNoBackendServer), false);
-    return;
-  }
-  ErrorCode code = ErrorCode::kBackendFailed;
-  if (failed.failure == BackendFailure::kTooLarge) {
-    code = ErrorCode::kAnswerTooLarge;
-  } else if (failed.process_dead) {
-    code = ErrorCode::kBackendServerCrashed;
-  } else if (run->cancelled != ErrorCode::kOk) {
-    code = run->cancelled;
-  }
-  this->Finish(context, *run, UnknownAnswer(code), true);
-}
-
 void Gate::Finish(const Context& context, const Run& run, const Answer& answer, bool ran) {
   this->shared.Require(!ran || answer.kind != ResultKind::kNotRun,
                        "P5: \"not run\" reported for a request that the backend server received");
@@ -390,7 +369,7 @@
   if (run.uses_link) {
     this->link.OnEnded(run.route, run.priority, answer.response.body.size(), context.now);
   }
-  this->Reply(context, run.id, answer);
+  this->Reply(context, run.id, answer, {}, &run.share);
   if (run.permit != 0 && ran) {
     this->FinishPermit(context, run.permit, answer);
   } else if (run.permit != 0) {
@@ -410,24 +389,12 @@
   }
 }
 
-void Gate::OnCrashReport(const Context& context, const CrashReport& report) {
-  this->quarantine.OnReport(context, report);
-}
-
-void Gate::OnCrashCleared(const Context& context, const CrashCleared& cleared) {
-  this->quarantine.OnCleared(context, cleared);
-}
-
-void Gate::OnCrashConfirmed(const Context& context, const CrashConfirmed& confirmed) {
-  this->quarantine.OnConfirmed(context, confirmed);
-}
-
 void Gate::Reply(const Context& context, const AttemptId& id, Answer answer,
-                 membership::NodeId redirect) const {
+                 membership::NodeId redirect, const Share* share) const {
   CallReply reply;
   reply.id = id;
   reply.answer = std::move(answer);
-  reply.load = this->CurrentLoad(context.now);
+  this->DescribeLoad(reply, share, context.now);
   reply.redirect = std::move(redirect);
   context.Send(id.entry, std::move(reply));
 }
--- a/libs/calls/src/gate_admission.cc
+++ b/libs/calls/src/gate_admission.cc
@@ -15,10 +15,6 @@
 ErrorCode Gate::CheckExpectedTime(const Context& context, const AdmittedCall& call,
                                   bool has_slot) const {
   const document::Priority priority = call.request.priority;
-  const auto document = context.routes.Find(this->service);
-  if (!has_slot && document && this->queue.Size(priority) >= document->protection.queue_length) {
-    return ErrorCode::kQueueFull;
-  }
   if (!this->shared.options.gate.bound_queue_by_deadline) {
     return ErrorCode::kOk;
   }
@@ -42,23 +38,12 @@
 
 Duration Gate::ExpectedWait(const AdmittedCall& call) const {
   // The work of the calls ahead, and of one that runs.
-  Duration work = this->service_times.Mean();
-  this->queue.ForEachAhead(
-      call.request.priority, call.latency_deadline,
-      [this, &work](const AdmittedCall& ahead) { work += this->service_times.Mean(ahead.route); });
-  return work / std::max<std::uint32_t>(1, this->limit.Get());
-}
-
-GateLoad Gate::CurrentLoad(Timestamp now) const {
-  GateLoad load;
-  load.in_flight = static_cast<std::uint32_t>(this->runs.size());
-  for (std::size_t i = 0; i < load.queued.size(); ++i) {
-    const auto priority = static_cast<document::Priority>(i);
-    load.queued.at(i) = static_cast<std::uint32_t>(this->queue.Size(priority));
-    load.link_wait_ms.at(i) =
-        static_cast<std::uint32_t>(utils::ToMilliseconds(this->link.BulkWait(priority, now)));
-  }
-  return load;
+  auto work_us = static_cast<double>(this->service_times.Mean().count());
+  this->queue.ForEachAhead(call, [this, &work_us](const AdmittedCall& ahead, double count) {
+    work_us += count * static_cast<double>(this->service_times.Mean(ahead.route).count());
+  });
+  return utils::Duration(static_cast<utils::Duration::rep>(work_us)) /
+         std::max<std::uint32_t>(1, this->limit.Get());
 }
 
 }  // namespace amaranthlatch::calls::details
--- a/libs/node/include/amaranthlatch/node/register_node.h
+++ b/libs/node/include/amaranthlatch/node/register_node.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -33,6 +34,15 @@
   utils::Duration drain_grace_period = utils::Milliseconds(2600);
 };
 
+// Calls by the first judgement of their keys. Only calls of configurations with workspaces count.
+struct AuthorizationCounters {
+  std::uint64_t on_public_route = 0;
+  std::uint64_t known = 0;
+  std::uint64_t unknown = 0;
+
+  bool operator==(const AuthorizationCounters&) const = default;
+};
+
 // Events of the reducer. WakeUp, messages and the drain are those of node::Event.
 using RegisterEvent =
     std::variant<WakeUp, MessageReceived, MessageNotSent, PeerUnreachable, DrainRequested,
@@ -54,9 +64,9 @@
                  directory::ReadSourceChanged, directory::EarlierWithdrawalFound,
                  directory::ConfigurationOutdated, directory::RolloutOrdersChanged,
                  rollout::ReadStatus, rollout::WriteStatus, rollout::StageChanged,
-                 rollout::VerdictReached, rollout::AdmissionChanged, quota::LimitStateChanged, calls::AnswerCaller,
-                 calls::RunOnBackendServer, calls::CancelOnBackendServer, calls::DrainFinished,
-                 calls::QuarantineChanged>;
+                 rollout::VerdictReached, rollout::AdmissionChanged, quota::LimitStateChanged,
+                 calls::AnswerCaller, calls::RunOnBackendServer, calls::CancelOnBackendServer,
+                 calls::DrainFinished, calls::QuarantineChanged>;
 
 class RegisterNode {
  public:
@@ -86,6 +96,7 @@
   // Zeros where no quotas are enforced.
   quota::Counters QuotaCounters() const;
   quota::Gauges QuotaGauges() const;
+  const node::AuthorizationCounters& AuthorizationCounters() const;
 
  private:
   struct Impl;
--- a/libs/node/src/register_node.cc
+++ b/libs/node/src/register_node.cc
@@ -6,10 +6,12 @@
 
 #include <deque>
 #include <type_traits>
+#include <unordered_map>
 #include <utility>
 
 #include "amaranthlatch/node/envelope.h"
 #include "amaranthlatch/node/invariants.h"
+#include "call_authorizer.h"
 #include "rollout_events.h"
 
 namespace amaranthlatch::node {
@@ -47,6 +49,9 @@
   void Handle(const directory::BackendServerReady& event);
   void Handle(const directory::BackendServerUnavailable& event);
   void Handle(const calls::CallReceived& event);
+  void Handle(const calls::CallerGone& event);
+  void Handle(const directory::StreamReadSucceeded& event);
+  void Handle(const directory::MemberWriteCompleted& event);
   void Handle(const calls::BackendServerAnswered& event);
   void Handle(const calls::BackendServerFailed& event);
   void Handle(const rollout::StatusRead& event) { this->ToRollout(event); }
@@ -57,11 +62,20 @@
 
   void DispatchToDirectory(const directory::Event& event);
   void DispatchToCalls(const calls::Event& event);
+  void DispatchToQuota(const quota::Event& event);
+  // Tells the quota reducer the limits of the configuration in force.
+  void UpdateLimits();
   // Queues an event for the rollout reducer, if there is one.
   void ToRollout(rollout::Event event);
   void DispatchToRollout();
   // Announces the backend server, or withdraws it, as the rollout allows.
   void UpdateAnnouncement();
+  // Passes on a call that is authorised.
+  void AcceptCall(calls::CallReceived call);
+  // Answers a call that was not passed on.
+  void RefuseCall(std::uint64_t call, utils::ErrorCode code,
+                  std::optional<utils::Duration> retry_after = std::nullopt);
+  void CountAuthorization(calls::AuthorizationResult result);
   // Notifies the directory if a call was routed with a newer configuration.
   void ReportNewerVersion(const membership::NodeId& from, const calls::Message& message);
   // Reports changes of admission and of the backend server to the calls module.
@@ -80,8 +94,24 @@
   }
   void HandleEffect(calls::AnswerCaller effect) {
     this->invariants.OnCallAnswered(effect.call, this->violations);
+    if (const auto admitted = this->admitted_calls.find(effect.call);
+        admitted != this->admitted_calls.end()) {
+      if (effect.answer.kind == calls::ResultKind::kNotRun) {
+        this->unused_credit.push_back(admitted->second);
+      }
+      this->admitted_calls.erase(admitted);
+    }
+    this->effects.emplace_back(std::move(effect));
+  }
+  void HandleEffect(directory::ConfigurationActivated effect) {
+    this->limits_changed = true;
     this->effects.emplace_back(std::move(effect));
   }
+  void HandleEffect(quota::SendMessage effect) {
+    this->effects.emplace_back(SendMessage{std::move(effect.to), std::move(effect.message)});
+  }
+  void HandleEffect(const quota::AdmitCall& effect);
+  void HandleEffect(const quota::RefuseCall& effect);
   void HandleEffect(calls::RunOnBackendServer effect) {
     this->ToRollout(rollout::RunStarted{effect.run, effect.route});
     this->effects.emplace_back(std::move(effect));
@@ -104,11 +134,28 @@
   directory::Directory directory;
   calls::Calls calls;
   std::optional<rollout::Rollout> rollout;
+  std::optional<quota::Quota> quota;
+  // Calls that wait for credit, with the time at which they arrived.
+  struct WaitingCall {
+    calls::CallReceived call;
+    Timestamp arrived{};
+  };
+  std::unordered_map<std::uint64_t, WaitingCall> waiting_calls;
+  // Open calls that were admitted with credit.
+  std::unordered_map<std::uint64_t, quota::CallNotRun> admitted_calls;
+  // Credit of calls that ended as not run; returned at the end of the event.
+  std::vector<quota::CallNotRun> unused_credit;
+  bool limits_changed = false;
+  directory::WorkspaceTable::Pointer limited_workspaces;
+  // The register held a record of an earlier process of this node.
+  bool was_listed = false;
+  bool is_listed = false;
   // Events that the rollout reducer gets at the end of the current one.
   std::deque<rollout::Event> rollout_events;
   InvariantChecker invariants;
   std::vector<InvariantViolated> violations;
   std::vector<RegisterEffect> effects;
+  node::AuthorizationCounters authorizations;
   Timestamp now{};
   bool started = false;
 
@@ -144,8 +191,9 @@
   if (configuration != nullptr) {
     routes = configuration.get();
   }
+  const CallAuthorizer authorizer(configuration);
   for (calls::Effect& effect :
-       this->calls.Reduce(event, this->now, this->directory.Members(), *routes)) {
+       this->calls.Reduce(event, this->now, this->directory.Members(), *routes, &authorizer)) {
     std::visit([this](auto& value) { this->HandleEffect(std::move(value)); }, effect);
   }
 }
@@ -183,6 +231,9 @@
   if (due(this->calls.NextWake())) {
     this->DispatchToCalls(calls::WakeUp{});
   }
+  if (this->quota && due(this->quota->NextWake())) {
+    this->DispatchToQuota(quota::WakeUp{});
+  }
   if (this->rollout && due(this->rollout->NextWake())) {
     this->ToRollout(rollout::WakeUp{});
   }
@@ -196,6 +247,9 @@
     this->DispatchToDirectory(directory::PeerMessageReceived{event.from, *message});
   } else if (const auto* rollout_message = std::get_if<rollout::Message>(&event.message)) {
     this->ToRollout(rollout::PeerMessage{event.from, *rollout_message});
+  } else if (const auto* credit = std::get_if<quota::Message>(&event.message);
+             credit != nullptr && this->quota) {
+    this->DispatchToQuota(quota::PeerMessage{event.from, *credit});
   }
 }
 
@@ -221,6 +275,9 @@
   this->DispatchToDirectory(directory::PeerUnreachable{event.id});
   this->DispatchToCalls(calls::PeerUnreachable{event.id});
   this->ToRollout(rollout::PeerUnreachable{event.id});
+  if (this->quota) {
+    this->DispatchToQuota(quota::PeerUnreachable{event.id});
+  }
 }
 
 void RegisterNode::Impl::Handle(const DrainRequested& /*event*/) {
@@ -311,9 +368,133 @@
 
 void RegisterNode::Impl::Handle(const calls::CallReceived& event) {
   this->invariants.OnCallOpened(event.call, this->violations);
+  calls::CallReceived call = event;
+  const calls::Authorization authorization =
+      CallAuthorizer(this->directory.Configuration()).Apply(call);
+  this->CountAuthorization(authorization.result);
+  if (authorization.Code() != utils::ErrorCode::kOk) {
+    this->RefuseCall(call.call, authorization.Code());
+    return;
+  }
+  this->AcceptCall(std::move(call));
+}
+
+void RegisterNode::Impl::AcceptCall(calls::CallReceived call) {
+  if (!this->quota || call.workspace.empty()) {
+    this->DispatchToCalls(std::move(call));
+    return;
+  }
+  const quota::CallArrived arrived{call.call, call.workspace};
+  this->waiting_calls.emplace(arrived.call, WaitingCall{std::move(call), this->now});
+  this->DispatchToQuota(arrived);
+}
+
+void RegisterNode::Impl::HandleEffect(const quota::AdmitCall& effect) {
+  auto waiting = this->waiting_calls.extract(effect.call);
+  if (waiting.empty()) {
+    return;
+  }
+  calls::CallReceived call = std::move(waiting.mapped().call);
+  const utils::Duration waited = this->now - waiting.mapped().arrived;
+  if (call.remaining) {
+    *call.remaining -= waited;
+  }
+  const quota::CallNotRun unused{call.workspace, this->now};
+  if (waited.count() > 0) {
+    // The key may have been withdrawn while the call waited.
+    const calls::Authorization authorization =
+        CallAuthorizer(this->directory.Configuration()).Apply(call);
+    if (authorization.Code() != utils::ErrorCode::kOk) {
+      this->unused_credit.push_back(unused);
+      this->RefuseCall(call.call, authorization.Code());
+      return;
+    }
+  }
+  this->admitted_calls.emplace(call.call, unused);
+  this->DispatchToCalls(std::move(call));
+}
+
+void RegisterNode::Impl::HandleEffect(const quota::RefuseCall& effect) {
+  if (this->waiting_calls.erase(effect.call) > 0) {
+    this->RefuseCall(effect.call, utils::ErrorCode::kQuotaExceeded, effect.retry_after);
+  }
+}
+
+void RegisterNode::Impl::DispatchToQuota(const quota::Event& event) {
+  for (quota::Effect& effect : this->quota->Reduce(event, this->now, this->directory.Members())) {
+    std::visit([this](auto& value) { this->HandleEffect(std::move(value)); }, effect);
+  }
+}
+
+void RegisterNode::Impl::UpdateLimits() {
+  const directory::MeshConfiguration::Pointer configuration = this->directory.Configuration();
+  if (!this->quota || !std::exchange(this->limits_changed, false) || configuration == nullptr ||
+      configuration->GetWorkspaces() == this->limited_workspaces) {
+    return;
+  }
+  this->limited_workspaces = configuration->GetWorkspaces();
+  auto limits = std::make_shared<quota::Limits>();
+  if (this->limited_workspaces != nullptr) {
+    for (const auto& workspace : this->limited_workspaces->All()) {
+      if (workspace->rate > 0.0) {
+        limits->emplace(workspace->name, quota::Limit{workspace->rate, workspace->burst});
+      }
+    }
+  }
+  this->DispatchToQuota(quota::LimitsChanged{std::move(limits)});
+}
+
+void RegisterNode::Impl::Handle(const calls::CallerGone& event) {
+  if (this->waiting_calls.erase(event.call) > 0) {
+    this->DispatchToQuota(quota::CallGone{event.call});
+    this->RefuseCall(event.call, utils::ErrorCode::kCallerGone);
+    return;
+  }
   this->DispatchToCalls(event);
 }
 
+void RegisterNode::Impl::Handle(const directory::StreamReadSucceeded& event) {
+  const membership::Member& self = this->directory.Members().Self();
+  for (const membership::Member& member : event.members) {
+    this->was_listed = this->was_listed || (member.id == self.id && member.boot_id != self.boot_id);
+  }
+  this->DispatchToDirectory(event);
+}
+
+void RegisterNode::Impl::Handle(const directory::MemberWriteCompleted& event) {
+  this->DispatchToDirectory(event);
+  if (this->quota && event.written && !this->is_listed) {
+    this->is_listed = true;
+    this->DispatchToQuota(quota::MembersListed{this->was_listed});
+  }
+}
+
+void RegisterNode::Impl::RefuseCall(std::uint64_t call, utils::ErrorCode code,
+                                    std::optional<utils::Duration> retry_after) {
+  calls::Answer refusal;
+  refusal.kind = calls::ResultKind::kNotRun;
+  refusal.code = code;
+  refusal.message = utils::ToString(code);
+  refusal.retry_after = retry_after;
+  this->HandleEffect(calls::AnswerCaller{call, std::move(refusal)});
+}
+
+void RegisterNode::Impl::CountAuthorization(calls::AuthorizationResult result) {
+  switch (result) {
+    case calls::AuthorizationResult::kUnchecked:
+      break;
+    case calls::AuthorizationResult::kPublic:
+      ++this->authorizations.on_public_route;
+      break;
+    case calls::AuthorizationResult::kKnown:
+      ++this->authorizations.known;
+      break;
+    case calls::AuthorizationResult::kUnknown:
+      ++this->authorizations.unknown;
+      break;
+  }
+}
+
 template <typename T>
 void RegisterNode::Impl::Handle(const T& event) {
   if constexpr (std::is_constructible_v<calls::Event, const T&>) {
@@ -370,6 +551,13 @@
     }
     impl->rollout = *std::move(rollout);
   }
+  if (options.quota) {
+    auto quota = quota::Quota::Create(*options.quota);
+    if (!quota) {
+      return tl::unexpected(quota.error());
+    }
+    impl->quota = *std::move(quota);
+  }
   return std::unique_ptr<RegisterNode>(new RegisterNode(std::move(impl)));
 }
 
@@ -381,6 +569,10 @@
   modules.now = now;
   std::visit([&modules](const auto& value) { modules.Handle(value); }, event);
   modules.DispatchToRollout();
+  modules.UpdateLimits();
+  for (const quota::CallNotRun& unused : std::exchange(modules.unused_credit, {})) {
+    modules.DispatchToQuota(unused);
+  }
   modules.CloseCallerIntakeIfDue();
   modules.CheckInvariants();
   return std::exchange(modules.effects, {});
@@ -392,9 +584,11 @@
     return Timestamp{};
   }
   std::optional<Timestamp> next = modules.caller_intake_deadline;
+  const auto quota_wake = modules.quota ? modules.quota->NextWake() : std::optional<Timestamp>();
   const auto rollout_wake =
       modules.rollout ? modules.rollout->NextWake() : std::optional<Timestamp>();
-  for (const auto& wake : {modules.directory.NextWake(), modules.calls.NextWake(), rollout_wake}) {
+  for (const auto& wake :
+       {modules.directory.NextWake(), modules.calls.NextWake(), rollout_wake, quota_wake}) {
     if (wake && (!next || *wake < *next)) {
       next = wake;
     }
@@ -434,8 +628,20 @@
   return this->impl->rollout ? this->impl->rollout->GetCounters() : rollout::Counters{};
 }
 
+quota::Counters RegisterNode::QuotaCounters() const {
+  return this->impl->quota ? this->impl->quota->GetCounters() : quota::Counters{};
+}
+
+quota::Gauges RegisterNode::QuotaGauges() const {
+  return this->impl->quota ? this->impl->quota->GetGauges() : quota::Gauges{};
+}
+
 rollout::Gauges RegisterNode::RolloutGauges() const {
   return this->impl->rollout ? this->impl->rollout->GetGauges() : rollout::Gauges{};
 }
 
+const AuthorizationCounters& RegisterNode::AuthorizationCounters() const {
+  return this->impl->authorizations;
+}
+
 }  // namespace amaranthlatch::node
--- a/libs/runtime/src/register_host.cc
+++ b/libs/runtime/src/register_host.cc
@@ -25,9 +25,9 @@
 #include "effect_log.h"
 #include "memory_plan.h"
 #include "message_class.h"
+#include "quota_log.h"
 #include "register_metrics.h"
 #include "register_options.h"
-#include "quota_log.h"
 #include "rollout_log.h"
 
 namespace amaranthlatch::runtime {
@@ -270,6 +270,7 @@
     metrics.rollout_gauges = this->node->RolloutGauges();
     metrics.quota = this->node->QuotaCounters();
     metrics.quota_gauges = this->node->QuotaGauges();
+    metrics.authorizations = this->node->AuthorizationCounters();
     metrics.envelope = this->envelope->GetCounters();
     metrics.transport = this->transport->Counters();
     metrics.data_server = this->data_server->Counters();
--- a/libs/runtime/src/register_metrics.h
+++ b/libs/runtime/src/register_metrics.h
@@ -9,6 +9,7 @@
 #include "amaranthlatch/calls/counters.h"
 #include "amaranthlatch/directory/directory.h"
 #include "amaranthlatch/node/envelope.h"
+#include "amaranthlatch/node/register_node.h"
 #include "amaranthlatch/quota/quota.h"
 #include "amaranthlatch/rollout/rollout.h"
 #include "amaranthlatch/runtime/http_client.h"
@@ -23,6 +24,7 @@
   directory::Gauges directory_gauges;
   calls::Counters calls;
   calls::Gauges gauges;
+  node::AuthorizationCounters authorizations;
   quota::Counters quota;
   quota::Gauges quota_gauges;
   rollout::Counters rollout;
