Refresh the claim of a coordinator, so that cut-off nodes do not replace it

Change: a coordinator that hears most participants writes its claim again every 0.7 s; a node that finds it silent claims only when the record is 1.4 s old.

--- a/libs/rollout/src/coordinator.cc
+++ b/libs/rollout/src/coordinator.cc
@@ -71,6 +71,7 @@
       report_interval(options.min_report_interval),
       confirmed_at(now),
       next_poll(now) {
+  this->refreshed_at = now;
   if (this->claim.is_takeover) {
     this->reason = Reason::kTakenOver;
     this->collect_until = now + CollectTime(options);
@@ -329,6 +330,13 @@
          (IsLimited(this->phase) ? LeaseTime(this->options) / 3 : SilenceTime(this->options));
 }
 
+bool Coordinator::NeedsRefresh(Timestamp now) const {
+  const bool has_majority =
+      now - this->majority_heard <= SilenceTime(this->options) + this->report_interval;
+  return this->refresh_wanted ||
+         (has_majority && now - this->refreshed_at >= RefreshInterval(this->options));
+}
+
 bool Coordinator::IsConfirmed(Timestamp now) const {
   // Half of the lease is left for the reports of the participants.
   return this->LeaseLimit() - LeaseTime(this->options) / 2 > now;
--- a/libs/rollout/src/coordinator.h
+++ b/libs/rollout/src/coordinator.h
@@ -46,7 +46,11 @@
   void SetRegisterAnswers(bool answers) { this->register_answers = answers; }
   // The process was paused: another node may coordinate by now, and reports may have waited.
   void OnDelayed(utils::Timestamp now);
-  void OnRefreshed() { this->refresh_wanted = false; }
+  // The register stores the elapsed time of a record written at this time.
+  void OnRefreshed(utils::Timestamp at) {
+    this->refresh_wanted = false;
+    this->refreshed_at = at;
+  }
 
   const Claim& GetClaim() const { return this->claim; }
   std::uint64_t Term() const { return this->claim.term; }
@@ -55,8 +59,9 @@
   // Whether the register is to confirm the claim again: after a later claim no lease may be
   // granted.
   bool NeedsConfirmation(utils::Timestamp now) const;
-  // Whether the elapsed time must be stored, for the case that all nodes are lost.
-  bool NeedsRefresh() const { return this->refresh_wanted; }
+  // Whether the elapsed time must be stored: for the case that all nodes are lost, and to show
+  // nodes that are cut off that this one coordinates.
+  bool NeedsRefresh(utils::Timestamp now) const;
   // The verdict to write; none if there is none yet.
   const std::optional<State>& Verdict() const { return this->verdict; }
   StatusRecord MakeRecord(State state, utils::Timestamp now) const;
@@ -158,6 +163,7 @@
   // Until when reports are collected before the first directive; none once it is over.
   std::optional<utils::Timestamp> collect_until = utils::Timestamp{};
   bool refresh_wanted = false;
+  utils::Timestamp refreshed_at{};
   // Phase learned from reports, and whether one of them told of a stop.
   Phase learned_phase = Phase::kNone;
   bool learned_stop = false;
--- a/libs/rollout/src/participant.h
+++ b/libs/rollout/src/participant.h
@@ -41,6 +41,9 @@
   const std::optional<State>& Verdict() const { return this->verdict; }
   const std::vector<std::string>& ReplacedVersions() const { return this->replaced_versions; }
   utils::Duration Elapsed(utils::Timestamp now) const { return this->elapsed.At(now); }
+  void RaiseElapsed(utils::Duration known, utils::Timestamp now) {
+    this->elapsed.Raise(known, now);
+  }
   std::uint64_t Term() const { return this->term; }
   Phase CurrentPhase() const;
   bool IsStopped() const { return this->stopped; }
--- a/libs/rollout/src/rollout_impl.h
+++ b/libs/rollout/src/rollout_impl.h
@@ -68,7 +68,10 @@
 
   Purpose StatusPurpose() const;
   bool IsForOwnOrder(const std::string& service, std::uint64_t order) const;
+  // Whether the node that made the claim is known not to coordinate, or not to answer.
   bool IsLost(const StatusRecord& claim) const;
+  // Whether the claim has not been refreshed for too long.
+  bool IsStale(const StatusRecord& claim);
   utils::Duration CurrentReportInterval() const;
   utils::Timestamp ReportDue() const;
   void Send(const membership::NodeId& to, Message message);
--- a/libs/rollout/src/rollout_status.cc
+++ b/libs/rollout/src/rollout_status.cc
@@ -16,6 +16,8 @@
 
 // A claim is given up if nobody has asked for it for this long.
 constexpr utils::Duration kClaimDemandTime = utils::Seconds(2);
+// How often the claim of a silent coordinator is read again before it is stale.
+constexpr utils::Duration kStaleCheckInterval = utils::Milliseconds(200);
 
 }  // namespace
 
@@ -29,7 +31,7 @@
   if (this->coordinator->Verdict()) {
     return Purpose::kVerdict;
   }
-  if (this->coordinator->NeedsRefresh()) {
+  if (this->coordinator->NeedsRefresh(this->now)) {
     return Purpose::kRefresh;
   }
   return this->coordinator->NeedsConfirmation(this->now) ? Purpose::kConfirm : Purpose::kNone;
@@ -64,6 +66,15 @@
   return this->link.IsSilent(id, this->now) || (this->claim_insisted && !is_alive);
 }
 
+bool Rollout::Impl::IsStale(const StatusRecord& claim) {
+  if (claim.coordinator == this->options.id) {
+    return true;
+  }
+  this->participant.RaiseElapsed(claim.elapsed, this->now);
+  return this->participant.Elapsed(this->now) - claim.elapsed >=
+         details::StaleClaimAge(this->options);
+}
+
 void Rollout::Impl::Handle(const StatusRead& event) {
   const Purpose purpose = this->StatusPurpose();
   if (event.service != this->participant.Server().service) {
@@ -101,6 +112,9 @@
     this->BecomeCoordinator(std::move(*this->pending_claim));
   } else if (is_current && !this->IsLost(*record)) {
     this->FollowClaimant(record->coordinator);
+  } else if (is_current && !this->IsStale(*record)) {
+    // The coordinator is alive, or was lost a moment ago.
+    this->status.Postpone(this->now + kStaleCheckInterval);
   } else {
     this->pending_claim = this->MakeClaim(event);
     this->Write(this->MakeClaimRecord(*this->pending_claim), event.end);
@@ -131,7 +145,7 @@
   if (record->state != State::kRunning) {
     this->FinishWith(record->state, record->replaced_versions, true);
   } else if (this->coordinator) {
-    this->coordinator->OnRefreshed();
+    this->coordinator->OnRefreshed(this->status.StartedAt());
   } else if (this->pending_claim) {
     this->pending_claim->term = this->status.LastWriteEnd() + 1;
     this->BecomeCoordinator(std::move(*this->pending_claim));
--- a/libs/rollout/src/status_access.h
+++ b/libs/rollout/src/status_access.h
@@ -33,8 +33,13 @@
   // Gives up an operation whose result is overdue. Returns whether it did.
   bool Poll(utils::Timestamp now);
 
+  // The next read is not due before this.
+  void Postpone(utils::Timestamp until) { this->next_try = until; }
+
   // When the last read was started. What it returned was true then or later.
   utils::Timestamp ReadStartedAt() const { return this->read_started; }
+  // When the last operation was started.
+  utils::Timestamp StartedAt() const { return this->started; }
   // The end of the stream that the last write expected. A read that shows the own record as the
   // newest one has its position here: a write is started only after a read that does not show one,
   // and earlier writes can no longer succeed once a later end was read.
--- a/libs/rollout/src/timing.h
+++ b/libs/rollout/src/timing.h
@@ -30,6 +30,11 @@
 // 3 s: a node that says it claims the order is passed over without a directive within this time.
 inline utils::Duration ClaimPatience(const Options& options) { return options.rollback * 3 / 5; }
 
+// 0.7 s and 1.4 s: a coordinator that hears most participants refreshes its claim at this interval.
+// Before its claim is as old as the latter, a node that finds it silent takes itself for cut off.
+inline utils::Duration RefreshInterval(const Options& options) { return options.rollback * 7 / 50; }
+inline utils::Duration StaleClaimAge(const Options& options) { return options.rollback * 7 / 25; }
+
 // A WakeUp that is later than this shows that the process was paused: what it knows may be
 // outdated, and messages that it handles now may have waited as long.
 inline constexpr utils::Duration kMaxWakeDelay = utils::Milliseconds(500);
--- a/libs/rollout/tests/components_test.cc
+++ b/libs/rollout/tests/components_test.cc
@@ -84,6 +84,17 @@
   CHECK_TRUE(counters.ToRoutes() == std::vector<RouteCounters>{expected});
 }
 
+// Guards against a new coordinator that grants again what an earlier one has granted.
+TEST(RolloutComponents, EarlierGrantsCount) {
+  details::ExposureBudget budget(0.1, 50.0);
+  budget.AddRuns(1000, false, 0.06);
+  budget.AddEarlierGrant(30);
+  budget.RaiseEarlierSum(45);
+  // 60 for the reported runs and 10 at the start.
+  CHECK_EQUAL(25, budget.Grant(0, 1, 1));
+  CHECK_EQUAL(0, budget.Grant(0, 1, 1));
+}
+
 // Guards against grants above the budget, whatever is reported in which order.
 TEST(RolloutComponents, GrantsNeverExceedTheBudget) {
   utils::Random random(1);
--- a/libs/rollout/tests/failures_test.cc
+++ b/libs/rollout/tests/failures_test.cc
@@ -133,6 +133,33 @@
   STRCMP_EQUAL("", lost.CheckGood().c_str());
 }
 
+// Guards against two halves of a partition that both reach the register and keep replacing each
+// other's coordinator.
+TEST(RolloutFailures, PartitionWithRegisterHasOneCoordinator) {
+  for (const bool cuts_coordinator : {false, true}) {
+    Setup setup;
+    setup.duration = Seconds(20);
+    setup.old_nodes = 9;
+    setup.new_nodes = 9;
+    Mesh mesh(setup);
+    CHECK_TRUE(mesh.RunUntil([&mesh] { return mesh.exposure > 2; }));
+    // Four old nodes and one new one are cut off.
+    const std::size_t first = cuts_coordinator ? *mesh.Coordinator() : *mesh.Coordinator() + 1;
+    for (std::size_t i = 0; i < 4; ++i) {
+      mesh.nodes[(first + i) % 9].group = 1;
+    }
+    mesh.nodes.back().group = 1;
+    mesh.RunFor(Seconds(20) - (mesh.Now() - mesh.ordered_at));
+    const std::string problem = mesh.CheckGood();
+    STRCMP_EQUAL("", problem.c_str());
+    std::size_t changes = 0;
+    for (std::size_t i = 1; i < mesh.status.records.size(); ++i) {
+      changes += mesh.status.records[i].coordinator != mesh.status.records[i - 1].coordinator;
+    }
+    CHECK_EQUAL_TEXT(cuts_coordinator ? 1 : 0, changes, mesh.Describe().c_str());
+  }
+}
+
 // Guards against the verdict of a coordinator that was replaced without noticing.
 TEST(RolloutFailures, ReplacedCoordinatorWritesNoVerdict) {
   Setup setup;
@@ -151,6 +178,46 @@
   CHECK_TRUE(mesh.status.records.at(records).state == State::kRunning);
 }
 
+// Guards against nodes that take a coordinator for silent because they were paused themselves.
+TEST(RolloutFailures, PausedParticipantKeepsItsCoordinator) {
+  Setup setup;
+  setup.duration = kLongRollout;
+  Mesh mesh(setup);
+  CHECK_TRUE(mesh.RunUntil([&mesh] { return mesh.exposure > 2; }));
+  const std::size_t paused = *mesh.Coordinator() == 0 ? 1 : 0;
+  for (int i = 0; i < 5; ++i) {
+    mesh.Pause(paused, Milliseconds(1500 + 60 * i));
+    mesh.RunFor(Seconds(3));
+  }
+  CHECK_TRUE(mesh.nodes[paused].rollout->GetCounters().delays >= 5);
+  CHECK_EQUAL(0, mesh.nodes[paused].rollout->GetCounters().coordinators_lost);
+}
+
+// Guards against a version that turns bad late in a long phase and is judged by its good start.
+TEST(RolloutFailures, LateFailuresAreFoundSoon) {
+  Setup setup;
+  setup.duration = Seconds(120);
+  setup.rate = 200.0;
+  setup.bad_version.failure_share = 0.5;
+  setup.bad_version.from = Seconds(50);
+  Mesh mesh(setup);
+  CHECK_TRUE(mesh.RunUntil([&mesh] { return mesh.stopped_at.has_value(); }));
+  // All answers together would need about 28 failures.
+  CHECK_TRUE_TEXT(mesh.bad_answers < 20, mesh.Describe().c_str());
+}
+
+// Guards against a completion that ends calls which gates of the old version still run.
+TEST(RolloutFailures, CompletionWaitsForRunningCalls) {
+  Setup setup;
+  setup.duration = kLongRollout;
+  Mesh mesh(setup);
+  CHECK_TRUE(mesh.RunUntil([&mesh] { return mesh.IsInPhase(Phase::kPromote); }));
+  mesh.Run(0, "list", Seconds(8));
+  CHECK_TRUE(mesh.RunUntil([&mesh] { return mesh.IsInPhase(Phase::kRetire); }));
+  CHECK_TRUE(mesh.RunUntil([&mesh] { return mesh.Verdict() == State::kComplete; }));
+  CHECK_EQUAL(0, mesh.nodes[0].running);
+}
+
 // Guards against a canary that a partition leaves without limits, and against old servers that stop
 // with it.
 TEST(RolloutFailures, PartitionedCanaryLosesItsLease) {
@@ -240,8 +307,8 @@
     Mesh mesh(setup);
     // Each bad process dies before its own failures could decide.
     const std::uint64_t step = is_good ? 20 : 6;
-    for (std::uint64_t next = step; next <= 3 * step; next += step) {
-      mesh.RunUntil([&mesh, next] { return mesh.exposure >= next; });
+    for (std::uint64_t next = step; next <= (is_good ? 2 : 5) * step; next += step) {
+      mesh.RunUntil([&mesh, next] { return mesh.exposure >= next || mesh.stopped_at; });
       for (std::size_t i = 0; i < mesh.nodes.size(); ++i) {
         if (!mesh.nodes[i].node_alive || mesh.nodes[i].rollout->GetGauges().allowance == 0) {
           continue;
@@ -257,7 +324,7 @@
     mesh.RunFor(Seconds(12) - (mesh.Now() - mesh.ordered_at));
     const std::string problem = is_good ? mesh.CheckGood() : mesh.CheckBad();
     STRCMP_EQUAL("", problem.c_str());
-    CHECK_TRUE(is_good || mesh.exposure < 60);
+    CHECK_TRUE(is_good || mesh.exposure < 30);
   }
 }
 
--- a/libs/rollout/tests/rollout_mesh.cc
+++ b/libs/rollout/tests/rollout_mesh.cc
@@ -353,14 +353,14 @@
     const bool runs =
         node.node_alive && node.server_alive && node.announced && this->now >= node.paused_until;
     if (runs && node.running < kSlots && node.rollout->Admission(this->now).accept) {
-      this->Run(index, route);
+      this->Run(index, route, this->setup.work);
       return;
     }
   }
   ++this->refused;
 }
 
-void Mesh::Run(std::size_t index, const std::string& route) {
+void Mesh::Run(std::size_t index, const std::string& route, Duration work) {
   Node& node = this->nodes[index];
   const std::uint64_t run = ++this->last_run;
   const std::uint64_t boot = node.boot;
@@ -402,8 +402,8 @@
   if (this->bad_answers == 50 && is_bad) {
     this->fiftieth_bad_answer = this->now;
   }
-  const auto work = static_cast<double>(this->setup.work.count());
-  this->At(Duration(static_cast<Duration::rep>(work * factor)), [this, index, boot, run, fails] {
+  const double length = static_cast<double>(work.count()) * factor;
+  this->At(Duration(static_cast<Duration::rep>(length)), [this, index, boot, run, fails] {
     Node& ended = this->nodes[index];
     if (ended.boot != boot) {
       return;
--- a/libs/rollout/tests/rollout_mesh.h
+++ b/libs/rollout/tests/rollout_mesh.h
@@ -101,6 +101,8 @@
   void KillNode(std::size_t node);
   void KillServer(std::size_t node);
   void Pause(std::size_t node, utils::Duration duration);
+  // Runs a call at the gate of the node.
+  void Run(std::size_t node, const std::string& route, utils::Duration work);
 
   // The node that coordinates under the highest term; none if none does.
   std::optional<std::size_t> Coordinator() const;
@@ -155,7 +157,6 @@
   void Read(std::size_t node);
   void Write(std::size_t node, const WriteStatus& write);
   void Call();
-  void Run(std::size_t node, const std::string& route);
   void Publish(std::size_t node);
   void ScheduleWake(std::size_t node);
   BackendServerChanged Announcement(const Node& node, bool available) const;
