--- a/libs/runtime/include/amaranthlatch/runtime/nng_transport.h
+++ b/libs/runtime/include/amaranthlatch/runtime/nng_transport.h
@@ -62,6 +62,7 @@
   ~NngTransport() override;
 
   void Send(const membership::NodeId& to, OutgoingMessage message) override;
+  bool HasStream(const membership::NodeId& peer, std::uint64_t stream) const override;
   void DropStream(const membership::NodeId& peer, std::uint64_t stream) override;
   void ChargeLink(std::size_t bytes) override;
   void NoteHeard(const membership::NodeId& peer) override;
--- a/libs/runtime/include/amaranthlatch/runtime/transport.h
+++ b/libs/runtime/include/amaranthlatch/runtime/transport.h
@@ -69,6 +69,9 @@
   // Queues the message; never blocks.
   virtual void Send(const membership::NodeId& to, OutgoingMessage message) = 0;
 
+  // Whether messages of the stream wait to be sent to the peer, at least in part.
+  virtual bool HasStream(const membership::NodeId& peer, std::uint64_t stream) const = 0;
+
   // Drops the messages of the stream that wait for the peer, without a report. Of one that was sent
   // in part, the rest is not sent.
   virtual void DropStream(const membership::NodeId& peer, std::uint64_t stream) = 0;
--- a/libs/runtime/src/bulk_channel.h
+++ b/libs/runtime/src/bulk_channel.h
@@ -31,6 +31,9 @@
   // False, and the message is as before, if too much waits.
   bool Send(const membership::NodeId& peer, OutgoingMessage& message);
 
+  bool HasStream(const membership::NodeId& peer, std::uint64_t stream) const {
+    return this->sender.HasStream(peer, stream);
+  }
   void DropStream(const membership::NodeId& peer, std::uint64_t stream);
   void Charge(std::size_t bytes);
 
--- a/libs/runtime/src/caller_socket.cc
+++ b/libs/runtime/src/caller_socket.cc
@@ -88,6 +88,17 @@
   return bytes == 0 || (bytes < 0 && errno == ECONNRESET);
 }
 
+bool IsOnSameInstance(const asio::ip::tcp::socket& socket) {
+  asio::error_code local_error;
+  asio::error_code remote_error;
+  const asio::ip::address local = socket.local_endpoint(local_error).address();
+  const asio::ip::address remote = socket.remote_endpoint(remote_error).address();
+  // A connection from this instance to another one of its loopback addresses comes from 127.0.0.1.
+  return !local_error && !remote_error &&
+         (remote == local || remote == asio::ip::address_v4::loopback() ||
+          remote == asio::ip::address_v6::loopback());
+}
+
 void CloseAfterWriting(asio::ip::tcp::socket socket, std::string text) {
   if (LingeringClose::Count() < kMaxLingering) {
     std::make_shared<LingeringClose>(std::move(socket), std::move(text))->Start();
--- a/libs/runtime/src/caller_socket.h
+++ b/libs/runtime/src/caller_socket.h
@@ -45,6 +45,9 @@
 // Whether the caller has closed its side and everything it sent has been read.
 bool CallerHasClosed(int descriptor);
 
+// False if it is unknown.
+bool IsOnSameInstance(const asio::ip::tcp::socket& socket);
+
 // Writes the text, then reads and drops what the caller still sends, until it pauses for a second,
 // for at most ten. A close with unread input would reset the connection and could destroy the text
 // before it is read.
@@ -61,11 +64,7 @@
   // Called when RESTinio has made a connection of this socket.
   std::shared_ptr<CallerConnection> Begin() {
     this->connection = std::make_shared<CallerConnection>();
-    asio::error_code local_error;
-    asio::error_code remote_error;
-    const auto local = this->local_endpoint(local_error).address();
-    const auto remote = this->remote_endpoint(remote_error).address();
-    this->connection->on_same_instance = !local_error && !remote_error && local == remote;
+    this->connection->on_same_instance = IsOnSameInstance(*this);
     return this->connection;
   }
 
--- a/libs/runtime/src/message_class.cc
+++ b/libs/runtime/src/message_class.cc
@@ -23,15 +23,20 @@
   return std::max(utils::CombineHash(call, id.attempt), kFirstAttemptStream);
 }
 
-template <typename T>
-const T* Find(const node::Message& message) {
-  const auto* const call = std::get_if<calls::Message>(&message);
+// The call message inside, if it is one of this type.
+template <typename T, typename Outer>
+auto* Find(Outer& message) {
+  auto* const call = std::get_if<calls::Message>(&message);
   return call == nullptr ? nullptr : std::get_if<T>(call);
 }
 
 }  // namespace
 
-void MessageClasses::OnReceived(const node::Message& message) {
+void MessageClasses::OnReceived(const membership::NodeId& from, const node::Message& message,
+                                Transport& transport) {
+  if (const auto* const cancel = Find<calls::CallCancel>(message); cancel && cancel->abort) {
+    transport.DropStream(from, StreamOf(cancel->id));
+  }
   const auto* const request = Find<calls::CallRequest>(message);
   if (request == nullptr || request->priority == OutgoingMessage().priority) {
     return;
@@ -54,12 +59,6 @@
       const auto found = classes->find(outgoing.stream);
       outgoing.priority = found == classes->end() ? outgoing.priority : found->second;
     }
-  } else if (const auto* const cancel = Find<calls::CallCancel>(message)) {
-    // Without `abort` it asks about the request, which the gate would refuse if it came later.
-    outgoing.stream = cancel->abort ? 0 : StreamOf(cancel->id);
-  } else if (const auto* const cancelled = Find<calls::CallCancelReply>(message)) {
-    // An entry that is told that an attempt has ended takes a reply that follows for lost.
-    outgoing.stream = StreamOf(cancelled->id);
   } else if (std::holds_alternative<directory::Message>(message)) {
     outgoing.priority = document::Priority::kInternal;
     outgoing.stream = kDirectoryStream;
@@ -67,9 +66,22 @@
   return outgoing;
 }
 
-std::uint64_t MessageClasses::StreamEndedBy(const node::Message& message) {
-  const auto* const cancel = Find<calls::CallCancel>(message);
-  return cancel == nullptr || !cancel->abort ? 0 : StreamOf(cancel->id);
+bool MessageClasses::Prepare(const membership::NodeId& to, node::Message& message,
+                             Transport& transport) {
+  if (const auto* const cancel = Find<calls::CallCancel>(message)) {
+    const std::uint64_t stream = StreamOf(cancel->id);
+    if (cancel->abort) {
+      transport.DropStream(to, stream);
+      return true;
+    }
+    // It asks whether the request arrived. The gate would refuse a request that it overtook.
+    return !transport.HasStream(to, stream);
+  }
+  if (auto* const reply = Find<calls::CallCancelReply>(message); reply && reply->ran) {
+    // An entry that is told that a run has ended takes a reply that comes later for lost.
+    reply->running = reply->running || transport.HasStream(to, StreamOf(reply->id));
+  }
+  return true;
 }
 
 }  // namespace amaranthlatch::runtime::details
--- a/libs/runtime/src/nng_transport.cc
+++ b/libs/runtime/src/nng_transport.cc
@@ -101,6 +101,10 @@
     this->ScheduleTick();
   }
 
+  bool HasStream(const membership::NodeId& peer, std::uint64_t stream) const {
+    return this->bulk && this->bulk->HasStream(peer, stream);
+  }
+
   void DropStream(const membership::NodeId& peer, std::uint64_t stream) {
     if (this->bulk) {
       this->bulk->DropStream(peer, stream);
@@ -415,6 +419,10 @@
   this->impl->Send(to, std::move(message));
 }
 
+bool NngTransport::HasStream(const membership::NodeId& peer, std::uint64_t stream) const {
+  return this->impl->HasStream(peer, stream);
+}
+
 void NngTransport::DropStream(const membership::NodeId& peer, std::uint64_t stream) {
   this->impl->DropStream(peer, stream);
 }
--- a/libs/runtime/src/register_host.cc
+++ b/libs/runtime/src/register_host.cc
@@ -134,8 +134,7 @@
     } else {
       this->transport->NoteHeard(opened->sender);
     }
-    this->classes.OnReceived(opened->message);
-    this->DropEnded(opened->sender, opened->message);
+    this->classes.OnReceived(opened->sender, opened->message, *this->transport);
     this->Apply(node::MessageReceived{std::move(opened->sender), std::move(opened->message)});
   }
 
@@ -337,9 +336,11 @@
   }
 
   void Perform(node::SendMessage& effect) {
+    if (!details::MessageClasses::Prepare(effect.to, effect.message, *this->transport)) {
+      return;
+    }
     auto sealed = this->envelope->Seal(effect.to, effect.message);
     OutgoingMessage outgoing = this->classes.Describe(effect.message);
-    this->DropEnded(effect.to, effect.message);
     // Shared, because the callback is copied on its way.
     const auto message = std::make_shared<const node::Message>(std::move(effect.message));
     outgoing.not_sent = [this, to = effect.to, message] {
@@ -354,12 +355,6 @@
     this->transport->Send(effect.to, std::move(outgoing));
   }
 
-  void DropEnded(const membership::NodeId& peer, const node::Message& message) {
-    if (const std::uint64_t stream = details::MessageClasses::StreamEndedBy(message)) {
-      this->transport->DropStream(peer, stream);
-    }
-  }
-
   void Perform(const node::InvariantViolated& effect) {
     details::LogViolation(effect, "register-mode");
     this->Stop(StopReason::kInvariantViolated);
--- a/libs/runtime/tests/http_server_test.cc
+++ b/libs/runtime/tests/http_server_test.cc
@@ -170,4 +170,24 @@
   CHECK_TRUE(caller.Has("last"));
 }
 
+// Guards against answers that take the link unnoticed, and against a pace that is lowered by
+// answers that never leave the instance.
+TEST(HttpServerTest, CountsAnswersToOtherInstancesOnly) {
+  std::size_t sent = 0;
+  RestinioServerOptions options;
+  options.sent_to_others = [&sent](std::size_t bytes) { sent += bytes; };
+  Open(options);
+  for (const char* const address : {"127.0.0.1", "127.0.0.2"}) {
+    asio::ip::tcp::socket caller(context);
+    caller.open(asio::ip::tcp::v4());
+    caller.bind({asio::ip::make_address(address), 0});
+    caller.connect({asio::ip::address_v4::loopback(), server->Port()});
+    asio::write(caller, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    const std::size_t before = recorder.ids.size();
+    CHECK_TRUE(RunUntil(context, [&] { return recorder.ids.size() == before + 1; }));
+    server->Respond(recorder.ids.back(), Answer(200, std::string(90'000, 'x')));
+    LONGS_EQUAL(before * 90'000, sent);
+  }
+}
+
 }  // namespace amaranthlatch::runtime
