--- a/libs/directory/include/amaranthlatch/directory/text_index.h
+++ b/libs/directory/include/amaranthlatch/directory/text_index.h
@@ -17,12 +17,13 @@
   // Has room for at most `entries` entries.
   explicit TextIndex(std::size_t entries);
 
-  // Adds `position` for the text and returns nothing, unless `has_text(p)` is true for a position
-  // `p` that was added before; then returns this one.
+  static std::uint64_t HashOf(std::string_view text);
+
+  // Adds `position` for the text with this hash and returns nothing, unless `has_text(p)` is true
+  // for a position `p` that was added before; then returns this one.
   template <typename HasText>
-  std::optional<std::uint32_t> Add(std::string_view text, std::uint32_t position,
-                                   HasText has_text) {
-    const Place place = this->PlaceOf(text);
+  std::optional<std::uint32_t> Add(std::uint64_t hash, std::uint32_t position, HasText has_text) {
+    const Place place = this->PlaceOf(hash);
     const std::size_t slot = this->FindSlot(place, has_text);
     if (this->slots[slot].entry != 0) {
       return this->slots[slot].entry - 1;
@@ -34,7 +35,7 @@
   // Returns the position that was added for the text, for which `has_text` is true.
   template <typename HasText>
   std::optional<std::uint32_t> Find(std::string_view text, HasText has_text) const {
-    const Slot& slot = this->slots[this->FindSlot(this->PlaceOf(text), has_text)];
+    const Slot& slot = this->slots[this->FindSlot(this->PlaceOf(HashOf(text)), has_text)];
     return slot.entry == 0 ? std::nullopt : std::optional(slot.entry - 1);
   }
 
@@ -50,7 +51,7 @@
     std::uint32_t tag = 0;
   };
 
-  Place PlaceOf(std::string_view text) const;
+  Place PlaceOf(std::uint64_t hash) const;
 
   // Returns the slot of the text, or the free slot where it belongs.
   template <typename HasText>
--- a/libs/directory/include/amaranthlatch/directory/workspace.h
+++ b/libs/directory/include/amaranthlatch/directory/workspace.h
@@ -37,6 +37,21 @@
 // Copies the workspaces into shared ones.
 Workspaces ShareWorkspaces(std::vector<Workspace> workspaces);
 
+// Finds elements of a list whose successor shares most of them in the same order.
+class SharedWorkspaceFinder {
+ public:
+  // `list` must outlive the finder.
+  explicit SharedWorkspaceFinder(const Workspaces& list) : list(list) {}
+
+  // Returns the position of the workspace shortly after the one found before, and nothing if it is
+  // not there. It may still be elsewhere in the list.
+  std::optional<std::size_t> FindNext(const WorkspacePointer& workspace);
+
+ private:
+  const Workspaces& list;
+  std::size_t next = 0;
+};
+
 inline constexpr std::size_t kMaxKeyBytes = 4096;
 
 // Whether a request can carry the key: it is neither empty nor longer than kMaxKeyBytes.
@@ -51,7 +66,10 @@
   // Fails with kConfigurationMalformed if a name is empty, overlong, occurs twice or contains
   // control characters, if a key is unusable or belongs to two workspaces, or if a rate or burst is
   // negative or not finite. A workspace without keys is valid.
-  static utils::Result<Pointer> Create(Workspaces workspaces);
+  //
+  // `previous` is the table of an earlier configuration or null: of workspaces that both share,
+  // what is known from it is not computed again. Returns `previous` if all workspaces are the same.
+  static utils::Result<Pointer> Create(Workspaces workspaces, const Pointer& previous = nullptr);
 
   // Never null elements; in the order of creation.
   const Workspaces& All() const { return this->workspaces; }
@@ -67,27 +85,42 @@
   bool operator==(const WorkspaceTable& other) const;
 
  private:
+  // What indexing needs to know about one workspace.
+  struct Entry {
+    std::uint64_t name_hash = 0;
+    // Position of its first key in `keys`, and their number.
+    std::uint32_t first_key = 0;
+    std::uint32_t key_count = 0;
+    double rate = 0.0;
+    bool has_highest_priority = false;
+  };
+  struct Key {
+    std::uint64_t hash = 0;
+    // Position of the workspace, and of the key in it.
+    std::uint32_t workspace = 0;
+    std::uint32_t number = 0;
+  };
+
   explicit WorkspaceTable(Workspaces workspaces);
 
+  // Fills `entries` and `keys`. Fails if a workspace is invalid by itself.
+  utils::Result<void> DescribeAll(const Pointer& previous);
+  utils::Result<void> Describe(std::uint32_t position);
+  void CopyDescription(std::uint32_t position, const WorkspaceTable& from,
+                       std::size_t from_position);
+  // Fails if two workspaces share a name or a key.
   utils::Result<void> IndexAll();
-  // Fails if the workspace at the position shares its name or a key with an earlier one.
-  utils::Result<void> Add(std::uint32_t position);
 
-  struct KeyPlace {
-    // Position of the workspace, and of the key in it.
-    std::uint32_t workspace = 0;
-    std::uint32_t key = 0;
-  };
-  const std::string& KeyAt(std::uint32_t number) const {
-    const KeyPlace& place = this->key_places[number];
-    return this->workspaces[place.workspace]->keys[place.key];
+  const std::string& TextOf(const Key& key) const {
+    return this->workspaces[key.workspace]->keys[key.number];
   }
 
   const Workspaces workspaces;
-  // Positions in `workspaces`.
+  // In the order of `workspaces`.
+  std::vector<Entry> entries;
+  std::vector<Key> keys;
+  // Positions in `workspaces` and in `keys`.
   TextIndex by_name;
-  // All keys, and positions in this list by their text.
-  std::vector<KeyPlace> key_places;
   TextIndex by_key;
   double mean_rate = 0.0;
   bool has_highest_priority = false;
--- a/libs/directory/src/text_index.cc
+++ b/libs/directory/src/text_index.cc
@@ -14,8 +14,9 @@
 
 TextIndex::TextIndex(std::size_t entries) : slots(std::bit_ceil(2 * entries + 1)) {}
 
-TextIndex::Place TextIndex::PlaceOf(std::string_view text) const {
-  const std::uint64_t hash = utils::Hash64(text);
+std::uint64_t TextIndex::HashOf(std::string_view text) { return utils::Hash64(text); }
+
+TextIndex::Place TextIndex::PlaceOf(std::uint64_t hash) const {
   return {static_cast<std::size_t>(hash) & (this->slots.size() - 1),
           static_cast<std::uint32_t>(hash >> kTagShift)};
 }
--- a/libs/directory/src/workspace.cc
+++ b/libs/directory/src/workspace.cc
@@ -41,14 +41,6 @@
   return {};
 }
 
-std::size_t CountKeys(const Workspaces& workspaces) {
-  std::size_t count = 0;
-  for (const WorkspacePointer& workspace : workspaces) {
-    count += workspace->keys.size();
-  }
-  return count;
-}
-
 }  // namespace
 
 Workspaces ShareWorkspaces(std::vector<Workspace> workspaces) {
@@ -60,72 +52,116 @@
   return shared;
 }
 
+std::optional<std::size_t> SharedWorkspaceFinder::FindNext(const WorkspacePointer& workspace) {
+  // Number of workspaces that may have been removed or replaced in a row.
+  constexpr std::size_t kMaxSkipped = 16;
+  const std::size_t end = std::min(this->list.size(), this->next + kMaxSkipped + 1);
+  for (std::size_t position = this->next; position < end; ++position) {
+    if (this->list[position] == workspace) {
+      this->next = position + 1;
+      return position;
+    }
+  }
+  return std::nullopt;
+}
+
 bool IsUsableKey(std::string_view key) { return !key.empty() && key.size() <= kMaxKeyBytes; }
 
-utils::Result<WorkspaceTable::Pointer> WorkspaceTable::Create(Workspaces workspaces) {
+utils::Result<WorkspaceTable::Pointer> WorkspaceTable::Create(Workspaces workspaces,
+                                                              const Pointer& previous) {
+  if (previous != nullptr && previous->workspaces == workspaces) {
+    return previous;
+  }
   const std::shared_ptr<WorkspaceTable> table(new WorkspaceTable(std::move(workspaces)));
-  if (auto indexed = table->IndexAll(); !indexed) {
-    return tl::unexpected(indexed.error());
+  const auto valid = table->DescribeAll(previous).and_then([&] { return table->IndexAll(); });
+  if (!valid) {
+    return tl::unexpected(valid.error());
   }
   return Pointer(table);
 }
 
 WorkspaceTable::WorkspaceTable(Workspaces workspaces)
-    : workspaces(std::move(workspaces)),
-      by_name(this->workspaces.size()),
-      by_key(CountKeys(this->workspaces)) {
-  this->key_places.reserve(CountKeys(this->workspaces));
-}
-
-utils::Result<void> WorkspaceTable::IndexAll() {
-  double rate_sum = 0.0;
-  std::size_t limited = 0;
-  for (std::size_t i = 0; i < this->workspaces.size(); ++i) {
-    if (auto added = this->Add(static_cast<std::uint32_t>(i)); !added) {
-      return added;
+    : workspaces(std::move(workspaces)), by_name(0), by_key(0) {}
+
+utils::Result<void> WorkspaceTable::DescribeAll(const Pointer& previous) {
+  const Workspaces none;
+  SharedWorkspaceFinder known(previous == nullptr ? none : previous->workspaces);
+  this->entries.reserve(this->workspaces.size());
+  this->keys.reserve(previous == nullptr ? 0 : previous->keys.size());
+  for (std::uint32_t i = 0; i < this->workspaces.size(); ++i) {
+    if (const auto shared = known.FindNext(this->workspaces[i])) {
+      this->CopyDescription(i, *previous, *shared);
+    } else if (auto described = this->Describe(i); !described) {
+      return described;
     }
-    const Workspace& workspace = *this->workspaces[i];
-    rate_sum += workspace.rate;
-    limited += workspace.rate > 0.0 ? 1 : 0;
-    this->has_highest_priority =
-        this->has_highest_priority || workspace.priority == document::Priority::kInternal;
   }
-  this->mean_rate = limited == 0 ? 0.0 : rate_sum / static_cast<double>(limited);
   return {};
 }
 
-utils::Result<void> WorkspaceTable::Add(std::uint32_t position) {
+utils::Result<void> WorkspaceTable::Describe(std::uint32_t position) {
   const Workspace& workspace = *this->workspaces[position];
   if (std::string fault = FindFault(workspace); !fault.empty()) {
     return Fail(ErrorCode::kConfigurationMalformed, std::move(fault));
   }
-  const auto has_name = [&](std::uint32_t other) {
-    return this->workspaces[other]->name == workspace.name;
-  };
-  if (this->by_name.Add(workspace.name, position, has_name)) {
-    return Fail(ErrorCode::kConfigurationMalformed,
-                "workspace " + workspace.name + " occurs twice");
+  this->entries.push_back({TextIndex::HashOf(workspace.name),
+                           static_cast<std::uint32_t>(this->keys.size()),
+                           static_cast<std::uint32_t>(workspace.keys.size()), workspace.rate,
+                           workspace.priority == document::Priority::kInternal});
+  for (std::uint32_t number = 0; number < workspace.keys.size(); ++number) {
+    this->keys.push_back({TextIndex::HashOf(workspace.keys[number]), position, number});
   }
-  for (std::uint32_t key = 0; key < workspace.keys.size(); ++key) {
-    const auto number = static_cast<std::uint32_t>(this->key_places.size());
-    this->key_places.push_back({position, key});
+  return {};
+}
+
+void WorkspaceTable::CopyDescription(std::uint32_t position, const WorkspaceTable& from,
+                                     std::size_t from_position) {
+  Entry entry = from.entries[from_position];
+  const auto first = from.keys.begin() + entry.first_key;
+  entry.first_key = static_cast<std::uint32_t>(this->keys.size());
+  this->entries.push_back(entry);
+  for (auto key = first; key != first + entry.key_count; ++key) {
+    this->keys.push_back({key->hash, position, key->number});
+  }
+}
+
+utils::Result<void> WorkspaceTable::IndexAll() {
+  this->by_name = TextIndex(this->entries.size());
+  this->by_key = TextIndex(this->keys.size());
+  double rate_sum = 0.0;
+  std::size_t limited = 0;
+  for (std::uint32_t i = 0; i < this->entries.size(); ++i) {
+    const Entry& entry = this->entries[i];
+    const auto has_name = [&](std::uint32_t other) {
+      return this->workspaces[other]->name == this->workspaces[i]->name;
+    };
+    if (this->by_name.Add(entry.name_hash, i, has_name)) {
+      return Fail(ErrorCode::kConfigurationMalformed,
+                  "workspace " + this->workspaces[i]->name + " occurs twice");
+    }
+    rate_sum += entry.rate;
+    limited += entry.rate > 0.0 ? 1 : 0;
+    this->has_highest_priority = this->has_highest_priority || entry.has_highest_priority;
+  }
+  this->mean_rate = limited == 0 ? 0.0 : rate_sum / static_cast<double>(limited);
+  for (std::uint32_t i = 0; i < this->keys.size(); ++i) {
+    const Key& key = this->keys[i];
     const auto is_same = [&](std::uint32_t other) {
-      return this->KeyAt(other) == workspace.keys[key];
+      return this->TextOf(this->keys[other]) == this->TextOf(key);
     };
-    const auto earlier = this->by_key.Add(workspace.keys[key], number, is_same);
-    if (earlier && this->key_places[*earlier].workspace != position) {
-      const Workspace& other = *this->workspaces[this->key_places[*earlier].workspace];
+    const auto earlier = this->by_key.Add(key.hash, i, is_same);
+    if (earlier && this->keys[*earlier].workspace != key.workspace) {
       return Fail(ErrorCode::kConfigurationMalformed,
-                  "workspaces " + other.name + " and " + workspace.name + " share a key");
+                  "workspaces " + this->workspaces[this->keys[*earlier].workspace]->name + " and " +
+                      this->workspaces[key.workspace]->name + " share a key");
     }
   }
   return {};
 }
 
 WorkspacePointer WorkspaceTable::FindByKey(std::string_view key) const {
-  const auto number = this->by_key.Find(
-      key, [&](std::uint32_t candidate) { return this->KeyAt(candidate) == key; });
-  return number ? this->workspaces[this->key_places[*number].workspace] : nullptr;
+  const auto found = this->by_key.Find(
+      key, [&](std::uint32_t candidate) { return this->TextOf(this->keys[candidate]) == key; });
+  return found ? this->workspaces[this->keys[*found].workspace] : nullptr;
 }
 
 WorkspacePointer WorkspaceTable::FindByName(std::string_view name) const {
--- a/libs/directory/src/workspace_change.cc
+++ b/libs/directory/src/workspace_change.cc
@@ -16,19 +16,13 @@
 constexpr std::size_t kMaxKeys = 10'000;
 constexpr std::size_t kWorkspaceFields = 5;
 
-// Calls `visit` for each workspace of `table` that is not the same object in `other`, and for a few
-// that are. Successive tables share most workspaces in the same order, so that most of them are
-// found without a lookup.
+// Calls `visit` for each workspace of `table` that is not the same object in `other`, and for some
+// that are.
 template <typename Visitor>
 void ForEachUnshared(const WorkspaceTable& table, const WorkspaceTable& other, Visitor visit) {
-  const Workspaces& others = other.All();
-  std::size_t next = 0;
+  SharedWorkspaceFinder shared(other.All());
   for (const WorkspacePointer& workspace : table.All()) {
-    if (next < others.size() && others[next] == workspace) {
-      ++next;
-    } else if (next + 1 < others.size() && others[next + 1] == workspace) {
-      next += 2;
-    } else {
+    if (!shared.FindNext(workspace)) {
       visit(workspace);
     }
   }
@@ -121,7 +115,7 @@
       workspaces.push_back(workspace);
     }
   }
-  return WorkspaceTable::Create(std::move(workspaces));
+  return WorkspaceTable::Create(std::move(workspaces), base);
 }
 
 void WriteWorkspaceChange(utils::CborWriter& out, const ConfigurationChange& change) {
