--- a/libs/calls/include/amaranthlatch/calls/calls.h
+++ b/libs/calls/include/amaranthlatch/calls/calls.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "amaranthlatch/calls/authorizer.h"
 #include "amaranthlatch/calls/balance_policy.h"
 #include "amaranthlatch/calls/counters.h"
 #include "amaranthlatch/calls/effect.h"
@@ -31,10 +32,12 @@
   Calls& operator=(Calls&&) noexcept;
   ~Calls();
 
-  // `members.Self()` must describe this process: its id, incarnation and boot id.
+  // `members.Self()` must describe this process: its id, incarnation and boot id. `authorizer`
+  // judges repeated attempts by the workspaces in force; null if there are none.
   std::vector<Effect> Reduce(const Event& event, utils::Timestamp now,
                              const membership::MemberView& members,
-                             const document::RouteTable& routes);
+                             const document::RouteTable& routes,
+                             const Authorizer* authorizer = nullptr);
 
   std::optional<utils::Timestamp> NextWake() const;
 
--- a/libs/calls/include/amaranthlatch/calls/effect.h
+++ b/libs/calls/include/amaranthlatch/calls/effect.h
@@ -41,6 +41,8 @@
   utils::Duration remaining{};
   bool idempotent = false;
   std::uint64_t max_response_bytes = 0;
+  // Name of the workspace of the call; empty if it belongs to none.
+  std::string workspace = {};
   bool operator==(const RunOnBackendServer&) const = default;
 };
 
--- a/libs/calls/include/amaranthlatch/calls/event.h
+++ b/libs/calls/include/amaranthlatch/calls/event.h
@@ -24,7 +24,17 @@
   HttpRequest request;
   // From Amaranthlatch-Deadline-Ms; if absent, the deadline of the route applies.
   std::optional<utils::Duration> remaining;
-  std::string permit;
+  std::string permit = {};
+  // Fields of the request that concern workspaces, as received. They are not in `request`, or are
+  // its last fields if they are forwarded.
+  Headers credentials = {};
+  bool credentials_forwarded = false;
+  // Key of a workspace from the credentials; empty if they contain none in a valid form.
+  std::string key = {};
+  // Set by the authorization of the call; empty for a call that belongs to no workspace.
+  std::string workspace = {};
+  // Used in place of the priority of the route if set.
+  std::optional<document::Priority> priority = std::nullopt;
   bool operator==(const CallReceived&) const = default;
 };
 
--- a/libs/calls/include/amaranthlatch/calls/message.h
+++ b/libs/calls/include/amaranthlatch/calls/message.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <numeric>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -47,6 +48,8 @@
   // Permit token as presented by the caller; empty if there is none.
   std::string permit;
   std::uint64_t max_response_bytes = 0;
+  // Name of the workspace; empty for a call that belongs to none.
+  std::string workspace;
   bool operator==(const CallRequest&) const = default;
 };
 
@@ -55,6 +58,8 @@
   std::uint32_t in_flight = 0;
   // Number of queued calls for each priority.
   std::array<std::uint32_t, document::kPriorityCount> queued{};
+  // Of these, the number that precedes a call of a workspace that has none in the queue.
+  std::array<std::uint32_t, document::kPriorityCount> ahead_of_new{};
 
   // Number of running calls plus queued calls that precede a new one of this priority.
   std::uint32_t CallsAhead(document::Priority priority) const {
@@ -70,6 +75,9 @@
   GateLoad load;
   // Owner gate of a suspect request, if the answer code is kSuspectElsewhere.
   membership::NodeId redirect;
+  // Number of queued calls that precede a further call of this priority and workspace. Unset if the
+  // gate does not tell workspaces apart there.
+  std::optional<std::uint32_t> workspace_ahead = std::nullopt;
   bool operator==(const CallReply&) const = default;
 };
 
--- a/libs/calls/src/balancer.cc
+++ b/libs/calls/src/balancer.cc
@@ -72,8 +72,8 @@
     : shared(shared), policy(std::move(policy)) {}
 
 const Member* Balancer::Choose(const Context& context, const document::Route& route,
-                               const std::vector<NodeId>& tried, std::optional<std::size_t>& target,
-                               utils::Duration max_wait) {
+                               const Demand& demand, const std::vector<NodeId>& tried,
+                               std::optional<std::size_t>& target, utils::Duration max_wait) {
   this->overloaded = false;
   if (!target) {
     target = this->DrawTarget(route);
@@ -83,7 +83,6 @@
   }
   // If a target has no ready backend server, its share goes to the next one unless the split is
   // strict.
-  const Demand demand{route.priority, RouteKeyOf(route)};
   const std::size_t count = route.strict_split ? 1 : route.split.size();
   for (std::size_t i = 0; i < count; ++i) {
     const std::size_t index = (*target + i) % route.split.size();
@@ -214,7 +213,9 @@
   }
   candidate.calls_ahead = peer.in_flight;
   if (now - peer.load_at < options.load_report_lifetime) {
-    candidate.reported_load = peer.load.CallsAhead(demand.priority);
+    const double drain_rate =
+        candidate.service_time_us > 0.0 ? member.slots / candidate.service_time_us : 0.0;
+    candidate.reported_load = this->ReportedLoad(peer, demand, drain_rate, now);
     const auto end =
         peer.sent_since_report.begin() + static_cast<std::ptrdiff_t>(demand.priority) + 1;
     candidate.calls_ahead =
@@ -228,6 +229,28 @@
   return candidate;
 }
 
+std::uint32_t Balancer::ReportedLoad(const Peer& peer, const Demand& demand, double drain_rate,
+                                     utils::Timestamp now) const {
+  const std::uint32_t load = peer.load.CallsAhead(demand.priority);
+  const WorkspaceLoads::Report* const report = peer.workspace_loads.Find(
+      demand.workspace, demand.priority, now - this->shared.options.balance.load_report_lifetime);
+  if (report == nullptr && demand.workspace.empty()) {
+    return load;
+  }
+  const auto priority = static_cast<std::size_t>(demand.priority);
+  const std::uint32_t queued = peer.load.queued.at(priority);
+  std::uint32_t ahead = peer.load.ahead_of_new.at(priority);
+  if (report != nullptr) {
+    // The calls that were ahead have left the queue in the meantime, as far as the backend server
+    // could take them: without this, a workspace with few calls, and few reports, would be refused
+    // by a figure of a full queue that others know to be shorter.
+    const double drained = static_cast<double>((now - report->at).count()) * drain_rate;
+    const double left = std::max(0.0, static_cast<double>(report->ahead) - drained);
+    ahead = std::max(ahead, static_cast<std::uint32_t>(left));
+  }
+  return load - queued + std::min(queued, ahead);
+}
+
 std::size_t Balancer::ChooseLevel(const document::Locality& locality) const {
   const double spill = locality.spill_load_percent / kPercent;
   std::size_t best = kLevels;
@@ -311,6 +334,11 @@
   peer.awaiting_since = now;
 }
 
+void Balancer::OnWorkspaceLoad(const NodeId& gate, const Demand& demand,
+                               std::optional<std::uint32_t> ahead, utils::Timestamp now) {
+  this->GetPeer(gate).workspace_loads.Record(demand.workspace, demand.priority, ahead, now);
+}
+
 void Balancer::OnProcessReplaced(const NodeId& gate, std::uint64_t boot) {
   this->GetPeer(gate).replaced_boot_id = boot;
 }
--- a/libs/calls/src/balancer.h
+++ b/libs/calls/src/balancer.h
@@ -7,12 +7,14 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "amaranthlatch/calls/balance_policy.h"
 #include "context.h"
 #include "service_times.h"
+#include "workspace_loads.h"
 
 namespace amaranthlatch::calls::details {
 
@@ -27,6 +29,14 @@
 
 class Balancer {
  public:
+  // What decides on the place of a call in the queues of gates, and on its service time.
+  struct Demand {
+    document::Priority priority = document::Priority::kNormal;
+    RouteKey route = 0;
+    // Empty for a call that belongs to no workspace.
+    std::string_view workspace;
+  };
+
   Balancer(SharedState& shared, std::unique_ptr<BalancePolicy> policy);
 
   // Returns a ready member of the route's split, or null if there is none. Members in `tried` are
@@ -36,7 +46,15 @@
   const membership::Member* Choose(const Context& context, const document::Route& route,
                                    const std::vector<membership::NodeId>& tried,
                                    std::optional<std::size_t>& target,
-                                   utils::Duration max_wait = utils::Duration::max());
+                                   utils::Duration max_wait = utils::Duration::max()) {
+    return this->Choose(context, route, {route.priority, RouteKeyOf(route), {}}, tried, target,
+                        max_wait);
+  }
+  // The same for a call whose priority differs from that of its route or that has a workspace.
+  const membership::Member* Choose(const Context& context, const document::Route& route,
+                                   const Demand& demand,
+                                   const std::vector<membership::NodeId>& tried,
+                                   std::optional<std::size_t>& target, utils::Duration max_wait);
   // Whether the last Choose() rejected a member because of `max_wait`.
   bool WasOverloaded() const { return this->overloaded; }
 
@@ -50,6 +68,9 @@
   // The backend server of the gate worked this long on a call.
   void OnServiceTime(const membership::NodeId& gate, RouteKey route, utils::Duration time);
   void OnLoadReport(const membership::NodeId& gate, const GateLoad& load, utils::Timestamp now);
+  // What the last load report says of one workspace; unset if it does not tell it apart.
+  void OnWorkspaceLoad(const membership::NodeId& gate, const Demand& demand,
+                       std::optional<std::uint32_t> ahead, utils::Timestamp now);
   // The process with this boot id has been replaced, although the member list may still name it.
   void OnProcessReplaced(const membership::NodeId& gate, std::uint64_t boot);
 
@@ -70,6 +91,7 @@
     utils::Timestamp awaiting_since{};
     bool awaiting_reply = false;
     GateLoad load;
+    WorkspaceLoads workspace_loads;
     // Calls sent by this node since the last load report of the gate, by priority.
     std::array<std::uint32_t, document::kPriorityCount> sent_since_report{};
     utils::Timestamp load_at{};
@@ -88,12 +110,6 @@
   static constexpr std::size_t kLevels = 4;
   using Levels = std::array<std::vector<Candidate>, kLevels>;
 
-  // What the calls of one choice have in common.
-  struct Demand {
-    document::Priority priority = document::Priority::kNormal;
-    RouteKey route = 0;
-  };
-
   const membership::Member* ChooseTarget(const Context& context,
                                          const document::SplitTarget& target, const Demand& demand,
                                          const std::vector<membership::NodeId>& tried,
@@ -107,6 +123,10 @@
   const ServicePeers& FindPeers(const std::string& service, const membership::MemberList& members);
   Candidate MakeCandidate(const membership::Member& member, Peer& peer, utils::Duration slow_start,
                           const Demand& demand, utils::Timestamp now);
+  // Running calls of the gate and queued ones that precede a new call, as last reported.
+  // `drain_rate`: calls that the backend server takes from the queue in a microsecond.
+  std::uint32_t ReportedLoad(const Peer& peer, const Demand& demand, double drain_rate,
+                             utils::Timestamp now) const;
   std::size_t ChooseLevel(const document::Locality& locality) const;
   double DecayedFailureScore(const Peer& peer, utils::Timestamp now) const;
   Peer& GetPeer(const membership::NodeId& id);
--- a/libs/calls/src/calls.cc
+++ b/libs/calls/src/calls.cc
@@ -169,10 +169,11 @@
 
 std::vector<Effect> Calls::Reduce(const Event& event, Timestamp now,
                                   const membership::MemberView& members,
-                                  const document::RouteTable& routes) {
+                                  const document::RouteTable& routes,
+                                  const Authorizer* authorizer) {
   Parts& self = *this->parts;
   std::vector<Effect> effects;
-  const details::Context context{now, members, routes, effects, self.loopback};
+  const details::Context context{now, members, routes, effects, self.loopback, authorizer};
   // Timers that are due fire first, so that the event sees no expired state.
   self.gate.Advance(context);
   self.entry.Advance(context);
--- a/libs/calls/src/context.h
+++ b/libs/calls/src/context.h
@@ -4,9 +4,11 @@
 
 #include <deque>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
+#include "amaranthlatch/calls/authorizer.h"
 #include "amaranthlatch/calls/counters.h"
 #include "amaranthlatch/calls/effect.h"
 #include "amaranthlatch/calls/options.h"
@@ -42,6 +44,13 @@
   std::vector<Effect>& effects;
   // Messages from this node to itself, delivered before the event completes.
   std::deque<Message>& loopback;
+  // Null if calls are not judged by workspaces.
+  const Authorizer* authorizer = nullptr;
+
+  // Share of the workspace in a queue, relative to an average one.
+  double WeightOf(std::string_view workspace) const {
+    return this->authorizer == nullptr ? 1.0 : this->authorizer->WeightOf(workspace);
+  }
 
   void Send(membership::NodeId to, Message message) const {
     if (to == this->members.Self().id) {
--- a/libs/calls/src/entry.cc
+++ b/libs/calls/src/entry.cc
@@ -16,16 +16,26 @@
 
 constexpr Duration kMinLatencyBudget = utils::Milliseconds(20);
 
-std::uint64_t SizeOf(const HttpRequest& request) {
-  std::uint64_t bytes = request.target.size() + request.host.size() + request.body.size();
-  for (const auto& [name, value] : request.headers) {
+std::uint64_t SizeOf(const Headers& headers) {
+  std::uint64_t bytes = 0;
+  for (const auto& [name, value] : headers) {
     bytes += name.size() + value.size();
   }
   return bytes;
 }
 
+std::uint64_t SizeOf(const HttpRequest& request) {
+  return request.target.size() + request.host.size() + request.body.size() +
+         SizeOf(request.headers);
+}
+
 document::Priority PriorityOf(const OpenCall& call) {
-  return call.match ? call.match->route->priority : document::Priority::kNormal;
+  const auto of_route = call.match ? call.match->route->priority : document::Priority::kNormal;
+  return call.priority.value_or(of_route);
+}
+
+Balancer::Demand DemandOf(const OpenCall& call) {
+  return {PriorityOf(call), RouteKeyOf(call), call.workspace};
 }
 
 bool HasOpenAttempt(const OpenCall& call) {
@@ -53,7 +63,12 @@
   OpenCall call;
   call.call = received.call;
   call.request = received.request;
-  call.request_bytes = SizeOf(received.request);
+  call.request_bytes = SizeOf(received.request) + SizeOf(received.credentials);
+  call.credentials = received.credentials;
+  call.credentials_forwarded = received.credentials_forwarded;
+  call.key = received.key;
+  call.workspace = received.workspace;
+  call.priority = received.priority;
   call.permit_token = received.permit;
   if (!received.permit.empty()) {
     call.permit = this->codec.Decode(received.permit);
@@ -72,7 +87,7 @@
     // An internal call is part of another call, which fails without it after its work was done: it
     // may wait until its deadline.
     if (call.match->route->target_latency.count() > 0 &&
-        call.match->route->priority != document::Priority::kInternal) {
+        PriorityOf(call) != document::Priority::kInternal) {
       call.latency_deadline = context.now + call.match->route->target_latency;
     }
   }
@@ -171,7 +186,8 @@
   }
   const Duration latency_budget =
       std::max(std::min(call.latency_deadline, call.deadline) - context.now, kMinLatencyBudget);
-  return this->balancer.Choose(context, *call.match->route, tried, call.target, latency_budget);
+  return this->balancer.Choose(context, *call.match->route, DemandOf(call), tried, call.target,
+                               latency_budget);
 }
 
 Duration Entry::AttemptTimeout(const Context& context, const OpenCall& call) const {
@@ -184,7 +200,8 @@
 
 void Entry::SendAttempt(const Context& context, OpenCall& call) {
   call.retry_at.reset();
-  const membership::Member* gate = this->ChooseGate(context, call);
+  const bool is_allowed = call.attempts.empty() || this->AuthorizeAgain(context, call);
+  const membership::Member* gate = is_allowed ? this->ChooseGate(context, call) : nullptr;
   if (gate == nullptr) {
     if (!call.permit && call.attempts.empty()) {
       call.failure = NotRunAnswer(this->balancer.WasOverloaded() ? ErrorCode::kQueueFull
@@ -225,13 +242,14 @@
     request.latency_budget = std::max(call.latency_deadline - context.now, kMinLatencyBudget);
   }
   request.permit = call.permit_token;
+  request.workspace = call.workspace;
   request.fingerprint = FingerprintOf(gate.service, call.request);
   if (call.match) {
     const document::Route& route = *call.match->route;
     request.route = QualifiedRoute(call.match->document->service, route.name);
     request.version = call.match->version;
     request.idempotent = route.idempotent;
-    request.priority = route.priority;
+    request.priority = PriorityOf(call);
     request.max_response_bytes = route.max_response_bytes;
   }
   return request;
@@ -252,6 +270,8 @@
     return;
   }
   this->balancer.OnLoadReport(attempt->gate, reply.load, context.now);
+  this->balancer.OnWorkspaceLoad(attempt->gate, DemandOf(*call), reply.workspace_ahead,
+                                 context.now);
   if (answer.code == ErrorCode::kGateUnreachable) {
     this->balancer.OnProcessReplaced(attempt->gate, attempt->gate_boot_id);
   }
--- a/libs/calls/src/entry.h
+++ b/libs/calls/src/entry.h
@@ -50,6 +50,12 @@
   std::string permit_token;
   std::optional<Permit> permit;
   std::uint64_t request_bytes = 0;
+  // See CallReceived; judged again before each further attempt.
+  Headers credentials;
+  bool credentials_forwarded = false;
+  std::string key;
+  std::string workspace;
+  std::optional<document::Priority> priority;
   // After admission empty only for a call with a permit whose route no longer exists.
   std::optional<document::RouteMatch> match;
   std::string budget_service;
@@ -106,6 +112,9 @@
   // Returns the gate for the next attempt; null if there is none.
   const membership::Member* ChooseGate(const Context& context, OpenCall& call);
   void SendAttempt(const Context& context, OpenCall& call);
+  // Judges the call by the configuration in force before a further attempt. Returns false and sets
+  // the failure if it may not be attempted.
+  bool AuthorizeAgain(const Context& context, OpenCall& call);
   CallRequest MakeRequest(const Context& context, const OpenCall& call, const Attempt& attempt,
                           const membership::Member& gate) const;
   utils::Duration AttemptTimeout(const Context& context, const OpenCall& call) const;
--- a/libs/calls/src/entry_retry.cc
+++ b/libs/calls/src/entry_retry.cc
@@ -1,6 +1,7 @@
 // Timers, fences and retries of open calls.
 
 #include <algorithm>
+#include <utility>
 
 #include "entry.h"
 
@@ -12,6 +13,10 @@
 using utils::Timestamp;
 
 constexpr std::uint32_t kMaxDoublings = 16;
+// Moves of a call whose workspace has used its share of a queue: where it has at one gate, it has
+// at most others, and with three moves 80 workspaces at 1.2 times the capacity made 2.2 attempts a
+// call.
+constexpr std::uint32_t kMaxShareMoves = 1;
 
 // Counts the attempts that reached no backend server.
 std::uint32_t CountMoves(const OpenCall& call) {
@@ -21,6 +26,11 @@
       }));
 }
 
+// A full queue may only be full for the workspace of the call.
+bool IsShareUsed(const OpenCall& call, const Answer& failure) {
+  return failure.code == ErrorCode::kQueueFull && !call.workspace.empty();
+}
+
 // Whether another attempt would fail in the same way.
 bool IsFinal(ErrorCode code) {
   switch (code) {
@@ -160,7 +170,11 @@
   attempt.stage = stage;
   attempt.reached_backend =
       stage == AttemptStage::kUnknown || failure.code == ErrorCode::kBackendShed;
-  this->balancer.OnEnded(attempt.gate, RouteKeyOf(call), AttemptOutcome::kFailed, {}, context.now);
+  // The reply tells the length of the queue: counted as a failure as well, the excess of one
+  // workspace would keep the calls of all others away from the gate.
+  const AttemptOutcome outcome =
+      IsShareUsed(call, failure) ? AttemptOutcome::kAbandoned : AttemptOutcome::kFailed;
+  this->balancer.OnEnded(attempt.gate, RouteKeyOf(call), outcome, {}, context.now);
   // Once the deadline has passed, the caller gets kDeadlineExceeded whatever an attempt returns.
   if (!call.closing_until) {
     call.failure = failure;
@@ -202,7 +216,10 @@
   }
   const EntryOptions& options = this->shared.options.entry;
   const std::uint32_t moves = options.max_uncounted_moves == 0 ? 0 : CountMoves(call);
-  if (call.failure.no_retry || IsFinal(call.failure.code) || moves > options.max_uncounted_moves ||
+  const std::uint32_t max_moves = IsShareUsed(call, call.failure)
+                                      ? std::min(kMaxShareMoves, options.max_uncounted_moves)
+                                      : options.max_uncounted_moves;
+  if (call.failure.no_retry || IsFinal(call.failure.code) || moves > max_moves ||
       attempts_made >= call.max_attempts + call.redirects + moves) {
     return false;
   }
@@ -232,6 +249,23 @@
   return true;
 }
 
+bool Entry::AuthorizeAgain(const Context& context, OpenCall& call) {
+  if (context.authorizer == nullptr) {
+    return true;
+  }
+  const document::Route* const route = call.match ? call.match->route : nullptr;
+  Authorization authorization = context.authorizer->Authorize(call.request, call.key, route);
+  if (authorization.Code() != ErrorCode::kOk) {
+    call.failure = NotRunAnswer(authorization.Code());
+    return false;
+  }
+  ForwardCredentials(authorization.forward_credentials, call.request, call.credentials,
+                     call.credentials_forwarded);
+  call.workspace = std::move(authorization.workspace);
+  call.priority = authorization.priority;
+  return true;
+}
+
 Timestamp Entry::ComputeWake(const OpenCall& call) {
   Timestamp wake = call.closing_until ? *call.closing_until : call.deadline;
   if (call.retry_at) {
--- a/libs/calls/src/gate.cc
+++ b/libs/calls/src/gate.cc
@@ -83,6 +83,7 @@
   }
   call.request = std::move(request);
   call.route = utils::Hash64(call.request.route);
+  call.weight = context.WeightOf(call.request.workspace);
   if (!call.request.permit.empty() && !this->CheckPermit(context, call)) {
     return;
   }
@@ -93,8 +94,7 @@
   this->Admit(context, std::move(call));
 }
 
-ErrorCode Gate::CheckAdmission(const std::string& requested_service,
-                               std::uint64_t body_bytes) const {
+ErrorCode Gate::CheckAdmission(const std::string& requested_service) const {
   if (this->draining) {
     return ErrorCode::kDraining;
   }
@@ -104,18 +104,10 @@
   if (!this->available || this->service != requested_service) {
     return ErrorCode::kNoBackendServer;
   }
-  const std::uint64_t bytes = this->running_bytes + this->queue.BodyBytes() + body_bytes;
-  return this->memory.IsFull() || bytes > this->shared.options.gate.max_admitted_bytes
-             ? ErrorCode::kQueueFull
-             : ErrorCode::kOk;
+  return this->memory.IsFull() ? ErrorCode::kQueueFull : ErrorCode::kOk;
 }
 
-ErrorCode Gate::CheckQueueCapacity(const Context& context, const AdmittedCall& call) const {
-  const auto document = context.routes.Find(this->service);
-  const document::Priority priority = call.request.priority;
-  if (document && this->queue.Size(priority) >= document->protection.queue_length) {
-    return ErrorCode::kQueueFull;
-  }
+ErrorCode Gate::CheckExpectedWait(const Context& context, const AdmittedCall& call) const {
   if (!this->shared.options.gate.bound_queue_by_deadline) {
     return ErrorCode::kOk;
   }
@@ -127,15 +119,16 @@
 
 utils::Duration Gate::ExpectedWait(const AdmittedCall& call) const {
   // The work of the calls ahead, and of one that runs.
-  utils::Duration work = this->service_times.Mean();
-  this->queue.ForEachAhead(
-      call.request.priority, call.latency_deadline,
-      [this, &work](const AdmittedCall& ahead) { work += this->service_times.Mean(ahead.route); });
-  return work / std::max<std::uint32_t>(1, this->limit.Get());
+  auto work_us = static_cast<double>(this->service_times.Mean().count());
+  this->queue.ForEachAhead(call, [this, &work_us](const AdmittedCall& ahead, double count) {
+    work_us += count * static_cast<double>(this->service_times.Mean(ahead.route).count());
+  });
+  return utils::Duration(static_cast<utils::Duration::rep>(work_us)) /
+         std::max<std::uint32_t>(1, this->limit.Get());
 }
 
 void Gate::Admit(const Context& context, AdmittedCall call) {
-  ErrorCode code = this->CheckAdmission(call.request.service, call.request.request.body.size());
+  ErrorCode code = this->CheckAdmission(call.request.service);
   membership::NodeId redirect;
   if (code == ErrorCode::kOk) {
     code = this->CheckQuarantine(context, call.request.fingerprint, redirect);
@@ -146,7 +139,10 @@
   this->UpdateSlots(context);
   const bool has_slot = this->queue.Size() == 0 && this->runs.size() < this->limit.Get();
   if (code == ErrorCode::kOk && !has_slot) {
-    code = this->CheckQueueCapacity(context, call);
+    code = this->CheckExpectedWait(context, call);
+  }
+  if (code == ErrorCode::kOk && !this->MakeRoom(context, call, has_slot)) {
+    code = ErrorCode::kQueueFull;
   }
   if (code != ErrorCode::kOk) {
     this->Refuse(context, call, code, redirect);
@@ -186,7 +182,8 @@
   if (call.permit != 0) {
     this->InvalidatePermit(context, call.permit, NotRunAnswer(code));
   }
-  this->Reply(context, call.request.id, NotRunAnswer(code), std::move(redirect));
+  const Share share = ShareOf(call);
+  this->Reply(context, call.request.id, NotRunAnswer(code), std::move(redirect), &share);
 }
 
 void Gate::Drop(const Context& context, const AdmittedCall& call, ErrorCode code,
@@ -198,7 +195,8 @@
   if (call.permit != 0) {
     this->InvalidatePermit(context, call.permit, NotRunAnswer(code));
   }
-  this->Reply(context, call.request.id, NotRunAnswer(code), std::move(redirect));
+  const Share share = ShareOf(call);
+  this->Reply(context, call.request.id, NotRunAnswer(code), std::move(redirect), &share);
 }
 
 void Gate::Start(const Context& context, AdmittedCall call) {
@@ -220,6 +218,7 @@
   const std::uint64_t run_id = ++this->last_run_id;
   Run run;
   run.id = call.request.id;
+  run.share = ShareOf(call);
   run.key = call.key;
   run.fingerprint = call.request.fingerprint;
   run.permit = call.permit;
@@ -234,9 +233,9 @@
   this->runs.emplace(run_id, std::move(run));
   this->run_by_key.emplace(call.key, run_id);
   this->run_deadlines.emplace(call.deadline, run_id);
-  context.effects.emplace_back(
-      RunOnBackendServer{run_id, std::move(call.request.request), call.deadline - context.now,
-                         call.request.idempotent, call.request.max_response_bytes});
+  context.effects.emplace_back(RunOnBackendServer{
+      run_id, std::move(call.request.request), call.deadline - context.now, call.request.idempotent,
+      call.request.max_response_bytes, std::move(call.request.workspace)});
 }
 
 void Gate::UpdateSlots(const Context& context) {
@@ -374,7 +373,7 @@
   this->shared.Require(!ran || answer.kind != ResultKind::kNotRun,
                        "P5: \"not run\" reported for a request that the backend server received");
   this->memory.Finish(run.key, ran, context.now);
-  this->Reply(context, run.id, answer);
+  this->Reply(context, run.id, answer, {}, &run.share);
   if (run.permit != 0 && ran) {
     this->FinishPermit(context, run.permit, answer);
   } else if (run.permit != 0) {
@@ -395,15 +394,11 @@
 }
 
 void Gate::Reply(const Context& context, const AttemptId& id, Answer answer,
-                 membership::NodeId redirect) const {
+                 membership::NodeId redirect, const Share* share) const {
   CallReply reply;
   reply.id = id;
   reply.answer = std::move(answer);
-  reply.load.in_flight = static_cast<std::uint32_t>(this->runs.size());
-  for (std::size_t i = 0; i < reply.load.queued.size(); ++i) {
-    reply.load.queued.at(i) =
-        static_cast<std::uint32_t>(this->queue.Size(static_cast<document::Priority>(i)));
-  }
+  this->DescribeLoad(reply, share);
   reply.redirect = std::move(redirect);
   context.Send(id.entry, std::move(reply));
 }
--- a/libs/calls/src/gate.h
+++ b/libs/calls/src/gate.h
@@ -51,8 +51,15 @@
   void FillGauges(Gauges& gauges) const;
 
  private:
+  // What decides the place of a call in the queue, beside its latency deadline.
+  struct Share {
+    document::Priority priority = document::Priority::kNormal;
+    std::string workspace;
+    double weight = 1.0;
+  };
   struct Run {
     AttemptId id;
+    Share share;
     std::uint64_t key = 0;
     std::uint64_t fingerprint = 0;
     std::uint64_t permit = 0;
@@ -77,15 +84,18 @@
   };
 
   // Returns kOk, or the reason why the gate currently admits no calls for the service.
-  utils::ErrorCode CheckAdmission(const std::string& service, std::uint64_t body_bytes) const;
+  utils::ErrorCode CheckAdmission(const std::string& service) const;
   // Returns kOk, or the reason why the quarantine forbids running the request on this node now.
   // Sets `redirect` for kSuspectElsewhere.
   utils::ErrorCode CheckQuarantine(const Context& context, std::uint64_t fingerprint,
                                    membership::NodeId& redirect) const;
-  // Returns kOk, or the reason why the call cannot be queued.
   // Expected time until a slot is free for a new call.
   utils::Duration ExpectedWait(const AdmittedCall& call) const;
-  utils::ErrorCode CheckQueueCapacity(const Context& context, const AdmittedCall& call) const;
+  // Returns kOk, or kQueueFull if the call would wait for too long.
+  utils::ErrorCode CheckExpectedWait(const Context& context, const AdmittedCall& call) const;
+  // Whether the call fits the limits of its class and of the bodies. Drops queued calls of
+  // workspaces that use more than the one of this call, as far as needed.
+  bool MakeRoom(const Context& context, const AdmittedCall& call, bool has_slot);
 
   // Returns true if the call may proceed to admission; otherwise the call has been replied to,
   // ignored as a duplicate or added to the copies that wait for the answer of an earlier one.
@@ -110,8 +120,11 @@
   std::optional<Run> RemoveRun(std::uint64_t run_id);
   void OnProcessCrash(const Context& context, const Run& run, BackendFailure failure);
 
+  static Share ShareOf(const AdmittedCall& call);
+  // `share` of the call that the reply answers; null for the answer of a permit.
   void Reply(const Context& context, const AttemptId& id, Answer answer,
-             membership::NodeId redirect = {}) const;
+             membership::NodeId redirect = {}, const Share* share = nullptr) const;
+  void DescribeLoad(CallReply& reply, const Share* share) const;
   void UpdateSlots(const Context& context);
 
   SharedState& shared;
--- a/libs/calls/src/gate_permit.cc
+++ b/libs/calls/src/gate_permit.cc
@@ -23,7 +23,7 @@
                            const PermitRequest& request) {
   PermitReply reply;
   reply.request = request.request;
-  reply.code = this->CheckAdmission(request.service, 0);
+  reply.code = this->CheckAdmission(request.service);
   if (reply.code == ErrorCode::kOk) {
     const std::optional<std::uint64_t> sequence = this->ledger.Issue(context.now);
     if (sequence) {
--- /dev/null
+++ b/libs/calls/src/gate_shares.cc
@@ -0,0 +1,53 @@
+// Shares of the workspaces in the queue of the gate.
+
+#include "gate.h"
+
+namespace amaranthlatch::calls::details {
+
+Gate::Share Gate::ShareOf(const AdmittedCall& call) {
+  return {call.request.priority, call.request.workspace, call.weight};
+}
+
+bool Gate::MakeRoom(const Context& context, const AdmittedCall& call, bool has_slot) {
+  const auto document = context.routes.Find(this->service);
+  const auto find_shortage = [&]() -> std::optional<QueueMeasure> {
+    const std::uint64_t bytes =
+        this->running_bytes + this->queue.BodyBytes() + call.request.request.body.size();
+    if (bytes > this->shared.options.gate.max_admitted_bytes) {
+      return QueueMeasure::kBodyBytes;
+    }
+    const bool is_full =
+        !has_slot && document &&
+        this->queue.Size(call.request.priority) >= document->protection.queue_length;
+    return is_full ? std::optional(QueueMeasure::kCalls) : std::nullopt;
+  };
+  while (const std::optional<QueueMeasure> shortage = find_shortage()) {
+    const AdmittedCall* const yielding = this->queue.FindYielding(call, *shortage);
+    if (yielding == nullptr) {
+      return false;
+    }
+    this->Drop(context, *this->queue.Remove(yielding->key), utils::ErrorCode::kQueueFull);
+  }
+  return true;
+}
+
+void Gate::DescribeLoad(CallReply& reply, const Share* share) const {
+  reply.load.in_flight = static_cast<std::uint32_t>(this->runs.size());
+  for (std::size_t i = 0; i < reply.load.queued.size(); ++i) {
+    const FairQueue& queued = this->queue.ClassQueue(static_cast<document::Priority>(i));
+    reply.load.queued.at(i) = static_cast<std::uint32_t>(queued.Size());
+    reply.load.ahead_of_new.at(i) = static_cast<std::uint32_t>(queued.CountAheadOfNew());
+  }
+  if (share == nullptr) {
+    return;
+  }
+  // Calls without a workspace are told apart only where workspaces have calls queued: otherwise the
+  // length of the queue says the same.
+  const FairQueue& queued = this->queue.ClassQueue(share->priority);
+  if (!share->workspace.empty() || queued.HasWorkspaces()) {
+    reply.workspace_ahead =
+        static_cast<std::uint32_t>(queued.CountAhead(share->workspace, share->weight));
+  }
+}
+
+}  // namespace amaranthlatch::calls::details
--- a/libs/calls/src/message_codec.cc
+++ b/libs/calls/src/message_codec.cc
@@ -233,7 +233,7 @@
 constexpr std::size_t kReservedBytes = 512;
 
 std::string Encode(const CallRequest& m) {
-  constexpr std::size_t kFields = kIdFields + 17;
+  constexpr std::size_t kFields = kIdFields + 18;
   Writer out(MessageType::kCallRequest, kFields,
              kReservedBytes + EncodedSize(m.request.headers) + m.request.body.size());
   out.Id(m.id).Number(m.gate_incarnation).Number(m.gate_boot_id).Text(m.service).Text(m.route);
@@ -241,12 +241,12 @@
   out.HeaderFields(m.request.headers).Bytes(m.request.body);
   out.Time(m.remaining).Time(m.latency_budget).Flag(m.idempotent);
   out.Number(static_cast<std::uint64_t>(m.priority)).Number(m.fingerprint);
-  out.Text(m.permit).Number(m.max_response_bytes);
+  out.Text(m.permit).Number(m.max_response_bytes).Text(m.workspace);
   return out.Take();
 }
 
 std::string Encode(const CallReply& m) {
-  constexpr std::size_t kFields = kIdFields + 9 + document::kPriorityCount;
+  constexpr std::size_t kFields = kIdFields + 10 + 2 * document::kPriorityCount;
   Writer out(
       MessageType::kCallReply, kFields,
       kReservedBytes + EncodedSize(m.answer.response.headers) + m.answer.response.body.size());
@@ -258,7 +258,13 @@
   for (const std::uint32_t queued : m.load.queued) {
     out.Number(queued);
   }
-  return out.Text(m.redirect).Take();
+  for (const std::uint32_t ahead : m.load.ahead_of_new) {
+    out.Number(ahead);
+  }
+  // 0 if it is unset.
+  const std::uint64_t workspace_ahead =
+      m.workspace_ahead ? std::uint64_t{*m.workspace_ahead} + 1 : 0;
+  return out.Text(m.redirect).Number(workspace_ahead).Take();
 }
 
 std::string Encode(const CallCancel& m) {
@@ -318,6 +324,7 @@
   m.fingerprint = in.Number();
   m.permit = in.Text(kMaxTokenBytes);
   m.max_response_bytes = in.Number();
+  m.workspace = in.Text(kMaxNameBytes);
   return m;
 }
 
@@ -335,7 +342,13 @@
   for (std::uint32_t& queued : m.load.queued) {
     queued = in.Number32();
   }
+  for (std::uint32_t& ahead : m.load.ahead_of_new) {
+    ahead = in.Number32();
+  }
   m.redirect = in.Text(kMaxNameBytes);
+  if (const std::uint64_t ahead = in.Number(std::uint64_t{UINT32_MAX} + 1); ahead > 0) {
+    m.workspace_ahead = static_cast<std::uint32_t>(ahead - 1);
+  }
   return m;
 }
 
--- a/libs/calls/src/priority_queue.cc
+++ b/libs/calls/src/priority_queue.cc
@@ -2,38 +2,38 @@
 
 #include "priority_queue.h"
 
+#include <limits>
+
 namespace amaranthlatch::calls::details {
 
 void PriorityQueue::Push(AdmittedCall call) {
   const auto priority = static_cast<std::size_t>(call.request.priority);
-  const Order order{call.latency_deadline, ++this->arrivals};
-  this->positions[call.key] = Position{priority, order};
+  const QueueOrder order{call.latency_deadline, ++this->arrivals};
+  this->positions[call.key] = Position{priority, call.request.workspace, order};
   this->expiries.emplace(call.expiry, call.key);
   this->body_bytes += call.request.request.body.size();
-  this->classes[priority].emplace(order, std::move(call));
+  this->classes.at(priority).Push(order, std::move(call));
 }
 
-AdmittedCall PriorityQueue::RemoveAt(std::size_t priority, Order order) {
-  auto node = this->classes[priority].extract(order);
-  AdmittedCall call = std::move(node.mapped());
+void PriorityQueue::Forget(const AdmittedCall& call) {
   this->positions.erase(call.key);
   this->body_bytes -= call.request.request.body.size();
   this->expiries.erase({call.expiry, call.key});
-  return call;
 }
 
 std::size_t PriorityQueue::SelectClass() {
   std::size_t first = 0;
-  while (this->classes[first].empty()) {
+  while (this->classes.at(first).Size() == 0) {
     ++first;
   }
   std::size_t selected = first;
   if (++this->pops >= this->interval) {
     this->pops = 0;
+    std::uint64_t oldest = std::numeric_limits<std::uint64_t>::max();
     for (std::size_t i = first + 1; i < this->classes.size(); ++i) {
-      const bool has_call = !this->classes[i].empty();
-      if (has_call && (selected == first || this->classes[i].begin()->first.arrival <
-                                                this->classes[selected].begin()->first.arrival)) {
+      const FairQueue& queue = this->classes.at(i);
+      if (queue.Size() > 0 && queue.NextArrival() < oldest) {
+        oldest = queue.NextArrival();
         selected = i;
       }
     }
@@ -45,8 +45,9 @@
   if (this->positions.empty()) {
     return std::nullopt;
   }
-  const std::size_t priority = this->SelectClass();
-  return this->RemoveAt(priority, this->classes[priority].begin()->first);
+  AdmittedCall call = this->classes.at(this->SelectClass()).Pop();
+  this->Forget(call);
+  return call;
 }
 
 std::optional<AdmittedCall> PriorityQueue::Remove(std::uint64_t key) {
@@ -54,8 +55,11 @@
   if (found == this->positions.end()) {
     return std::nullopt;
   }
-  const Position position = found->second;
-  return this->RemoveAt(position.priority, position.order);
+  const Position& position = found->second;
+  AdmittedCall call =
+      this->classes.at(position.priority).Remove(position.workspace, position.order);
+  this->Forget(call);
+  return call;
 }
 
 std::optional<AdmittedCall> PriorityQueue::PopExpired(utils::Timestamp now) {
@@ -73,7 +77,19 @@
 }
 
 std::size_t PriorityQueue::Size(document::Priority priority) const {
-  return this->classes[static_cast<std::size_t>(priority)].size();
+  return this->ClassQueue(priority).Size();
+}
+
+const AdmittedCall* PriorityQueue::FindYielding(const AdmittedCall& call,
+                                                QueueMeasure measure) const {
+  const auto own = static_cast<std::size_t>(call.request.priority);
+  const std::size_t lowest = measure == QueueMeasure::kBodyBytes ? this->classes.size() - 1 : own;
+  for (std::size_t i = lowest;; --i) {
+    const AdmittedCall* const yielding = this->classes.at(i).FindYielding(call, measure);
+    if (yielding != nullptr || i == own) {
+      return yielding;
+    }
+  }
 }
 
 }  // namespace amaranthlatch::calls::details
--- a/libs/calls/src/priority_queue.h
+++ b/libs/calls/src/priority_queue.h
@@ -1,42 +1,24 @@
-// Queue of admitted calls that wait for a slot: one queue per priority class, each in the order of
-// the latency deadlines of its calls. A class may hold short internal calls beside long ones.
+// Queue of admitted calls that wait for a slot: one queue per priority class, each shared by
+// workspaces and within a workspace in the order of latency deadlines. A class may hold short
+// internal calls beside long ones.
 
 #pragma once
 
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <set>
-#include <tuple>
+#include <string>
 #include <unordered_map>
 #include <utility>
 
-#include "amaranthlatch/calls/message.h"
 #include "amaranthlatch/document/service_document.h"
 #include "amaranthlatch/utils/time.h"
-#include "service_times.h"
+#include "fair_queue.h"
 
 namespace amaranthlatch::calls::details {
 
-// A call in the admission process of this gate.
-struct AdmittedCall {
-  std::uint64_t key = 0;
-  CallRequest request;
-  // Key of the route in ServiceTimes.
-  RouteKey route = 0;
-  utils::Timestamp deadline;
-  // Time by which an answer meets the target latency of the route; max() if the route has none.
-  utils::Timestamp latency_deadline = utils::Timestamp::max();
-  // Time at which the call leaves the queue without having run: the earliest of its deadline, the
-  // end of its queue time and the last time at which it could be answered before
-  // `latency_deadline`.
-  utils::Timestamp expiry;
-  // Sequence number of the permit; 0 without one.
-  std::uint64_t permit = 0;
-};
-
 class PriorityQueue {
  public:
   // Every `fairness_interval`-th Pop takes the oldest first call below the highest non-empty class,
@@ -54,38 +36,34 @@
   std::size_t Size(document::Priority priority) const;
   // Total size of the bodies of all calls in the queue.
   std::uint64_t BodyBytes() const { return this->body_bytes; }
-  // Calls `visit` for each call that is dequeued before a new one of this class and deadline.
+  // Calls `visit(call, count)` for each call that is dequeued before this new one, see FairQueue.
   template <typename Visitor>
-  void ForEachAhead(document::Priority priority, utils::Timestamp latency_deadline,
-                    Visitor visit) const {
-    const auto last = static_cast<std::size_t>(priority);
-    for (std::size_t i = 0; i <= last; ++i) {
-      for (const auto& [order, call] : this->classes.at(i)) {
-        if (i == last && order.latency_deadline > latency_deadline) {
-          break;
-        }
-        visit(call);
-      }
+  void ForEachAhead(const AdmittedCall& call, Visitor visit) const {
+    const auto last = static_cast<std::size_t>(call.request.priority);
+    for (std::size_t i = 0; i < last; ++i) {
+      this->classes.at(i).ForEach([&visit](const AdmittedCall& ahead) { visit(ahead, 1.0); });
     }
+    this->classes.at(last).ForEachAhead(call.request.workspace, call.weight, call.latency_deadline,
+                                        visit);
+  }
+
+  // Calls that precede a new one of a workspace in its class, see FairQueue.
+  const FairQueue& ClassQueue(document::Priority priority) const {
+    return this->classes.at(static_cast<std::size_t>(priority));
   }
+  // The call that gives way to `call` if the queue is short of room for its class or for its body;
+  // null if `call` itself has to. For its body, calls of lower classes may give way as well.
+  const AdmittedCall* FindYielding(const AdmittedCall& call, QueueMeasure measure) const;
 
  private:
-  struct Order {
-    utils::Timestamp latency_deadline{};
-    // Arrival number across all classes.
-    std::uint64_t arrival = 0;
-    bool operator<(const Order& other) const {
-      return std::tie(this->latency_deadline, this->arrival) <
-             std::tie(other.latency_deadline, other.arrival);
-    }
-  };
-  using ClassQueue = std::map<Order, AdmittedCall>;
   struct Position {
     std::size_t priority = 0;
-    Order order;
+    std::string workspace;
+    QueueOrder order;
   };
 
-  AdmittedCall RemoveAt(std::size_t priority, Order order);
+  // Updates the indexes for a call that has left its class.
+  void Forget(const AdmittedCall& call);
   // Returns the class to dequeue from. The queue must not be empty.
   std::size_t SelectClass();
 
@@ -93,7 +71,7 @@
   std::uint32_t pops = 0;
   std::uint64_t arrivals = 0;
   std::uint64_t body_bytes = 0;
-  std::array<ClassQueue, document::kPriorityCount> classes;
+  std::array<FairQueue, document::kPriorityCount> classes;
   // Every queued call has one entry in each.
   std::unordered_map<std::uint64_t, Position> positions;
   std::set<std::pair<utils::Timestamp, std::uint64_t>> expiries;
--- a/libs/calls/tests/call_components_test.cc
+++ b/libs/calls/tests/call_components_test.cc
@@ -59,6 +59,7 @@
       m.idempotent = *rc::gen::arbitrary<bool>();
       m.priority = static_cast<document::Priority>(*rc::gen::inRange(0, 4));
       m.permit = "token";
+      m.workspace = *rc::gen::element<std::string>("", "surveyors");
       return m;
     }
     case 1: {
@@ -71,6 +72,10 @@
       for (std::uint32_t& queued : m.load.queued) {
         queued = *rc::gen::arbitrary<std::uint32_t>();
       }
+      m.load.ahead_of_new = m.load.queued;
+      if (*rc::gen::arbitrary<bool>()) {
+        m.workspace_ahead = *rc::gen::arbitrary<std::uint32_t>();
+      }
       return m;
     }
     case 2:
--- a/libs/calls/tests/mesh.cc
+++ b/libs/calls/tests/mesh.cc
@@ -163,6 +163,9 @@
   received.request = HttpRequest{"POST", path, kService, {{"x-test", body}}, body};
   received.permit = permit;
   received.remaining = remaining;
+  if (this->prepare) {
+    this->prepare(received);
+  }
   this->Deliver(node, received);
   return call;
 }
@@ -333,6 +336,9 @@
   if (backend.mode == BackendMode::kShedding) {
     time = utils::Milliseconds(1);
   }
+  if (backend.reports_time) {
+    answered.response.headers.emplace_back(kBackendTimeField, std::to_string(time.count()));
+  }
   this->At(time,
            [this, index, boot, answered] { this->EndRun(index, boot, answered.run, answered); });
 }
--- a/libs/calls/tests/mesh.h
+++ b/libs/calls/tests/mesh.h
@@ -83,6 +83,8 @@
   // Share of the calls with ten times the service time.
   double slow_share = 0.0;
   std::uint32_t slots = 4;
+  // Whether answers carry the time that the backend server worked on the request.
+  bool reports_time = false;
   std::map<std::uint64_t, std::string> running;
 };
 
@@ -148,6 +150,8 @@
   std::vector<Node> nodes;
   FakeRoutes routes;
   Network network;
+  // Called for every call before its entry node receives it.
+  std::function<void(CallReceived&)> prepare;
   // Called for every message before it is sent; returning false drops the message.
   std::function<bool(std::size_t from, std::size_t to, const Message&)> filter;
   std::vector<Effect> other_effects;
--- a/libs/calls/tests/service_times_test.cc
+++ b/libs/calls/tests/service_times_test.cc
@@ -60,8 +60,10 @@
   push(4, Milliseconds(50), document::Priority::kNormal);
   push(5, Milliseconds(900), document::Priority::kInternal);
   std::size_t ahead = 0;
-  queue.ForEachAhead(document::Priority::kInteractive, utils::Timestamp(Milliseconds(300)),
-                     [&ahead](const AdmittedCall& /*call*/) { ++ahead; });
+  AdmittedCall next;
+  next.request.priority = document::Priority::kInteractive;
+  next.latency_deadline = utils::Timestamp(Milliseconds(300));
+  queue.ForEachAhead(next, [&ahead](const AdmittedCall& /*call*/, double /*count*/) { ++ahead; });
   LONGS_EQUAL(3, ahead);
   std::string order;
   while (const auto call = queue.Pop()) {
--- a/libs/directory/include/amaranthlatch/directory/mesh_configuration.h
+++ b/libs/directory/include/amaranthlatch/directory/mesh_configuration.h
@@ -1,4 +1,5 @@
-// One version of the configuration of a whole mesh: the routes of all hosts, and all services.
+// One version of the configuration of a whole mesh: the routes of all hosts, all services and all
+// workspaces.
 
 #pragma once
 
@@ -13,6 +14,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "amaranthlatch/directory/workspace.h"
 #include "amaranthlatch/document/route_table.h"
 #include "amaranthlatch/document/service_document.h"
 #include "amaranthlatch/utils/result.h"
@@ -58,10 +60,12 @@
 
   // Fails with kConfigurationMalformed if a path prefix does not start and end with a slash, a
   // route has no target with a weight above 0, a target names a service that is not in `services`,
-  // or two routes have the same host and prefix.
+  // or two routes have the same host and prefix. `workspaces` is null for a configuration without a
+  // table of workspaces, in which calls need no keys.
   static utils::Result<Pointer> Create(document::Version version, HostRoutes routes,
                                        std::vector<MeshService> services,
-                                       const ServiceDefaults& defaults);
+                                       const ServiceDefaults& defaults,
+                                       WorkspaceTable::Pointer workspaces = nullptr);
 
   document::Version GetVersion() const { return this->version; }
   std::size_t RouteCount() const { return this->routes.size(); }
@@ -78,6 +82,17 @@
   // Null if the configuration does not contain the service.
   const MeshService* FindService(std::string_view name) const;
 
+  // Whether the configuration has a table of workspaces, even if it is empty.
+  bool HasWorkspaces() const { return this->workspaces != nullptr; }
+  // Null without a table.
+  const WorkspaceTable::Pointer& GetWorkspaces() const { return this->workspaces; }
+  // Null if no workspace has the key or this name.
+  std::shared_ptr<const Workspace> FindWorkspaceByKey(std::string_view key) const;
+  std::shared_ptr<const Workspace> FindWorkspace(std::string_view name) const;
+  // Whether calls of workspaces use the highest priority: one of the workspaces has it, or a route
+  // that needs a key.
+  bool HasHighestWorkspacePriority() const { return this->has_highest_workspace_priority; }
+
   // Returns the route with the longest prefix of `path`. Ignores the method.
   std::optional<document::RouteMatch> Match(std::string_view host, std::string_view path,
                                             std::string_view method) const override;
@@ -95,7 +110,7 @@
   using RoutesByPrefix = std::unordered_map<std::string_view, const HostRoutePointer*>;
 
   MeshConfiguration(document::Version version, HostRoutes routes, std::vector<MeshService> services,
-                    const ServiceDefaults& defaults);
+                    const ServiceDefaults& defaults, WorkspaceTable::Pointer workspaces);
 
   utils::Result<void> IndexRoutes();
   utils::Result<void> CheckRoute(const document::Route& route) const;
@@ -105,6 +120,8 @@
   const HostRoutes routes;
   const std::vector<MeshService> services;
   const ServiceDefaults defaults;
+  const WorkspaceTable::Pointer workspaces;
+  bool has_highest_workspace_priority = false;
   // The inner keys and pointers refer to elements of `routes`.
   std::unordered_map<std::string, RoutesByPrefix, StringHash, std::equal_to<>> routes_by_host;
   std::map<std::string, std::shared_ptr<const document::ServiceDocument>, std::less<>>
--- a/libs/directory/src/configuration_change.cc
+++ b/libs/directory/src/configuration_change.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "amaranthlatch/utils/cbor.h"
+#include "workspace_change.h"
 
 namespace amaranthlatch::directory::details {
 
@@ -24,8 +25,8 @@
 constexpr std::size_t kMaxListItems = 10'000;
 constexpr std::uint64_t kMaxTimeUs = 1ULL << 52U;
 
-constexpr std::size_t kChangeFields = 5;
-constexpr std::size_t kRouteFields = 14;
+constexpr std::size_t kChangeFields = 5 + kWorkspaceChangeFields;
+constexpr std::size_t kRouteFields = 15;
 constexpr std::size_t kServiceFields = 3;
 
 using RouteKey = std::pair<std::string_view, std::string_view>;
@@ -44,6 +45,7 @@
     out.Text(target.service).Text(target.version).Number(target.weight);
   }
   out.Flag(route.idempotent).Flag(route.permit_required).Flag(route.strict_split);
+  out.Flag(route.is_public);
   out.Number(route.max_attempts).Number(static_cast<std::uint64_t>(route.priority));
   out.Number(static_cast<std::uint64_t>(route.deadline.count()));
   out.Number(static_cast<std::uint64_t>(route.target_latency.count()));
@@ -78,6 +80,7 @@
   route.idempotent = in.Flag();
   route.permit_required = in.Flag();
   route.strict_split = in.Flag();
+  route.is_public = in.Flag();
   route.max_attempts = in.Number32();
   route.priority = static_cast<document::Priority>(in.Number(document::kPriorityCount - 1));
   route.deadline = ReadTime(in);
@@ -122,8 +125,10 @@
   change.services = next.Services();
   if (base == nullptr) {
     change.routes = next.Routes();
+    AddWorkspaceDifference(nullptr, next.GetWorkspaces(), change);
     return change;
   }
+  AddWorkspaceDifference(base->GetWorkspaces(), next.GetWorkspaces(), change);
   change.base = base->GetVersion();
   for (const HostRoutePointer& route : next.Routes()) {
     const HostRoutePointer earlier = base->FindRoute(route->host, route->route.path_prefix);
@@ -144,13 +149,18 @@
 utils::Result<MeshConfiguration::Pointer> Apply(const MeshConfiguration::Pointer& base,
                                                 const ConfigurationChange& change,
                                                 const ServiceDefaults& defaults) {
-  if (change.base == 0) {
-    return MeshConfiguration::Create(change.version, change.routes, change.services, defaults);
-  }
-  if (base == nullptr || base->GetVersion() != change.base) {
+  if (change.base != 0 && (base == nullptr || base->GetVersion() != change.base)) {
     return utils::Fail(ErrorCode::kConfigurationMalformed,
                        "change of a configuration applies to another version");
   }
+  auto workspaces = ApplyWorkspaceChange(base == nullptr ? nullptr : base->GetWorkspaces(), change);
+  if (!workspaces) {
+    return tl::unexpected(workspaces.error());
+  }
+  if (change.base == 0) {
+    return MeshConfiguration::Create(change.version, change.routes, change.services, defaults,
+                                     std::move(*workspaces));
+  }
   // Null for a removed route.
   std::map<RouteKey, HostRoutePointer> changes;
   for (const auto& [host, path_prefix] : change.removed) {
@@ -177,7 +187,8 @@
       routes.push_back(route);
     }
   }
-  return MeshConfiguration::Create(change.version, std::move(routes), change.services, defaults);
+  return MeshConfiguration::Create(change.version, std::move(routes), change.services, defaults,
+                                   std::move(*workspaces));
 }
 
 std::string EncodeChange(const ConfigurationChange& change) {
@@ -197,6 +208,7 @@
     out.Array(kServiceFields).Text(service.name).Text(service.health_path);
     out.Number(service.connections);
   }
+  WriteWorkspaceChange(out, change);
   std::string compressed(ZSTD_compressBound(bytes.size()), '\0');
   const std::size_t size = ZSTD_compress(compressed.data(), compressed.size(), bytes.data(),
                                          bytes.size(), kCompressionLevel);
@@ -227,6 +239,7 @@
   for (std::size_t i = 0; i < services && !in.Error(); ++i) {
     change.services.push_back(ReadService(in));
   }
+  ReadWorkspaceChange(in, change);
   if (in.Error() || !in.AtEnd()) {
     return utils::Fail(in.Error().value_or(ErrorCode::kMessageMalformed),
                        "configuration change has a missing, extra or invalid field");
--- a/libs/directory/src/configuration_change.h
+++ b/libs/directory/src/configuration_change.h
@@ -22,6 +22,12 @@
   HostRoutes routes;
   // All services.
   std::vector<MeshService> services;
+  // Whether the version has a table of workspaces.
+  bool has_workspaces = false;
+  // Names of removed workspaces.
+  std::vector<std::string> removed_workspaces;
+  // Added and replaced workspaces.
+  Workspaces workspaces;
 };
 
 // `base` may be null.
--- a/libs/directory/src/mesh_configuration.cc
+++ b/libs/directory/src/mesh_configuration.cc
@@ -31,9 +31,9 @@
 
 utils::Result<MeshConfiguration::Pointer> MeshConfiguration::Create(
     document::Version version, HostRoutes routes, std::vector<MeshService> services,
-    const ServiceDefaults& defaults) {
-  const std::shared_ptr<MeshConfiguration> configuration(
-      new MeshConfiguration(version, std::move(routes), std::move(services), defaults));
+    const ServiceDefaults& defaults, WorkspaceTable::Pointer workspaces) {
+  const std::shared_ptr<MeshConfiguration> configuration(new MeshConfiguration(
+      version, std::move(routes), std::move(services), defaults, std::move(workspaces)));
   configuration->BuildServiceDocuments();
   if (auto indexed = configuration->IndexRoutes(); !indexed) {
     return tl::unexpected(indexed.error());
@@ -44,11 +44,15 @@
 
 MeshConfiguration::MeshConfiguration(document::Version version, HostRoutes routes,
                                      std::vector<MeshService> services,
-                                     const ServiceDefaults& defaults)
+                                     const ServiceDefaults& defaults,
+                                     WorkspaceTable::Pointer workspaces)
     : version(version),
       routes(std::move(routes)),
       services(std::move(services)),
-      defaults(defaults) {}
+      defaults(defaults),
+      workspaces(std::move(workspaces)),
+      has_highest_workspace_priority(this->HasWorkspaces() &&
+                                     this->workspaces->HasHighestPriority()) {}
 
 void MeshConfiguration::BuildServiceDocuments() {
   for (const MeshService& service : this->services) {
@@ -78,6 +82,10 @@
       return Fail(ErrorCode::kConfigurationMalformed,
                   "route " + route.name + " has the same host and path prefix as another route");
     }
+    if (this->HasWorkspaces() && !route.is_public &&
+        route.priority == document::Priority::kInternal) {
+      this->has_highest_workspace_priority = true;
+    }
   }
   return {};
 }
@@ -129,6 +137,14 @@
   return found == this->services.end() ? nullptr : &*found;
 }
 
+std::shared_ptr<const Workspace> MeshConfiguration::FindWorkspaceByKey(std::string_view key) const {
+  return this->HasWorkspaces() ? this->workspaces->FindByKey(key) : nullptr;
+}
+
+std::shared_ptr<const Workspace> MeshConfiguration::FindWorkspace(std::string_view name) const {
+  return this->HasWorkspaces() ? this->workspaces->FindByName(name) : nullptr;
+}
+
 std::optional<document::RouteMatch> MeshConfiguration::Match(std::string_view host,
                                                              std::string_view path,
                                                              std::string_view /*method*/) const {
@@ -163,7 +179,10 @@
 }
 
 bool MeshConfiguration::operator==(const MeshConfiguration& other) const {
-  return this->version == other.version && this->services == other.services &&
+  const bool same_workspaces =
+      this->workspaces == other.workspaces ||
+      (this->HasWorkspaces() && other.HasWorkspaces() && *this->workspaces == *other.workspaces);
+  return same_workspaces && this->version == other.version && this->services == other.services &&
          std::equal(this->routes.begin(), this->routes.end(), other.routes.begin(),
                     other.routes.end(),
                     [](const auto& left, const auto& right) { return *left == *right; });
--- /dev/null
+++ b/libs/directory/tests/workspace_test.cc
@@ -0,0 +1,132 @@
+// Tests of the workspaces of a configuration and of their changes.
+
+#include "amaranthlatch/directory/workspace.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <limits>
+#include <string>
+
+#include "amaranthlatch/utils/random.h"
+#include "configuration_change.h"
+#include "configuration_fixture.h"
+
+namespace amaranthlatch::directory::testing {
+
+using utils::ErrorCode;
+
+TEST_GROUP(Workspaces){};
+
+namespace {
+
+auto Create(std::vector<Workspace> workspaces) {
+  return WorkspaceTable::Create(ShareWorkspaces(std::move(workspaces)));
+}
+
+MeshConfiguration::Pointer Configuration(document::Version version,
+                                         const WorkspaceTable::Pointer& table) {
+  HostRoute route = MakeRoute("fleet.example", "/read/");
+  route.route.is_public = version % 2 == 0;
+  return *MeshConfiguration::Create(version, ShareRoutes({route}), {{"fleet", "/health", 10}}, {},
+                                    table);
+}
+
+}  // namespace
+
+// Guards against a key that opens two workspaces, against a message that contains it, and against
+// names and quotas that later parts cannot use.
+TEST(Workspaces, AmbiguousOrUnusableOnesAreRefused) {
+  const auto is_refused = [](std::vector<Workspace> workspaces) {
+    const auto table = Create(std::move(workspaces));
+    return !table && table.error().code == ErrorCode::kConfigurationMalformed;
+  };
+  const auto shared = Create({{"a", {"k1", "secret"}, {}}, {"b", {"secret"}, {}}});
+  STRCMP_EQUAL("workspaces a and b share a key", shared.error().message.c_str());
+  CHECK_TRUE(is_refused({{"a", {"k1"}, {}}, {"a", {"k2"}, {}}}));
+  CHECK_TRUE(is_refused({{"", {"k1"}, {}}}) && is_refused({{"a\r\nx", {"k1"}, {}}}));
+  CHECK_TRUE(is_refused({{"a", {""}, {}}}) && is_refused({{"a", {std::string(4097, 'k')}, {}}}));
+  CHECK_TRUE(is_refused({{"a", {}, {}, -1.0}}));
+  CHECK_TRUE(is_refused({{"a", {}, {}, 1.0, std::numeric_limits<double>::quiet_NaN()}}));
+  CHECK_FALSE(is_refused({}));
+  CHECK_FALSE(is_refused({{"a", {}, {}}, {"b", {"k", "k"}, {}}}));
+}
+
+// Guards against a key that opens another workspace or none, among thousands.
+TEST(Workspaces, EveryKeyFindsItsWorkspace) {
+  std::vector<Workspace> workspaces(1'000);
+  for (std::size_t i = 0; i < workspaces.size(); ++i) {
+    workspaces[i].name = "w" + std::to_string(i);
+    for (std::size_t k = 0; k < (i == 7 ? 5'000 : 3); ++k) {
+      workspaces[i].keys.push_back(std::to_string(i) + "/" + std::to_string(k));
+    }
+  }
+  const auto table = Create(workspaces);
+  for (const Workspace& workspace : workspaces) {
+    for (const std::string& key : workspace.keys) {
+      CHECK_TRUE((*table)->FindByKey(key)->name == workspace.name);
+      CHECK_TRUE((*table)->FindByKey(key + " ") == nullptr);
+    }
+    CHECK_TRUE(*(*table)->FindByName(workspace.name) == workspace);
+  }
+  CHECK_TRUE((*table)->FindByKey("") == nullptr);
+}
+
+// Guards against a change that, applied to its base, gives other workspaces or public routes, and
+// against unchanged workspaces that are sent or stored again.
+TEST(Workspaces, ChangeLeadsFromBaseToNext) {
+  utils::Random random(3);
+  const auto make = [&random](const WorkspaceTable::Pointer& base) -> WorkspaceTable::Pointer {
+    if (random.Bernoulli(0.1)) {
+      return nullptr;
+    }
+    Workspaces workspaces;
+    for (int i = 0; i < 12; ++i) {
+      const std::string name = "w" + std::to_string(i);
+      const WorkspacePointer earlier = base == nullptr ? nullptr : base->FindByName(name);
+      if (earlier != nullptr && random.Bernoulli(0.7)) {
+        workspaces.push_back(earlier);
+      } else if (random.Bernoulli(0.8)) {
+        workspaces.push_back(std::make_shared<const Workspace>(Workspace{
+            name,
+            {name + std::to_string(random.Uniform(2)), name + "k"},
+            random.Bernoulli(0.5) ? std::optional(document::Priority::kInternal) : std::nullopt,
+            static_cast<double>(random.Uniform(3)) / 3.0,
+            2.5}));
+      }
+    }
+    return *WorkspaceTable::Create(std::move(workspaces));
+  };
+  const auto sorted = [](const WorkspaceTable::Pointer& table) {
+    std::map<std::string, Workspace> workspaces;
+    for (const WorkspacePointer& workspace : table->All()) {
+      workspaces[workspace->name] = *workspace;
+    }
+    return workspaces;
+  };
+  for (int run = 0; run < 500; ++run) {
+    const auto base = Configuration(4, make(nullptr));
+    const auto next = Configuration(5, make(base->GetWorkspaces()));
+    for (const auto& from : {base, MeshConfiguration::Pointer()}) {
+      const auto change =
+          *details::DecodeChange(details::EncodeChange(details::Difference(from, *next)));
+      const auto applied = *details::Apply(from, change, {});
+      CHECK_TRUE(applied->HasWorkspaces() == next->HasWorkspaces());
+      CHECK_FALSE(applied->FindRoute("fleet.example", "/read/")->route.is_public);
+      if (!next->HasWorkspaces()) {
+        continue;
+      }
+      CHECK_TRUE(sorted(applied->GetWorkspaces()) == sorted(next->GetWorkspaces()));
+      for (const WorkspacePointer& workspace : next->GetWorkspaces()->All()) {
+        const auto earlier = from == nullptr ? nullptr : from->FindWorkspace(workspace->name);
+        const auto later = applied->FindWorkspace(workspace->name);
+        CHECK_TRUE(earlier == later || earlier == nullptr || *earlier != *workspace);
+      }
+    }
+    const auto same = Configuration(6, next->GetWorkspaces());
+    const auto change = details::Difference(next, *same);
+    CHECK_TRUE(change.workspaces.empty() && change.removed_workspaces.empty());
+    CHECK_TRUE((*details::Apply(next, change, {}))->GetWorkspaces() == next->GetWorkspaces());
+  }
+}
+
+}  // namespace amaranthlatch::directory::testing
--- a/libs/document/include/amaranthlatch/document/service_document.h
+++ b/libs/document/include/amaranthlatch/document/service_document.h
@@ -47,8 +47,10 @@
   bool idempotent = false;
   bool permit_required = false;
   // Refuses calls of a target without free capacity instead of moving them to other targets. Not
-  // part of the document format; nor are max_attempts and target_latency below.
+  // part of the document format; nor are is_public, max_attempts and target_latency below.
   bool strict_split = false;
+  // Whether calls need no key of a workspace; without effect if there are no workspaces.
+  bool is_public = false;
   // Maximum number of backend servers tried per call; 0 uses Protection::max_attempts.
   std::uint32_t max_attempts = 0;
   Priority priority = Priority::kNormal;
--- a/libs/node/include/amaranthlatch/node/register_node.h
+++ b/libs/node/include/amaranthlatch/node/register_node.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -27,6 +28,15 @@
   utils::Duration drain_grace_period = utils::Milliseconds(2600);
 };
 
+// Calls by the first judgement of their keys. Only calls of configurations with workspaces count.
+struct AuthorizationCounters {
+  std::uint64_t on_public_route = 0;
+  std::uint64_t known = 0;
+  std::uint64_t unknown = 0;
+
+  bool operator==(const AuthorizationCounters&) const = default;
+};
+
 // Events of the reducer. WakeUp, messages and the drain are those of node::Event.
 using RegisterEvent =
     std::variant<WakeUp, MessageReceived, MessageNotSent, PeerUnreachable, DrainRequested,
@@ -70,6 +80,7 @@
   directory::Gauges DirectoryGauges() const;
   const calls::Counters& CallCounters() const;
   calls::Gauges CallGauges() const;
+  const node::AuthorizationCounters& AuthorizationCounters() const;
 
  private:
   struct Impl;
--- a/libs/node/src/register_node.cc
+++ b/libs/node/src/register_node.cc
@@ -10,6 +10,7 @@
 
 #include "amaranthlatch/node/envelope.h"
 #include "amaranthlatch/node/invariants.h"
+#include "call_authorizer.h"
 
 namespace amaranthlatch::node {
 
@@ -51,6 +52,11 @@
 
   void DispatchToDirectory(const directory::Event& event);
   void DispatchToCalls(const calls::Event& event);
+  // Passes on a call that is authorised.
+  void AcceptCall(calls::CallReceived call);
+  // Answers a call that was not passed on.
+  void RefuseCall(std::uint64_t call, utils::ErrorCode code);
+  void CountAuthorization(calls::AuthorizationResult result);
   // Notifies the directory if a call was routed with a newer configuration.
   void ReportNewerVersion(const membership::NodeId& from, const calls::Message& message);
   // Reports changes of admission and of the backend server to the calls module.
@@ -84,6 +90,7 @@
   InvariantChecker invariants;
   std::vector<InvariantViolated> violations;
   std::vector<RegisterEffect> effects;
+  node::AuthorizationCounters authorizations;
   Timestamp now{};
   bool started = false;
 
@@ -113,8 +120,9 @@
   if (configuration != nullptr) {
     routes = configuration.get();
   }
+  const CallAuthorizer authorizer(configuration);
   for (calls::Effect& effect :
-       this->calls.Reduce(event, this->now, this->directory.Members(), *routes)) {
+       this->calls.Reduce(event, this->now, this->directory.Members(), *routes, &authorizer)) {
     std::visit([this](auto& value) { this->HandleEffect(std::move(value)); }, effect);
   }
 }
@@ -206,7 +214,43 @@
 
 void RegisterNode::Impl::Handle(const calls::CallReceived& event) {
   this->invariants.OnCallOpened(event.call, this->violations);
-  this->DispatchToCalls(event);
+  calls::CallReceived call = event;
+  const calls::Authorization authorization =
+      CallAuthorizer(this->directory.Configuration()).Apply(call);
+  this->CountAuthorization(authorization.result);
+  if (authorization.Code() != utils::ErrorCode::kOk) {
+    this->RefuseCall(call.call, authorization.Code());
+    return;
+  }
+  this->AcceptCall(std::move(call));
+}
+
+void RegisterNode::Impl::AcceptCall(calls::CallReceived call) {
+  this->DispatchToCalls(std::move(call));
+}
+
+void RegisterNode::Impl::RefuseCall(std::uint64_t call, utils::ErrorCode code) {
+  calls::Answer refusal;
+  refusal.kind = calls::ResultKind::kNotRun;
+  refusal.code = code;
+  refusal.message = utils::ToString(code);
+  this->HandleEffect(calls::AnswerCaller{call, std::move(refusal)});
+}
+
+void RegisterNode::Impl::CountAuthorization(calls::AuthorizationResult result) {
+  switch (result) {
+    case calls::AuthorizationResult::kUnchecked:
+      break;
+    case calls::AuthorizationResult::kPublic:
+      ++this->authorizations.on_public_route;
+      break;
+    case calls::AuthorizationResult::kKnown:
+      ++this->authorizations.known;
+      break;
+    case calls::AuthorizationResult::kUnknown:
+      ++this->authorizations.unknown;
+      break;
+  }
 }
 
 template <typename T>
@@ -315,4 +359,8 @@
 
 calls::Gauges RegisterNode::CallGauges() const { return this->impl->calls.GetGauges(); }
 
+const AuthorizationCounters& RegisterNode::AuthorizationCounters() const {
+  return this->impl->authorizations;
+}
+
 }  // namespace amaranthlatch::node
--- a/libs/node/tests/register_node_test.cc
+++ b/libs/node/tests/register_node_test.cc
@@ -19,7 +19,9 @@
 
 namespace {
 
-directory::MeshConfiguration::Pointer MakeConfiguration(document::Version version) {
+// With `keys`, the configuration has the workspace "w1" with these keys.
+directory::MeshConfiguration::Pointer MakeConfiguration(
+    document::Version version, const std::optional<std::vector<std::string>>& keys = {}) {
   directory::HostRoute entry;
   entry.host = "fleet.example";
   entry.route.name = "write";
@@ -34,8 +36,13 @@
   defaults.protection.slots = 10;
   defaults.protection.queue_length = 10;
   defaults.protection.queue_time = Seconds(1);
+  directory::WorkspaceTable::Pointer workspaces;
+  if (keys) {
+    workspaces = *directory::WorkspaceTable::Create(
+        directory::ShareWorkspaces({{"w1", *keys, document::Priority::kInternal}}));
+  }
   return *directory::MeshConfiguration::Create(version, directory::ShareRoutes({entry}),
-                                               {{"fleet", "/", 1}}, defaults);
+                                               {{"fleet", "/", 1}}, defaults, workspaces);
 }
 
 RegisterNodeOptions MakeOptions() {
@@ -84,11 +91,37 @@
     });
     return found;
   }
-  void Configure(document::Version version) {
+  void Configure(document::Version version,
+                 const std::optional<std::vector<std::string>>& keys = {}) {
     this->HandleEvent(WakeUp{});
     this->HandleEvent(directory::StreamReadSucceeded{Stream::kMembers, 0, nullptr, {}});
-    this->HandleEvent(
-        directory::StreamReadSucceeded{Stream::kConfiguration, 1, MakeConfiguration(version), {}});
+    this->HandleEvent(directory::StreamReadSucceeded{
+        Stream::kConfiguration, version, MakeConfiguration(version, keys), {}});
+  }
+  void AddPeer() {
+    membership::Member peer;
+    peer.id = "10.0.0.2:1";
+    peer.region = "north";
+    peer.zone = "ondangwa";
+    peer.service = "fleet";
+    peer.slots = 4;
+    peer.incarnation = 1;
+    peer.boot_id = 9;
+    peer.state = membership::MemberState::kReady;
+    this->HandleEvent(directory::StreamReadSucceeded{Stream::kMembers, 1, nullptr, {peer}});
+  }
+  void SendCallWithKey(const std::string& key) {
+    calls::CallReceived call;
+    call.call = ++this->last_call;
+    call.request = {"POST", "/x", "fleet.example", {}, "body"};
+    call.credentials = {{"credential", key}};
+    call.key = key;
+    this->HandleEvent(call);
+  }
+  // The request sent last, as a gate gets it.
+  calls::CallRequest LastRequest() {
+    const SendMessage sent = this->TakeEffects<SendMessage>().back();
+    return std::get<calls::CallRequest>(std::get<calls::Message>(sent.message));
   }
   void SendCall() {
     calls::HttpRequest request{"POST", "/x", "fleet.example", {}, "body"};
@@ -127,6 +160,55 @@
   CHECK_TRUE(this->node->Ready());
 }
 
+// Guards against a refusal of a key by a node that cannot judge it, against credentials that reach
+// a backend server, and against a deployment without workspaces whose requests change.
+TEST(RegisterNode, KeysAreJudgedByTheConfigurationInForce) {
+  this->HandleEvent(WakeUp{});
+  this->SendCallWithKey("k1");
+  CHECK_TRUE(this->Answer()->code == ErrorCode::kNodeNotReady);
+  this->Configure(3);
+  this->AddPeer();
+  this->SendCallWithKey("k1");
+  calls::CallRequest request = this->LastRequest();
+  CHECK_TRUE(request.request.headers == calls::Headers({{"credential", "k1"}}));
+  CHECK_TRUE(request.workspace.empty() && request.priority == document::Priority::kNormal);
+  this->Configure(4, {{"k1"}});
+  this->SendCallWithKey("k1");
+  request = this->LastRequest();
+  CHECK_TRUE(request.request.headers.empty() && request.workspace == "w1");
+  CHECK_TRUE(request.priority == document::Priority::kInteractive);
+  this->SendCallWithKey("k2");
+  const auto refused = this->Answer();
+  CHECK_TRUE(refused->kind == ResultKind::kNotRun && refused->code == ErrorCode::kKeyUnknown);
+  CHECK_TRUE(this->node->AuthorizationCounters() == AuthorizationCounters({0, 1, 1}));
+}
+
+// Guards against a further attempt with a key that was withdrawn after the first one, and against a
+// "not run" answer for a call whose first attempt may have run.
+TEST(RegisterNode, WithdrawnKeyEndsTheCallBeforeItsNextAttempt) {
+  this->Configure(3, {{"k1"}});
+  this->AddPeer();
+  for (const bool may_have_run : {false, true}) {
+    this->SendCallWithKey("k1");
+    const calls::CallRequest request = this->LastRequest();
+    this->Configure(may_have_run ? 6 : 4, std::vector<std::string>{});
+    if (may_have_run) {
+      calls::CallReply reply;
+      reply.id = request.id;
+      reply.answer.code = ErrorCode::kBackendFailed;
+      this->HandleEvent(MessageReceived{"10.0.0.2:1", calls::Message(reply)});
+    } else {
+      this->HandleEvent(MessageNotSent{"10.0.0.2:1", calls::Message(request)});
+    }
+    this->AdvanceTime(Seconds(1));
+    CHECK_EQUAL(0, this->TakeEffects<SendMessage>().size());
+    const auto answer = this->Answer();
+    CHECK_TRUE(answer->kind == (may_have_run ? ResultKind::kUnknown : ResultKind::kNotRun));
+    CHECK_TRUE(may_have_run || answer->code == ErrorCode::kKeyUnknown);
+    this->Configure(5, {{"k1"}});
+  }
+}
+
 // Guards against dispatching calls to a backend server that announced its departure, and against
 // answering discarded queued calls with anything but a not-run result.
 TEST(RegisterNode, DepartedBackendServerGetsNoMoreCalls) {
@@ -151,16 +233,7 @@
 // Guards against a drain that refuses callers before they can detect it, or that never ends.
 TEST(RegisterNode, DrainServesCallersDuringGracePeriod) {
   this->Configure(3);
-  membership::Member peer;
-  peer.id = "10.0.0.2:1";
-  peer.region = "north";
-  peer.zone = "ondangwa";
-  peer.service = "fleet";
-  peer.slots = 4;
-  peer.incarnation = 1;
-  peer.boot_id = 9;
-  peer.state = membership::MemberState::kReady;
-  this->HandleEvent(directory::StreamReadSucceeded{Stream::kMembers, 1, nullptr, {peer}});
+  this->AddPeer();
   this->HandleEvent(DrainRequested{});
   CHECK_FALSE(this->node->Ready());
   this->AdvanceTime(Seconds(2));
--- a/libs/runtime/src/dialect_gateway.cc
+++ b/libs/runtime/src/dialect_gateway.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "amaranthlatch/utils/hash.h"
+
 namespace amaranthlatch::runtime::details {
 
 namespace {
@@ -35,6 +37,9 @@
   if (answer.code == utils::ErrorCode::kNoRoute) {
     line.Add("host_known", configuration.HasHost(call.host) ? "true" : "false");
   }
+  if (answer.code == utils::ErrorCode::kKeyUnknown && call.key_hash) {
+    line.Add("key_hash", *call.key_hash);
+  }
   return line;
 }
 
@@ -50,6 +55,10 @@
   OpenCall call{this->clock.Now(), std::string(this->dialect.NameOf(content)), content.host,
                 content.target, this->configuration.Status()};
   auto read = this->dialect.ReadCall(request, std::move(content));
+  if (read && !read->key.empty()) {
+    // Too short to find the key by it.
+    call.key_hash = static_cast<std::uint32_t>(utils::Hash64(read->key));
+  }
   this->open.emplace(request, std::move(call));
   if (read) {
     this->received(*read);
--- a/libs/runtime/src/dialect_gateway.h
+++ b/libs/runtime/src/dialect_gateway.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -35,6 +36,8 @@
   std::string target;
   // When the call came.
   directory::ConfigurationStatus configuration;
+  // Short hash of the key of a workspace that the call presented; unset without one.
+  std::optional<std::uint32_t> key_hash = std::nullopt;
 };
 
 // The line of a call that got no answer of a backend server. It tells by which version the call was
--- a/libs/runtime/src/node_metrics.cc
+++ b/libs/runtime/src/node_metrics.cc
@@ -156,6 +156,10 @@
   }
   AppendDirectory(text, metrics.directory, metrics.directory_gauges);
   AppendCalls(text, metrics.calls, metrics.gauges);
+  const node::AuthorizationCounters& authorizations = metrics.authorizations;
+  text.Counter("call_authorizations_total", authorizations.on_public_route, R"(result="public")");
+  text.Counter("call_authorizations_total", authorizations.known, R"(result="known")");
+  text.Counter("call_authorizations_total", authorizations.unknown, R"(result="unknown")");
   AppendTransport(text, metrics.transport, metrics.envelope);
   AppendServer(text, metrics.data_server, R"(address="data")");
   const HttpClientCounters& answers = metrics.backend_client;
--- a/libs/runtime/src/register_host.cc
+++ b/libs/runtime/src/register_host.cc
@@ -269,6 +269,7 @@
     metrics.directory_gauges = this->node->DirectoryGauges();
     metrics.calls = this->node->CallCounters();
     metrics.gauges = this->node->CallGauges();
+    metrics.authorizations = this->node->AuthorizationCounters();
     metrics.envelope = this->envelope->GetCounters();
     metrics.transport = this->transport->Counters();
     metrics.data_server = this->data_server->Counters();
--- a/libs/runtime/src/register_metrics.h
+++ b/libs/runtime/src/register_metrics.h
@@ -9,6 +9,7 @@
 #include "amaranthlatch/calls/counters.h"
 #include "amaranthlatch/directory/directory.h"
 #include "amaranthlatch/node/envelope.h"
+#include "amaranthlatch/node/register_node.h"
 #include "amaranthlatch/runtime/http_client.h"
 #include "amaranthlatch/runtime/http_server.h"
 #include "amaranthlatch/runtime/metrics.h"
@@ -21,6 +22,7 @@
   directory::Gauges directory_gauges;
   calls::Counters calls;
   calls::Gauges gauges;
+  node::AuthorizationCounters authorizations;
   node::Envelope::Counters envelope;
   TransportCounters transport;
   HttpServerCounters data_server;
--- a/libs/runtime/tests/call_log_test.cc
+++ b/libs/runtime/tests/call_log_test.cc
@@ -60,6 +60,15 @@
                        .c_str());
 }
 
+// Guards against lines of refused keys that cannot be told apart, and against hashes of keys that
+// were not the reason.
+TEST(CallLog, RefusedKeyIsNamedByItsHash) {
+  CHECK_FALSE(this->Contains(ErrorCode::kKeyUnknown, "key_hash=7"));
+  this->call.key_hash = 7;
+  CHECK_TRUE(this->Contains(ErrorCode::kKeyUnknown, "key_hash=7"));
+  CHECK_FALSE(this->Contains(ErrorCode::kQueueFull, "key_hash=7"));
+}
+
 // Guards against a node whose failing calls write lines without limit, and against lines that are
 // dropped without a count.
 TEST(CallLog, LinesOfOneSecondAreLimited) {
