--- a/libs/quota/include/amaranthlatch/quota/options.h
+++ b/libs/quota/include/amaranthlatch/quota/options.h
@@ -43,6 +43,8 @@
   // credit. They bound the requests that a holder receives from one node to 50 and 20 a second.
   utils::Duration waiting_request_gap = utils::Milliseconds(20);
   utils::Duration replenishing_request_gap = utils::Milliseconds(50);
+  // A request is repeated after this time while calls wait, which is twice within their limit.
+  utils::Duration repeated_request_interval = utils::Milliseconds(50);
   // Credit may be used for this long after the node made the request. It exceeds the request
   // interval, so that credit of one request lasts until the next one is answered.
   utils::Duration credit_lifetime = utils::Milliseconds(250);
--- a/libs/quota/src/client.h
+++ b/libs/quota/src/client.h
@@ -55,7 +55,7 @@
   void SetLocalHolder(bool is_local) { this->has_local_holder = is_local; }
   // Makes the next request due at this time at the latest.
   void RequestBy(utils::Timestamp time) { this->next_request = std::min(this->next_request, time); }
-  utils::Timestamp NextRequest() const { return this->next_request; }
+  utils::Timestamp NextRequest() const;
 
   // When Poll() is due.
   std::optional<utils::Timestamp> NextWake() const;
--- a/libs/quota/src/client_requests.cc
+++ b/libs/quota/src/client_requests.cc
@@ -57,6 +57,16 @@
   return CreditRequest{this->MakeStamp(to, now), member_count, std::nullopt, {}};
 }
 
+Timestamp Client::NextRequest() const {
+  if (this->waiting_calls.empty()) {
+    return this->next_request;
+  }
+  // The request for calls that wait, or its answer, may have been lost.
+  const Timestamp waiting_since = this->deadlines.front().first - this->options.wait_limit;
+  return std::min(this->next_request, std::max(this->last_request, waiting_since) +
+                                          this->options.repeated_request_interval);
+}
+
 void Client::OnGrant(const NodeId& from, const CreditGrant& grant, Timestamp now) {
   if (!this->AcceptGrant(from, grant, now)) {
     this->counters.grants_rejected += grant.grants.empty() ? 0 : 1;
@@ -133,8 +143,8 @@
   const auto found = std::find_if(
       this->sent.begin(), this->sent.end(),
       [&grant](const SentRequest& request) { return request.time == grant.request.time; });
-  if (grant.request.boot_id != this->options.boot_id || found == this->sent.end() ||
-      found->to != from || grant.part >= found->accepted.size() || found->accepted[grant.part]) {
+  if (found == this->sent.end() || found->to != from || grant.part >= found->accepted.size() ||
+      found->accepted[grant.part]) {
     return false;
   }
   found->accepted.set(grant.part);
--- a/libs/quota/tests/component_test.cc
+++ b/libs/quota/tests/component_test.cc
@@ -185,6 +185,7 @@
     });
   };
   const auto request = [&] {
+    CHECK_FALSE(effects.empty());
     const auto* const sent = std::get_if<SendMessage>(&effects.back());
     CHECK_TRUE(sent != nullptr && sent->to == holder);
     return std::get<CreditRequest>(sent->message).sent;
