Let calls leave their zone in steps, and spread them over the best gates

Cause: each entry sent a call to the single lowest expected cost over all zones. A far gate whose load an entry does not know counts as idle, so that two zones with the same load exchanged calls as soon as both had queues: a third of all calls near capacity. Bytes had no cost beside the fixed one for leaving. Change: candidates are ranked in three groups by distance; CrossingDecision moves the share of a service and route that may leave in steps of 0.1 each 100 ms, and halves it when the far side refuses. Calls that nobody at home answers in time, or whose home servers fail, leave always. Costs per kilobyte of request and usual answer, and the fixed ones, come from four settings (defaults as before).

--- a/libs/calls/include/amaranthlatch/calls/balance_policy.h
+++ b/libs/calls/include/amaranthlatch/calls/balance_policy.h
@@ -6,6 +6,8 @@
 #include <cstdint>
 #include <span>
 
+#include "amaranthlatch/calls/candidate_ranking.h"
+#include "amaranthlatch/calls/options.h"
 #include "amaranthlatch/membership/member.h"
 #include "amaranthlatch/utils/random.h"
 #include "amaranthlatch/utils/time.h"
@@ -15,6 +17,11 @@
 // Locality of a backend server relative to this node.
 enum class Distance : std::uint8_t { kInstance, kZone, kRegion, kOtherRegion };
 
+// The distance group of CandidateRanking.
+inline std::size_t GroupOf(Distance distance) {
+  return distance <= Distance::kZone ? 0 : static_cast<std::size_t>(distance) - 1;
+}
+
 // A backend server with the state that this node has observed or received about it.
 struct Candidate {
   const membership::Member* member = nullptr;
@@ -33,7 +40,8 @@
   // Calls that run before a new one of its priority: the last report plus calls sent since, or
   // this node's own calls in flight if there is no recent report.
   std::uint32_t calls_ahead = 0;
-  // Age of the load report in microseconds; 0 without a recent one.
+  // Whether there is a recent load report, and its age in microseconds.
+  bool has_report = false;
   double report_age_us = 0.0;
   // Time in microseconds that a new call of this priority waits for a slot, as last reported.
   double reported_wait_us = 0.0;
@@ -43,6 +51,20 @@
   Distance distance = Distance::kZone;
 };
 
+// Whether a call with this expected wait would end after `budget`. One that finds a free slot is
+// sent even if it takes too long: no other server of its kind would answer it earlier.
+bool IsLate(const Candidate& candidate, utils::Duration wait, utils::Duration budget);
+
+// What a call brings with it, wherever it goes.
+struct CallProfile {
+  // Kilobytes (1,000 bytes) of the request and the expected answer.
+  double kilobytes = 0.0;
+  // Weight of the costs per kilobyte, in (0, 1].
+  double byte_weight = 1.0;
+  // Time in which the answer is due.
+  utils::Duration budget = utils::Duration::max();
+};
+
 class BalancePolicy {
  public:
   virtual ~BalancePolicy() = default;
@@ -54,6 +76,12 @@
   // zero if the policy has no estimate.
   virtual utils::Duration ExpectedWait(const Candidate& /*candidate*/) const { return {}; }
 
+  // Ranks the candidates by distance group. Only for policies that account for distance.
+  virtual CandidateRanking Rank(std::span<const Candidate> /*candidates*/,
+                                const CallProfile& /*profile*/, utils::Random& /*random*/) const {
+    return {};
+  }
+
   // Returns the index of the chosen candidate. `candidates` must not be empty.
   virtual std::size_t Choose(std::span<const Candidate> candidates, utils::Random& random) = 0;
 };
@@ -64,8 +92,8 @@
   std::size_t Choose(std::span<const Candidate> candidates, utils::Random& random) override;
 };
 
-// Chooses the lowest expected cost in time. Leaving the instance, the zone or the region adds a
-// fixed cost, so a call leaves them only if the wait there exceeds the cost of the transfer.
+// Chooses one of the lowest expected costs in time. Leaving the instance, the zone or the region
+// adds a cost, so a call leaves them only if the wait there exceeds the cost of the transfer.
 class ExpectedTimePolicy : public BalancePolicy {
  public:
   struct Costs {
@@ -75,18 +103,26 @@
     // Added instead for a candidate in another zone or region.
     utils::Duration cross_zone = utils::Milliseconds(30);
     utils::Duration cross_region = utils::Milliseconds(150);
+    // Added besides for each kilobyte of the request and the expected answer.
+    utils::Duration cross_zone_per_kb{};
+    utils::Duration cross_region_per_kb{};
     // Added for each recent failure of the candidate.
     utils::Duration failure = utils::Milliseconds(150);
   };
 
+  // The default costs but for those of crossing.
+  static Costs CostsOf(const CrossingOptions& options);
+
   explicit ExpectedTimePolicy(const Costs& costs) : costs(costs) {}
 
   bool WeighsDistance() const override { return true; }
   utils::Duration ExpectedWait(const Candidate& candidate) const override;
+  CandidateRanking Rank(std::span<const Candidate> candidates, const CallProfile& profile,
+                        utils::Random& random) const override;
   std::size_t Choose(std::span<const Candidate> candidates, utils::Random& random) override;
 
  private:
-  double ExpectedCostUs(const Candidate& candidate) const;
+  double CrossingCostUs(Distance distance, const CallProfile& profile) const;
 
   const Costs costs;
 };
--- a/libs/calls/include/amaranthlatch/calls/options.h
+++ b/libs/calls/include/amaranthlatch/calls/options.h
@@ -102,6 +102,15 @@
   std::uint32_t capacity = 20'000;
 };
 
+// What it costs to leave the zone, expressed as time: a call leaves it if that saves more.
+struct CrossingOptions {
+  utils::Duration zone = utils::Milliseconds(30);
+  utils::Duration region = utils::Milliseconds(150);
+  // For each kilobyte (1,000 bytes) of the request and the expected answer.
+  utils::Duration zone_per_kb{};
+  utils::Duration region_per_kb{};
+};
+
 struct Options {
   std::uint64_t seed = 1;
   // Shared by all nodes of the mesh and derived from its secret.
@@ -111,6 +120,8 @@
   PermitOptions permit;
   QuarantineOptions quarantine;
   BalanceOptions balance;
+  // For policies that account for distance.
+  CrossingOptions crossing;
 };
 
 }  // namespace amaranthlatch::calls
--- a/libs/calls/src/balance_policy.cc
+++ b/libs/calls/src/balance_policy.cc
@@ -3,6 +3,7 @@
 #include "amaranthlatch/calls/balance_policy.h"
 
 #include <algorithm>
+#include <array>
 
 namespace amaranthlatch::calls {
 
@@ -20,6 +21,8 @@
 // Share of a reported wait by which it is taken to have shrunk at most since the report.
 constexpr double kMaxDrainedShare = 0.5;
 
+constexpr std::size_t kDistances = 4;
+
 double RelativeCost(const Candidate& candidate) {
   const double latency = candidate.latency_us > 0.0 ? candidate.latency_us : kDefaultLatencyUs;
   const double load = std::max(candidate.in_flight, candidate.reported_load) + 1.0;
@@ -29,6 +32,13 @@
 }
 }  // namespace
 
+bool IsLate(const Candidate& candidate, utils::Duration wait, utils::Duration budget) {
+  const bool is_full = candidate.calls_ahead >= candidate.member->slots;
+  const utils::Duration service_time(
+      static_cast<utils::Duration::rep>(is_full ? candidate.service_time_us : 0.0));
+  return wait > budget || service_time > budget - wait;
+}
+
 std::size_t PowerOfTwoPolicy::Choose(std::span<const Candidate> candidates, utils::Random& random) {
   if (candidates.size() == 1) {
     return 0;
@@ -47,6 +57,15 @@
   return RelativeCost(candidates[second]) < RelativeCost(candidates[first]) ? second : first;
 }
 
+ExpectedTimePolicy::Costs ExpectedTimePolicy::CostsOf(const CrossingOptions& options) {
+  Costs costs;
+  costs.cross_zone = options.zone;
+  costs.cross_region = options.region;
+  costs.cross_zone_per_kb = options.zone_per_kb;
+  costs.cross_region_per_kb = options.region_per_kb;
+  return costs;
+}
+
 utils::Duration ExpectedTimePolicy::ExpectedWait(const Candidate& candidate) const {
   // The latency contains waits, so that it overestimates the wait of a call that overtakes others.
   double service_time = candidate.service_time_us;
@@ -68,35 +87,62 @@
   return utils::Duration(static_cast<utils::Duration::rep>(wait));
 }
 
-double ExpectedTimePolicy::ExpectedCostUs(const Candidate& candidate) const {
-  const auto count = [](utils::Duration duration) { return static_cast<double>(duration.count()); };
-  double expected =
-      count(this->ExpectedWait(candidate)) + candidate.failure_score * count(this->costs.failure);
-  if (candidate.distance == Distance::kZone) {
-    expected += count(this->costs.cross_instance);
-  } else if (candidate.distance == Distance::kRegion) {
-    expected += count(this->costs.cross_zone);
-  } else if (candidate.distance == Distance::kOtherRegion) {
-    expected += count(this->costs.cross_region);
+double ExpectedTimePolicy::CrossingCostUs(Distance distance, const CallProfile& profile) const {
+  const auto cost = [&profile](utils::Duration fixed, utils::Duration per_kilobyte) {
+    return static_cast<double>(fixed.count()) +
+           static_cast<double>(per_kilobyte.count()) * profile.kilobytes * profile.byte_weight;
+  };
+  switch (distance) {
+    case Distance::kInstance:
+      return 0.0;
+    case Distance::kZone:
+      return cost(this->costs.cross_instance, {});
+    case Distance::kRegion:
+      return cost(this->costs.cross_zone, this->costs.cross_zone_per_kb);
+    default:
+      return cost(this->costs.cross_region, this->costs.cross_region_per_kb);
   }
-  return expected;
 }
 
-std::size_t ExpectedTimePolicy::Choose(std::span<const Candidate> candidates,
-                                       utils::Random& random) {
+CandidateRanking ExpectedTimePolicy::Rank(std::span<const Candidate> candidates,
+                                          const CallProfile& profile, utils::Random& random) const {
+  std::array<double, kDistances> crossing_us{};
+  for (std::size_t i = 0; i < kDistances; ++i) {
+    crossing_us.at(i) = this->CrossingCostUs(static_cast<Distance>(i), profile);
+  }
+  const auto failure_cost_us = static_cast<double>(this->costs.failure.count());
+  CandidateRanking ranking;
+  const auto add = [&](std::size_t index) {
+    const Candidate& candidate = candidates[index];
+    const utils::Duration wait = this->ExpectedWait(candidate);
+    RankedCandidate ranked;
+    ranked.index = index;
+    ranked.crossing_us = crossing_us.at(static_cast<std::size_t>(candidate.distance));
+    ranked.failure_us = candidate.failure_score * failure_cost_us;
+    ranked.cost_us = static_cast<double>(wait.count()) + ranked.crossing_us + ranked.failure_us;
+    ranked.step_us =
+        candidate.service_time_us / std::max<std::uint32_t>(1, candidate.member->slots);
+    ranked.is_own_instance = candidate.distance == Distance::kInstance;
+    ranked.is_late = IsLate(candidate, wait, profile.budget);
+    ranked.has_free_slot = candidate.calls_ahead < candidate.member->slots;
+    ranked.has_report = candidate.has_report;
+    ranking.Add(GroupOf(candidate.distance), ranked);
+  };
   // A random start spreads calls over equal candidates, as in an idle zone.
   const std::size_t first = random.Uniform(candidates.size());
-  std::size_t best = first;
-  double best_us = this->ExpectedCostUs(candidates[first]);
-  for (std::size_t i = 1; i < candidates.size(); ++i) {
-    const std::size_t index = (first + i) % candidates.size();
-    const double expected = this->ExpectedCostUs(candidates[index]);
-    if (expected < best_us) {
-      best = index;
-      best_us = expected;
-    }
+  for (std::size_t i = first; i < candidates.size(); ++i) {
+    add(i);
+  }
+  for (std::size_t i = 0; i < first; ++i) {
+    add(i);
   }
-  return best;
+  return ranking;
+}
+
+std::size_t ExpectedTimePolicy::Choose(std::span<const Candidate> candidates,
+                                       utils::Random& random) {
+  const CandidateRanking ranking = this->Rank(candidates, CallProfile{}, random);
+  return ranking.Draw(ranking.BestGroup(), random);
 }
 
 std::size_t RandomPolicy::Choose(std::span<const Candidate> candidates, utils::Random& random) {
--- a/libs/calls/src/balancer.cc
+++ b/libs/calls/src/balancer.cc
@@ -19,6 +19,11 @@
 
 constexpr double kMinSlowStartFactor = 0.1;
 constexpr double kPercent = 100.0;
+constexpr double kBytesPerKilobyte = 1'000.0;
+// Target latency from which on bytes weigh in full, and the least weights.
+constexpr utils::Duration kFullWeightTarget = utils::Milliseconds(500);
+constexpr double kMinByteWeight = 0.25;
+constexpr double kInternalByteWeight = 0.5;
 
 bool HasLabels(const Member& member, const document::Labels& labels) {
   return std::all_of(labels.begin(), labels.end(), [&member](const auto& label) {
@@ -53,20 +58,25 @@
   return member.id == self.id ? Distance::kInstance : Distance::kZone;
 }
 
+// Calls that others wait for, and calls with little time, weigh waiting more than bytes.
+double ByteWeight(document::Priority priority, utils::Duration target_latency) {
+  const double weight = target_latency.count() == 0
+                            ? 1.0
+                            : static_cast<double>(target_latency.count()) /
+                                  static_cast<double>(kFullWeightTarget.count());
+  return std::clamp(weight, kMinByteWeight, 1.0) *
+         (priority == document::Priority::kInternal ? kInternalByteWeight : 1.0);
+}
+
+CrossingDecision::Key CrossingKey(const std::string& service, RouteKey route) {
+  return utils::CombineHash(utils::Hash64(service), route);
+}
+
 // Remaining weight of an observation of this age.
 double Decay(utils::Duration age, utils::Duration half_life) {
   return std::exp2(-static_cast<double>(age.count()) / static_cast<double>(half_life.count()));
 }
 
-// Whether a call with this expected wait would end after `budget`. One that finds a free slot is
-// sent even if it takes too long: no other server of its kind would answer it earlier.
-bool IsLate(const Candidate& candidate, utils::Duration wait, utils::Duration budget) {
-  const bool is_full = candidate.calls_ahead >= candidate.member->slots;
-  const utils::Duration service_time(
-      static_cast<utils::Duration::rep>(is_full ? candidate.service_time_us : 0.0));
-  return wait > budget || service_time > budget - wait;
-}
-
 double Utilization(const std::vector<Candidate>& level) {
   double used = 0.0;
   double slots = 0.0;
@@ -84,7 +94,7 @@
 
 const Member* Balancer::Choose(const Context& context, const document::Route& route,
                                const std::vector<NodeId>& tried, std::optional<std::size_t>& target,
-                               utils::Duration max_wait) {
+                               utils::Duration max_wait, std::uint64_t request_bytes) {
   this->overloaded = false;
   if (!target) {
     target = this->DrawTarget(route);
@@ -94,15 +104,15 @@
   }
   // If a target has no ready backend server, its share goes to the next one unless the split is
   // strict.
-  const Demand demand{route.priority, RouteKeyOf(route)};
+  const Demand demand{route.priority, RouteKeyOf(route), route.target_latency,
+                      max_wait,       request_bytes,     !tried.empty()};
   const std::size_t count = route.strict_split ? 1 : route.split.size();
   for (std::size_t i = 0; i < count; ++i) {
     const std::size_t index = (*target + i) % route.split.size();
     if (route.split[index].weight == 0) {
       continue;
     }
-    if (const Member* member =
-            this->ChooseTarget(context, route.split[index], demand, tried, max_wait)) {
+    if (const Member* member = this->ChooseTarget(context, route.split[index], demand, tried)) {
       target = index;
       return member;
     }
@@ -128,8 +138,7 @@
 }
 
 const Member* Balancer::ChooseTarget(const Context& context, const document::SplitTarget& target,
-                                     const Demand& demand, const std::vector<NodeId>& tried,
-                                     utils::Duration max_wait) {
+                                     const Demand& demand, const std::vector<NodeId>& tried) {
   const auto document = context.routes.Find(target.service);
   if (!document) {
     return nullptr;
@@ -143,22 +152,42 @@
     return nullptr;
   }
   const std::vector<Candidate>& level = this->levels[this->ChooseLevel(document->locality)];
-  const Candidate& chosen = level[this->policy->Choose(level, this->shared.random)];
+  const Candidate& chosen =
+      level[this->policy->WeighsDistance()
+                ? this->ChooseByCost(target.service, demand, level, context.now)
+                : this->policy->Choose(level, this->shared.random)];
   this->expected_wait = this->policy->ExpectedWait(chosen);
-  if (IsLate(chosen, this->expected_wait, max_wait)) {
+  if (IsLate(chosen, this->expected_wait, demand.budget)) {
     this->overloaded = true;
     return nullptr;
   }
   return chosen.member;
 }
 
+std::size_t Balancer::ChooseByCost(const std::string& service, const Demand& demand,
+                                   const std::vector<Candidate>& candidates, utils::Timestamp now) {
+  CallProfile profile;
+  profile.kilobytes = (static_cast<double>(demand.request_bytes) +
+                       this->FindAverages(service, demand.route).answer_bytes) /
+                      kBytesPerKilobyte;
+  profile.byte_weight = ByteWeight(demand.priority, demand.target_latency);
+  profile.budget = demand.budget;
+  const CandidateRanking ranking = this->policy->Rank(candidates, profile, this->shared.random);
+  // A call that was refused once may go wherever it is served best.
+  const std::size_t group = demand.is_repeated
+                                ? ranking.BestGroup()
+                                : this->crossing.Choose(CrossingKey(service, demand.route), ranking,
+                                                        now, this->shared.random);
+  return ranking.Draw(group, this->shared.random);
+}
+
 utils::Duration Balancer::ExpectedWait(const Context& context, const NodeId& gate,
                                        const document::Route& route) {
   const Member* member = context.members.Find(gate);
   if (member == nullptr) {
     return {};
   }
-  const Demand demand{route.priority, RouteKeyOf(route)};
+  const Demand demand{route.priority, RouteKeyOf(route), route.target_latency, {}, 0, false};
   return this->policy->ExpectedWait(
       this->MakeCandidate(*member, this->GetPeer(gate), {}, demand,
                           this->FindAverages(member->service, demand.route), context.now));
@@ -242,14 +271,16 @@
   Candidate candidate;
   candidate.member = &member;
   candidate.in_flight = peer.in_flight;
-  // The latency decays, so that a backend server that was slow is eventually tried again.
-  candidate.latency_us = static_cast<double>(peer.latencies.Mean(demand.route).count()) *
-                         Decay(now - peer.latency_at, options.latency_half_life);
   // A server that has not answered yet counts as an average one. Without this, the first calls all
   // went to servers whose time was taken for shorter than that of known ones.
   const auto service_time = peer.service_times.Find(demand.route);
   candidate.service_time_us =
       service_time ? static_cast<double>(service_time->count()) : averages.service_time_us;
+  if (candidate.service_time_us == 0.0 || !this->policy->WeighsDistance()) {
+    // The latency decays, so that a backend server that was slow is eventually tried again.
+    candidate.latency_us = static_cast<double>(peer.latencies.Mean(demand.route).count()) *
+                           Decay(now - peer.latency_at, options.latency_half_life);
+  }
   candidate.failure_score = this->DecayedFailureScore(peer, now);
   if (peer.awaiting_reply && now - peer.awaiting_since > options.silence_interval) {
     candidate.failure_score +=
@@ -267,6 +298,7 @@
           utils::Milliseconds(wait_ms.at(static_cast<std::size_t>(demand.priority)));
       return static_cast<double>(wait.count());
     };
+    candidate.has_report = true;
     candidate.report_age_us = static_cast<double>((now - peer.load_at).count());
     candidate.reported_wait_us = reported_us(peer.load.wait_ms);
     // The transport sends small answers ahead of bulk.
@@ -351,6 +383,15 @@
   }
 }
 
+void Balancer::OnRefused(const Context& context, const NodeId& gate, const std::string& service,
+                         RouteKey route) {
+  const Member* member = context.members.Find(gate);
+  if (member != nullptr) {
+    this->crossing.OnRefused(CrossingKey(service, route),
+                             GroupOf(DistanceOf(context.members.Self(), *member)), context.now);
+  }
+}
+
 AttemptOutcome Balancer::OutcomeOf(const NodeId& gate, document::Priority priority,
                                    utils::ErrorCode code) {
   // A policy that weighs waits knows the load by the gate's report. Counted as failures, refusals
--- a/libs/calls/src/balancer.h
+++ b/libs/calls/src/balancer.h
@@ -12,6 +12,7 @@
 
 #include "amaranthlatch/calls/balance_policy.h"
 #include "context.h"
+#include "crossing_decision.h"
 #include "service_statistics.h"
 #include "service_times.h"
 
@@ -34,12 +35,13 @@
 
   // Returns a ready member of the route's split, or null if there is none. Members in `tried` are
   // used only if no others are ready. `target` is the index of the split target: drawn by weight if
-  // empty, and reused for further attempts. Returns null if the expected queueing time at the
-  // chosen member exceeds `max_wait`.
+  // empty, and reused for further attempts. Returns null if the call would be answered later than
+  // after `max_wait` by the chosen member.
   const membership::Member* Choose(const Context& context, const document::Route& route,
                                    const std::vector<membership::NodeId>& tried,
                                    std::optional<std::size_t>& target,
-                                   utils::Duration max_wait = utils::Duration::max());
+                                   utils::Duration max_wait = utils::Duration::max(),
+                                   std::uint64_t request_bytes = 0);
   // Whether the last Choose() rejected a member because of `max_wait`.
   bool WasOverloaded() const { return this->overloaded; }
   // Expected wait at the best member that the last Choose() found, rejected or not.
@@ -55,6 +57,9 @@
   // `latency` counts only if the attempt was answered.
   void OnEnded(const membership::NodeId& gate, RouteKey route, AttemptOutcome outcome,
                utils::Duration latency, utils::Timestamp now);
+  // The gate refused a call of the service and route because of its load.
+  void OnRefused(const Context& context, const membership::NodeId& gate, const std::string& service,
+                 RouteKey route);
   // The outcome of an attempt of this priority that the gate refused with this code.
   AttemptOutcome OutcomeOf(const membership::NodeId& gate, document::Priority priority,
                            utils::ErrorCode code);
@@ -105,6 +110,12 @@
   struct Demand {
     document::Priority priority = document::Priority::kNormal;
     RouteKey route = 0;
+    utils::Duration target_latency{};
+    // Time in which the answer is due.
+    utils::Duration budget = utils::Duration::max();
+    std::uint64_t request_bytes = 0;
+    // Whether the call was sent to another gate before.
+    bool is_repeated = false;
   };
   // Averages over all backend servers of the service for the route of a choice; 0 where unknown.
   struct RouteAveragesOfService {
@@ -114,8 +125,10 @@
 
   const membership::Member* ChooseTarget(const Context& context,
                                          const document::SplitTarget& target, const Demand& demand,
-                                         const std::vector<membership::NodeId>& tried,
-                                         utils::Duration max_wait);
+                                         const std::vector<membership::NodeId>& tried);
+  // Returns an index into `candidates`, for policies that account for distance.
+  std::size_t ChooseByCost(const std::string& service, const Demand& demand,
+                           const std::vector<Candidate>& candidates, utils::Timestamp now);
   // Fills `levels`; returns false if there is no candidate.
   bool Collect(const Context& context, const document::ServiceDocument& document,
                const document::VersionSelector& selector, const Demand& demand,
@@ -137,6 +150,7 @@
   std::unique_ptr<BalancePolicy> policy;
   std::unordered_map<membership::NodeId, Peer> peers;
   ServiceStatistics statistics;
+  CrossingDecision crossing;
   // Members to reuse their memory. The candidates point into `service_members`.
   Levels levels;
   membership::MemberList service_members;
--- /dev/null
+++ b/libs/calls/src/crossing_decision.cc
@@ -0,0 +1,117 @@
+// Additive steps of the share, and halving at refusals.
+
+#include "crossing_decision.h"
+
+#include <algorithm>
+
+namespace amaranthlatch::calls::details {
+
+namespace {
+constexpr std::size_t kMaxStates = 1'024;
+constexpr utils::Duration kStepInterval = utils::Milliseconds(100);
+constexpr double kStep = 0.1;
+// The share rises if more than this part of the calls is better served there, and falls if less
+// than the lower part is. Between them it stays.
+constexpr double kRisingPart = 0.5;
+constexpr double kFallingPart = 0.25;
+// Share while the load there is not known: the calls find out.
+constexpr double kProbeShare = 0.1;
+constexpr double kRefusalFactor = 0.5;
+// Time after a refusal in which the share takes no step.
+constexpr utils::Duration kRefusalPause = utils::Milliseconds(500);
+// The share falls by a step for each such interval without a call.
+constexpr utils::Duration kForgetInterval = utils::Seconds(1);
+
+// Whether the far candidate serves the call better. One without a free slot must be better by twice
+// the cost of crossing, or zones that both have queues would exchange calls.
+bool Gains(const RankedCandidate& near, const RankedCandidate& far) {
+  const double gain_us = near.cost_us - far.cost_us;
+  return gain_us > (far.has_free_slot ? 0.0 : far.crossing_us);
+}
+
+// Whether the near candidate is worse only because of its failures: those are no load that a share
+// of the calls would relieve.
+bool IsFailing(const RankedCandidate& near, const RankedCandidate& far) {
+  return near.failure_us > 0.0 && near.cost_us - near.failure_us <= far.cost_us;
+}
+}  // namespace
+
+std::size_t CrossingDecision::Choose(Key key, const CandidateRanking& ranking, utils::Timestamp now,
+                                     utils::Random& random) {
+  std::size_t near = 0;
+  while (ranking.IsEmpty(near)) {
+    ++near;
+  }
+  const RankedCandidate& home = ranking.Best(near);
+  const std::size_t best = ranking.BestGroup();
+  if (best != near &&
+      (home.is_late != ranking.Best(best).is_late || IsFailing(home, ranking.Best(best)))) {
+    // Refusing the call at home would be worse than any crossing.
+    return best;
+  }
+  auto found = this->states.find(key);
+  if (found == this->states.end()) {
+    if (best == near) {
+      return near;
+    }
+    if (this->states.size() >= kMaxStates) {
+      this->states.clear();
+    }
+    Levels levels{};
+    for (Level& level : levels) {
+      level.share = kProbeShare;
+      level.step_at = now;
+    }
+    found = this->states.emplace(key, levels).first;
+  }
+  bool is_used = false;
+  std::size_t chosen = near;
+  for (std::size_t i = near + 1; i < kDistanceGroups; ++i) {
+    Level& level = found->second.at(i);
+    const bool gains = !ranking.IsEmpty(i) && Gains(home, ranking.Best(i));
+    ++level.calls;
+    level.gains += gains ? 1 : 0;
+    Step(level, now);
+    is_used = is_used || level.share > 0.0;
+    if (gains && chosen == near) {
+      const double share =
+          ranking.Best(i).has_report ? level.share : std::min(level.share, kProbeShare);
+      chosen = random.Bernoulli(share) ? i : near;
+    }
+  }
+  if (!is_used) {
+    this->states.erase(found);
+  }
+  return chosen;
+}
+
+void CrossingDecision::Step(Level& level, utils::Timestamp now) {
+  const utils::Duration since = now - level.step_at;
+  if (since < kStepInterval) {
+    return;
+  }
+  const double part = static_cast<double>(level.gains) / level.calls;
+  double change = part > kRisingPart ? kStep : part < kFallingPart ? -kStep : 0.0;
+  // Time without calls says nothing, so that what was learned before it counts less.
+  change -= kStep * static_cast<double>(since / kForgetInterval);
+  level.share = std::clamp(level.share + change, 0.0, 1.0);
+  level.step_at = now;
+  level.calls = 0;
+  level.gains = 0;
+}
+
+void CrossingDecision::OnRefused(Key key, std::size_t group, utils::Timestamp now) {
+  const auto found = this->states.find(key);
+  if (found != this->states.end()) {
+    Level& level = found->second.at(group);
+    level.share *= kRefusalFactor;
+    level.step_at = now + kRefusalPause;
+  }
+}
+
+double CrossingDecision::Share(Key key, std::size_t group) const {
+  const auto found = this->states.find(key);
+  return found == this->states.end() ? 0.0 : found->second.at(group).share;
+}
+
+}  // namespace amaranthlatch::calls::details
--- a/libs/calls/src/entry.cc
+++ b/libs/calls/src/entry.cc
@@ -39,6 +39,11 @@
 }
 }  // namespace
 
+const std::string& TargetServiceOf(const OpenCall& call) {
+  const document::RouteMatch& match = *call.match;
+  return call.target ? match.route->split[*call.target].service : match.document->service;
+}
+
 RouteKey RouteKeyOf(const OpenCall& call) {
   return call.match ? RouteKeyOf(*call.match->route) : RouteKey{0};
 }
@@ -173,7 +178,8 @@
   const Duration latency_budget =
       std::max(std::min(call.latency_deadline, call.deadline) - context.now, kMinLatencyBudget);
   return this->balancer.Choose(context, *call.match->route, tried, call.target,
-                               call.moving ? MoveBudget(call, latency_budget) : latency_budget);
+                               call.moving ? MoveBudget(call, latency_budget) : latency_budget,
+                               call.request_bytes);
 }
 
 Duration Entry::AttemptTimeout(const Context& context, const OpenCall& call) const {
@@ -268,10 +274,7 @@
     this->balancer.OnEnded(attempt->gate, RouteKeyOf(*call), AttemptOutcome::kAnswered,
                            context.now - attempt->sent, context.now);
     if (call->match) {
-      const document::RouteMatch& match = *call->match;
-      const std::string& service =
-          call->target ? match.route->split[*call->target].service : match.document->service;
-      this->balancer.OnAnswer(attempt->gate, service, RouteKeyOf(*call),
+      this->balancer.OnAnswer(attempt->gate, TargetServiceOf(*call), RouteKeyOf(*call),
                               BackendTimeOf(answer.response), answer.response.body.size());
     }
     attempt->stage = AttemptStage::kUnknown;
--- a/libs/calls/src/entry.h
+++ b/libs/calls/src/entry.h
@@ -84,6 +84,9 @@
 // Longest expected wait at a gate to which the call moves, if an answer is due within `budget`.
 utils::Duration MoveBudget(const OpenCall& call, utils::Duration budget);
 
+// Service to which the split of the route sends the call, which must have a route.
+const std::string& TargetServiceOf(const OpenCall& call);
+
 // Key of the route of the call in ServiceTimes; 0 without a route.
 RouteKey RouteKeyOf(const OpenCall& call);
 
--- a/libs/calls/src/entry_retry.cc
+++ b/libs/calls/src/entry_retry.cc
@@ -162,9 +162,11 @@
       stage == AttemptStage::kUnknown || failure.code == ErrorCode::kBackendShed;
   const document::Priority priority =
       call.match ? call.match->route->priority : document::Priority::kNormal;
-  this->balancer.OnEnded(attempt.gate, RouteKeyOf(call),
-                         this->balancer.OutcomeOf(attempt.gate, priority, failure.code), {},
-                         context.now);
+  const AttemptOutcome outcome = this->balancer.OutcomeOf(attempt.gate, priority, failure.code);
+  this->balancer.OnEnded(attempt.gate, RouteKeyOf(call), outcome, {}, context.now);
+  if (call.match && outcome == AttemptOutcome::kBusy) {
+    this->balancer.OnRefused(context, attempt.gate, TargetServiceOf(call), RouteKeyOf(call));
+  }
   // Once the deadline has passed, the caller gets kDeadlineExceeded whatever an attempt returns.
   if (!call.closing_until) {
     call.failure = failure;
--- a/libs/node/src/register_node.cc
+++ b/libs/node/src/register_node.cc
@@ -252,8 +252,9 @@
   }
   calls::Options calls_options = options.calls;
   calls_options.permit_key = DeriveKey(options.secret, KeyPurpose::kPermit);
-  auto calls = calls::Calls::Create(calls_options, std::make_unique<calls::ExpectedTimePolicy>(
-                                                       calls::ExpectedTimePolicy::Costs{}));
+  auto calls = calls::Calls::Create(
+      calls_options, std::make_unique<calls::ExpectedTimePolicy>(
+                         calls::ExpectedTimePolicy::CostsOf(calls_options.crossing)));
   if (!calls) {
     return tl::unexpected(calls.error());
   }
--- a/libs/runtime/include/amaranthlatch/runtime/register_settings.h
+++ b/libs/runtime/include/amaranthlatch/runtime/register_settings.h
@@ -43,6 +43,11 @@
   std::size_t max_body_bytes = 0;
   // Of the process; never more than the machine has.
   std::uint64_t memory_limit_bytes = 0;
+  // What leaving the zone or the region costs a call, and each kilobyte of it, expressed as time.
+  utils::Duration crossing_zone{};
+  utils::Duration crossing_region{};
+  utils::Duration crossing_zone_per_kb{};
+  utils::Duration crossing_region_per_kb{};
 
   bool operator==(const RegisterSettings&) const = default;
 };
--- a/libs/runtime/src/register_options.cc
+++ b/libs/runtime/src/register_options.cc
@@ -98,6 +98,8 @@
   calls.gate.max_tracked_attempts = kMemoryCapacity;
   calls.gate.refusal_filter_bits = kRefusalFilterBits;
   calls.gate.transport_may_duplicate = kTransportRepeats;
+  calls.crossing = {settings.crossing_zone, settings.crossing_region, settings.crossing_zone_per_kb,
+                    settings.crossing_region_per_kb};
   return options;
 }
 
--- a/libs/runtime/src/register_settings.cc
+++ b/libs/runtime/src/register_settings.cc
@@ -18,6 +18,8 @@
 constexpr std::int64_t kMaxMemoryBytes = 1'000'000'000'000;
 constexpr std::int64_t kMinShutdownMs = 1000;
 constexpr std::int64_t kMaxShutdownMs = 600'000;
+constexpr std::int64_t kMaxCrossingMs = 60'000;
+constexpr double kMicrosecondsPerMillisecond = 1'000.0;
 
 SettingSpec Address(std::string_view key) {
   return {key, SettingType::kAddress, "ip:port", "", true, 0, 0, {}};
@@ -27,6 +29,10 @@
   return {key, SettingType::kName, "name", "", true, 1, kMaxNameLength, {}};
 }
 
+SettingSpec Crossing(std::string_view key, std::string_view fallback) {
+  return {key, SettingType::kNumber, "ms", fallback, false, 0, kMaxCrossingMs, {}};
+}
+
 std::vector<SettingSpec> MakeTable() {
   return {
       Address("node_address"),
@@ -77,6 +83,10 @@
        kMinMemoryBytes,
        kMaxMemoryBytes,
        {}},
+      Crossing("crossing_zone_ms", "30"),
+      Crossing("crossing_region_ms", "150"),
+      Crossing("crossing_zone_ms_per_kb", "0"),
+      Crossing("crossing_region_ms_per_kb", "0"),
   };
 }
 
@@ -114,6 +124,14 @@
   settings.max_header_bytes = (*object)["max_header_bytes"].get<std::size_t>();
   settings.max_body_bytes = (*object)["max_body_bytes"].get<std::size_t>();
   settings.memory_limit_bytes = (*object)["memory_limit_bytes"].get<std::uint64_t>();
+  const auto milliseconds = [&object](const char* key) {
+    return utils::Duration(static_cast<utils::Duration::rep>((*object)[key].get<double>() *
+                                                             kMicrosecondsPerMillisecond));
+  };
+  settings.crossing_zone = milliseconds("crossing_zone_ms");
+  settings.crossing_region = milliseconds("crossing_region_ms");
+  settings.crossing_zone_per_kb = milliseconds("crossing_zone_ms_per_kb");
+  settings.crossing_region_per_kb = milliseconds("crossing_region_ms_per_kb");
   return settings;
 }
 
--- a/libs/runtime/tests/register_settings_test.cc
+++ b/libs/runtime/tests/register_settings_test.cc
@@ -48,11 +48,15 @@
   object["shutdown_limit"] = "6.5s";
   object["retry_ratio"] = 0.2;
   object["retry_slack"] = 56;
+  object["crossing_zone_ms_per_kb"] = 0.25;
   const auto settings = ParseRegisterSettings(object.dump());
   CHECK_TRUE(settings.has_value());
   CHECK_TRUE(settings->shutdown_limit == utils::Milliseconds(6500));
   DOUBLES_EQUAL(0.2, settings->retry_ratio, 1e-9);
   DOUBLES_EQUAL(56.0, settings->retry_slack, 1e-9);
+  CHECK_TRUE(settings->crossing_zone == utils::Milliseconds(30));
+  CHECK_TRUE(settings->crossing_region == utils::Milliseconds(150));
+  CHECK_TRUE(settings->crossing_zone_per_kb == utils::Duration(250));
   object["shutdown_limit"] = "2500ms";
   CHECK_TRUE(ParseRegisterSettings(object.dump())->shutdown_limit == utils::Milliseconds(2500));
 }
