Keep the last free slot for nested calls while they come

Cause: a nested call holds a slot of its caller, and waits at a server whose slots long calls of lower classes have taken. Change: while calls of class internal came in the last 2 s, a gate with 4 slots or more keeps its last free slot from other classes, unless one slot in eight runs such calls already. Its load report counts the slot as taken for the other classes.

--- a/libs/calls/src/gate.cc
+++ b/libs/calls/src/gate.cc
@@ -124,7 +124,14 @@
     code = ErrorCode::kDeadlineExceeded;
   }
   this->UpdateSlots(context);
-  const bool has_slot = this->queue.Size() == 0 && this->runs.size() < this->limit.Get();
+  const bool is_internal = call.request.priority == document::Priority::kInternal;
+  if (is_internal) {
+    this->internal_at = context.now;
+  }
+  const std::size_t ahead =
+      is_internal ? this->queue.Size(document::Priority::kInternal) : this->queue.Size();
+  const bool has_slot = ahead == 0 && this->runs.size() < this->limit.Get() &&
+                        !this->KeepsLastSlot(call.request.priority, context.now);
   if (code == ErrorCode::kOk) {
     code = this->CheckExpectedTime(context, call, has_slot);
   }
@@ -240,6 +247,10 @@
   }
   this->UpdateSlots(context);
   while (this->runs.size() < this->limit.Get()) {
+    if (this->queue.Size(document::Priority::kInternal) == 0 &&
+        this->KeepsLastSlot(document::Priority::kBatch, context.now)) {
+      return;
+    }
     std::optional<AdmittedCall> call = this->queue.Pop();
     if (!call) {
       return;
--- a/libs/calls/src/gate.h
+++ b/libs/calls/src/gate.h
@@ -93,6 +93,8 @@
   utils::Duration ExpectedWait(const Context& context, const AdmittedCall& call) const;
   // Work of the queued calls that are dequeued before a new one of this class and deadline.
   utils::Duration WorkAhead(document::Priority priority, utils::Timestamp latency_deadline) const;
+  // Whether the last free slot is kept from calls of this class for one of class internal.
+  bool KeepsLastSlot(document::Priority priority, utils::Timestamp now) const;
   // Time until a slot is free for a call of this class with this work ahead of it.
   utils::Duration WaitBehind(utils::Duration work, document::Priority priority,
                              utils::Timestamp now) const;
@@ -147,6 +149,8 @@
   bool open = false;
   bool draining = false;
   utils::Timestamp next_review{};
+  // When the last call of class internal came.
+  std::optional<utils::Timestamp> internal_at;
 
   std::uint64_t last_run_id = 0;
   // Requests in flight at the backend server. Every run has one entry in each of the two indices.
--- a/libs/calls/src/gate_admission.cc
+++ b/libs/calls/src/gate_admission.cc
@@ -19,6 +19,11 @@
 constexpr Duration kMaxAssumedRunTime = utils::Milliseconds(100);
 // A call is refused within 0.2 of its target latency, 0.05 of which are left for messages.
 constexpr double kRefusableShare = 0.15;
+// While calls of class internal come, one slot in eight is meant for them: their callers hold slots
+// of their own. Gates with fewer slots have none to spare.
+constexpr std::uint32_t kMinSlotsToReserve = 4;
+constexpr std::uint32_t kSlotsPerReserved = 8;
+constexpr Duration kReserveTime = utils::Seconds(2);
 // Queued calls are looked through at most this often.
 // Waits vary around the estimate, as more urgent calls come unevenly. Without this factor, a sixth
 // of the calls admitted at twice the capacity were answered late, with it a hundredth.
@@ -72,6 +77,17 @@
   return this->service_times.Find(call.route).value_or(call.assumed_run_time);
 }
 
+bool Gate::KeepsLastSlot(document::Priority priority, Timestamp now) const {
+  const std::uint32_t slots = this->limit.Get();
+  if (priority == document::Priority::kInternal || slots < kMinSlotsToReserve ||
+      !this->internal_at || now - *this->internal_at > kReserveTime) {
+    return false;
+  }
+  const std::uint32_t reserved = std::max<std::uint32_t>(1, slots / kSlotsPerReserved);
+  return this->runs.size() + 1 >= slots &&
+         this->slot_use.Running(document::Priority::kInternal) < reserved;
+}
+
 Duration Gate::WaitBehind(Duration work, document::Priority priority, Timestamp now) const {
   const std::uint32_t slots = std::max<std::uint32_t>(1, this->limit.Get());
   // More urgent calls that arrive meanwhile go first, except for every n-th free slot.
@@ -127,13 +143,12 @@
     return static_cast<std::uint32_t>(
         utils::ToMilliseconds(wait + utils::Milliseconds(1) - Duration(1)));
   };
-  const bool is_full = this->runs.size() >= this->limit.Get();
   GateLoad load;
   load.in_flight = static_cast<std::uint32_t>(this->runs.size());
   for (std::size_t i = 0; i < load.queued.size(); ++i) {
     const auto priority = static_cast<document::Priority>(i);
     load.queued.at(i) = static_cast<std::uint32_t>(this->queue.Size(priority));
-    if (is_full) {
+    if (this->runs.size() >= this->limit.Get() || this->KeepsLastSlot(priority, now)) {
       const Duration work =
           this->WorkAhead(priority, Timestamp::max()) + this->service_times.Mean();
       load.wait_ms.at(i) = to_ms(this->WaitBehind(work, priority, now));
--- a/libs/calls/src/slot_use.h
+++ b/libs/calls/src/slot_use.h
@@ -18,6 +18,10 @@
   void OnStarted(document::Priority priority, utils::Timestamp now);
   void OnEnded(document::Priority priority, utils::Timestamp now);
 
+  std::uint32_t Running(document::Priority priority) const {
+    return this->running.at(static_cast<std::size_t>(priority));
+  }
+
   // Share of `slots`, in [0, 1], that calls of more urgent classes have used.
   double MoreUrgentShare(document::Priority priority, std::uint32_t slots,
                          utils::Timestamp now) const;
--- a/libs/calls/tests/overload_test.cc
+++ b/libs/calls/tests/overload_test.cc
@@ -66,7 +66,24 @@
     this->last = this->mesh->OutcomeOf(call);
     return this->last.ended - this->last.sent;
   }
+  // Sends a call with this target latency to the gate of node 1.
+  void SendToGate(document::Priority priority, utils::Duration target) {
+    CallRequest request;
+    request.id = AttemptId{this->mesh->NodeName(0), 9, ++this->last_call, 1};
+    request.gate_incarnation = this->mesh->nodes[1].incarnation;
+    request.gate_boot_id = this->mesh->nodes[1].boot;
+    request.service = "fleet";
+    request.route = "read";
+    request.request.body = std::to_string(this->last_call);
+    request.remaining = Seconds(20);
+    request.latency_budget = target;
+    request.max_response_bytes = 100;
+    request.priority = priority;
+    request.fingerprint = this->last_call;
+    this->mesh->Deliver(1, PeerMessage{this->mesh->NodeName(0), request});
+  }
   CallOutcome last;
+  std::uint64_t last_call = 0;
 };
 
 // Guards against refusals that come after moves with pauses between them, moves to gates that would
@@ -104,24 +121,34 @@
   CHECK_TRUE(this->requests[2].first - this->requests[1].first > Milliseconds(5));
 }
 
+// Guards against nested calls that wait for long ones of lower classes in all slots, and against
+// slots that stay unused once no nested calls come.
+TEST(Overload, LastSlotIsKeptForNestedCalls) {
+  this->mesh->nodes[1].backend.mode = BackendMode::kSilent;
+  const auto in_flight = [this] { return this->mesh->nodes[1].calls->GetGauges().in_flight; };
+  this->SendToGate(document::Priority::kInternal, Seconds(20));
+  this->mesh->nodes[1].backend.running.erase(1);
+  this->mesh->Deliver(1, BackendServerAnswered{1, {200, {}, "x"}});
+  for (int i = 0; i < 5; ++i) {
+    this->SendToGate(document::Priority::kBatch, Seconds(20));
+  }
+  CHECK_EQUAL(3, in_flight());
+  this->SendToGate(document::Priority::kInternal, Seconds(20));
+  CHECK_EQUAL(4, in_flight());
+  this->mesh->nodes[1].backend.running.erase(5);
+  this->mesh->Deliver(1, BackendServerAnswered{5, {200, {}, "x"}});
+  CHECK_EQUAL(3, in_flight());
+  this->mesh->RunFor(Milliseconds(2'001));
+  this->SendToGate(document::Priority::kBatch, Seconds(20));
+  CHECK_EQUAL(4, in_flight());
+}
+
 // Guards against a gate that queues calls without limit before the first of them has ended, and
 // against one that cannot tell that more urgent calls will overtake a call.
 TEST(Overload, GateAdmitsWhatItCanProbablyAnswer) {
   this->mesh->nodes[1].backend.mode = BackendMode::kSilent;
-  std::uint64_t number = 0;
-  const auto send = [&](document::Priority priority) {
-    CallRequest request;
-    request.id = AttemptId{this->mesh->NodeName(0), 9, ++number, 1};
-    request.gate_incarnation = this->mesh->nodes[1].incarnation;
-    request.gate_boot_id = this->mesh->nodes[1].boot;
-    request.service = "fleet";
-    request.route = "read";
-    request.request.body = std::to_string(number);
-    request.remaining = Seconds(2);
-    request.latency_budget = Milliseconds(300);
-    request.priority = priority;
-    request.fingerprint = number;
-    this->mesh->Deliver(1, PeerMessage{this->mesh->NodeName(0), request});
+  const auto send = [this](document::Priority priority) {
+    this->SendToGate(priority, Milliseconds(300));
   };
   const auto gauges = [this] { return this->mesh->nodes[1].calls->GetGauges(); };
   for (int i = 0; i < 50; ++i) {
