--- a/libs/calls/src/balancer.cc
+++ b/libs/calls/src/balancer.cc
@@ -19,6 +19,11 @@
 
 constexpr double kMinSlowStartFactor = 0.1;
 constexpr double kPercent = 100.0;
+constexpr double kBytesPerKilobyte = 1'000.0;
+// Target latency from which on bytes weigh in full, and the least weights.
+constexpr utils::Duration kFullWeightTarget = utils::Milliseconds(500);
+constexpr double kMinByteWeight = 0.25;
+constexpr double kInternalByteWeight = 0.5;
 
 bool HasLabels(const Member& member, const document::Labels& labels) {
   return std::all_of(labels.begin(), labels.end(), [&member](const auto& label) {
@@ -53,6 +58,20 @@
   return member.id == self.id ? Distance::kInstance : Distance::kZone;
 }
 
+// Calls that others wait for, and calls with little time, weigh waiting more than bytes.
+double ByteWeight(document::Priority priority, utils::Duration target_latency) {
+  const double weight = target_latency.count() == 0
+                            ? 1.0
+                            : static_cast<double>(target_latency.count()) /
+                                  static_cast<double>(kFullWeightTarget.count());
+  return std::clamp(weight, kMinByteWeight, 1.0) *
+         (priority == document::Priority::kInternal ? kInternalByteWeight : 1.0);
+}
+
+CrossingDecision::Key CrossingKey(const std::string& service, RouteKey route) {
+  return utils::CombineHash(utils::Hash64(service), route);
+}
+
 // Remaining weight of an observation of this age.
 double Decay(utils::Duration age, utils::Duration half_life) {
   return std::exp2(-static_cast<double>(age.count()) / static_cast<double>(half_life.count()));
@@ -75,7 +94,7 @@
 
 const Member* Balancer::Choose(const Context& context, const document::Route& route,
                                const Demand& demand, const std::vector<NodeId>& tried,
-                               std::optional<std::size_t>& target, utils::Duration max_wait) {
+                               std::optional<std::size_t>& target) {
   this->overloaded = false;
   if (!target) {
     target = this->DrawTarget(route);
@@ -91,8 +110,7 @@
     if (route.split[index].weight == 0) {
       continue;
     }
-    if (const Member* member =
-            this->ChooseTarget(context, route.split[index], demand, tried, max_wait)) {
+    if (const Member* member = this->ChooseTarget(context, route.split[index], demand, tried)) {
       target = index;
       return member;
     }
@@ -118,8 +136,7 @@
 }
 
 const Member* Balancer::ChooseTarget(const Context& context, const document::SplitTarget& target,
-                                     Demand demand, const std::vector<NodeId>& tried,
-                                     utils::Duration max_wait) {
+                                     const Demand& demand, const std::vector<NodeId>& tried) {
   const auto document = context.routes.Find(target.service);
   if (!document) {
     return nullptr;
@@ -128,22 +145,62 @@
   if (version == document->versions.end()) {
     return nullptr;
   }
-  if (const auto* averages = this->statistics.Find(target.service)) {
-    demand.answer_bytes = averages->answer_bytes.Find(demand.route).value_or(0.0);
-  }
   if (!this->Collect(context, *document, version->second, demand, tried) &&
       (tried.empty() || !this->Collect(context, *document, version->second, demand, {}))) {
     return nullptr;
   }
   const std::vector<Candidate>& level = this->levels[this->ChooseLevel(document->locality)];
-  const Candidate& chosen = level[this->policy->Choose(level, this->shared.random)];
-  if (this->policy->ExpectedWait(chosen) > max_wait) {
+  const Candidate& chosen =
+      level[this->policy->WeighsDistance()
+                ? this->ChooseByCost(target.service, demand, level, context.now)
+                : this->policy->Choose(level, this->shared.random)];
+  this->expected_wait = this->policy->ExpectedWait(chosen);
+  if (IsLate(chosen, this->expected_wait, demand.budget)) {
     this->overloaded = true;
     return nullptr;
   }
   return chosen.member;
 }
 
+std::size_t Balancer::ChooseByCost(const std::string& service, const Demand& demand,
+                                   const std::vector<Candidate>& candidates, utils::Timestamp now) {
+  CallProfile profile;
+  profile.kilobytes = (static_cast<double>(demand.request_bytes) +
+                       this->FindAverages(service, demand.route).answer_bytes) /
+                      kBytesPerKilobyte;
+  profile.byte_weight = ByteWeight(demand.priority, demand.target_latency);
+  profile.budget = demand.budget;
+  const CandidateRanking ranking = this->policy->Rank(candidates, profile, this->shared.random);
+  // A call that was refused once may go wherever it is served best.
+  const std::size_t group = demand.is_repeated
+                                ? ranking.BestGroup()
+                                : this->crossing.Choose(CrossingKey(service, demand.route), ranking,
+                                                        now, this->shared.random);
+  return ranking.Draw(group, this->shared.random);
+}
+
+utils::Duration Balancer::ExpectedWait(const Context& context, const NodeId& gate,
+                                       const document::Route& route) {
+  const Member* member = context.members.Find(gate);
+  if (member == nullptr) {
+    return {};
+  }
+  const Demand demand{route.priority, RouteKeyOf(route), {}, route.target_latency, {}, 0, false};
+  return this->policy->ExpectedWait(
+      this->MakeCandidate(*member, this->GetPeer(gate), {}, demand,
+                          this->FindAverages(member->service, demand.route), context.now));
+}
+
+Balancer::RouteAveragesOfService Balancer::FindAverages(const std::string& service,
+                                                        RouteKey route) const {
+  RouteAveragesOfService averages;
+  if (const auto* known = this->statistics.Find(service)) {
+    averages.service_time_us = static_cast<double>(known->service_times.Mean(route).count());
+    averages.answer_bytes = known->answer_bytes.Find(route).value_or(0.0);
+  }
+  return averages;
+}
+
 bool Balancer::Collect(const Context& context, const document::ServiceDocument& document,
                        const document::VersionSelector& selector, const Demand& demand,
                        const std::vector<NodeId>& tried) {
@@ -153,6 +210,7 @@
   const Member& self = context.members.Self();
   this->service_members = context.members.ServiceMembers(document.service);
   const ServicePeers& service = this->FindPeers(document.service, this->service_members);
+  const RouteAveragesOfService averages = this->FindAverages(document.service, demand.route);
   bool found = false;
   for (std::size_t i = 0; i < service.peers.size(); ++i) {
     const Member& member = (*service.members)[i];
@@ -166,8 +224,8 @@
       continue;
     }
     const std::size_t level = this->LevelForPolicy(self, member, document.locality.prefer);
-    Candidate candidate =
-        this->MakeCandidate(member, peer, document.protection.slow_start, demand, context.now);
+    Candidate candidate = this->MakeCandidate(member, peer, document.protection.slow_start, demand,
+                                              averages, context.now);
     candidate.distance = DistanceOf(self, member);
     if (candidate.distance == Distance::kInstance) {
       candidate.link_wait_us = 0.0;
@@ -200,7 +258,8 @@
 }
 
 Candidate Balancer::MakeCandidate(const Member& member, Peer& peer, utils::Duration slow_start,
-                                  const Demand& demand, utils::Timestamp now) {
+                                  const Demand& demand, const RouteAveragesOfService& averages,
+                                  utils::Timestamp now) {
   if (peer.ready_boot_id != member.boot_id || peer.ready_incarnation != member.incarnation) {
     peer.ready_boot_id = member.boot_id;
     peer.ready_incarnation = member.incarnation;
@@ -210,10 +269,16 @@
   Candidate candidate;
   candidate.member = &member;
   candidate.in_flight = peer.in_flight;
-  // The latency decays, so that a backend server that was slow is eventually tried again.
-  candidate.latency_us = static_cast<double>(peer.latencies.Mean(demand.route).count()) *
-                         Decay(now - peer.latency_at, options.latency_half_life);
-  candidate.service_time_us = static_cast<double>(peer.service_times.Mean(demand.route).count());
+  // A server that has not answered yet counts as an average one. Without this, the first calls all
+  // went to servers whose time was taken for shorter than that of known ones.
+  const auto service_time = peer.service_times.Find(demand.route);
+  candidate.service_time_us =
+      service_time ? static_cast<double>(service_time->count()) : averages.service_time_us;
+  if (candidate.service_time_us == 0.0 || !this->policy->WeighsDistance()) {
+    // The latency decays, so that a backend server that was slow is eventually tried again.
+    candidate.latency_us = static_cast<double>(peer.latencies.Mean(demand.route).count()) *
+                           Decay(now - peer.latency_at, options.latency_half_life);
+  }
   candidate.failure_score = this->DecayedFailureScore(peer, now);
   if (peer.awaiting_reply && now - peer.awaiting_since > options.silence_interval) {
     candidate.failure_score +=
@@ -228,11 +293,17 @@
         peer.sent_since_report.begin() + static_cast<std::ptrdiff_t>(demand.priority) + 1;
     candidate.calls_ahead =
         std::accumulate(peer.sent_since_report.begin(), end, candidate.reported_load);
+    const auto reported_us = [&demand](const auto& wait_ms) {
+      const utils::Duration wait =
+          utils::Milliseconds(wait_ms.at(static_cast<std::size_t>(demand.priority)));
+      return static_cast<double>(wait.count());
+    };
+    candidate.has_report = true;
+    candidate.report_age_us = static_cast<double>((now - peer.load_at).count());
+    candidate.reported_wait_us = reported_us(peer.load.wait_ms);
     // The transport sends small answers ahead of bulk.
-    if (demand.answer_bytes > static_cast<double>(kMaxSmallAnswerBytes)) {
-      const std::uint32_t wait_ms =
-          peer.load.link_wait_ms.at(static_cast<std::size_t>(demand.priority));
-      candidate.link_wait_us = static_cast<double>(utils::Milliseconds(wait_ms).count());
+    if (averages.answer_bytes > static_cast<double>(kMaxSmallAnswerBytes)) {
+      candidate.link_wait_us = reported_us(peer.load.link_wait_ms);
     }
   }
   const utils::Duration age = now - peer.ready_at;
@@ -334,6 +405,25 @@
   }
 }
 
+void Balancer::OnRefused(const Context& context, const NodeId& gate, const std::string& service,
+                         RouteKey route) {
+  const Member* member = context.members.Find(gate);
+  if (member != nullptr) {
+    this->crossing.OnRefused(CrossingKey(service, route),
+                             GroupOf(DistanceOf(context.members.Self(), *member)), context.now);
+  }
+}
+
+AttemptOutcome Balancer::OutcomeOf(const NodeId& gate, document::Priority priority,
+                                   utils::ErrorCode code) {
+  // A policy that weighs waits knows the load by the gate's report. Counted as failures, refusals
+  // of one class kept calls of all classes away from the gate for seconds.
+  const bool is_load = code == utils::ErrorCode::kQueueFull || code == utils::ErrorCode::kLinkBusy;
+  return is_load && this->policy->WeighsDistance() && this->GetPeer(gate).load.IsBusy(priority)
+             ? AttemptOutcome::kBusy
+             : AttemptOutcome::kFailed;
+}
+
 void Balancer::OnAnswer(const NodeId& gate, const std::string& service, RouteKey route,
                         std::optional<utils::Duration> time, std::uint64_t answer_bytes) {
   if (time) {
--- a/libs/calls/src/balancer.h
+++ b/libs/calls/src/balancer.h
@@ -13,6 +13,7 @@
 
 #include "amaranthlatch/calls/balance_policy.h"
 #include "context.h"
+#include "crossing_decision.h"
 #include "service_statistics.h"
 #include "service_times.h"
 #include "workspace_loads.h"
@@ -24,6 +25,8 @@
   kAnswered,
   // The gate or the backend server refused the attempt or failed.
   kFailed,
+  // The gate refused the attempt because of its load.
+  kBusy,
   // The call ended for another reason; says nothing about the gate.
   kAbandoned,
 };
@@ -36,30 +39,41 @@
     RouteKey route = 0;
     // Empty for a call that belongs to no workspace.
     std::string_view workspace;
-    // Usual size of an answer; 0 if it is not known.
-    double answer_bytes = 0.0;
+    utils::Duration target_latency{};
+    // Time in which the answer is due.
+    utils::Duration budget = utils::Duration::max();
+    std::uint64_t request_bytes = 0;
+    // Whether the call was sent to another gate before.
+    bool is_repeated = false;
   };
 
   Balancer(SharedState& shared, std::unique_ptr<BalancePolicy> policy);
 
   // Returns a ready member of the route's split, or null if there is none. Members in `tried` are
   // used only if no others are ready. `target` is the index of the split target: drawn by weight if
-  // empty, and reused for further attempts. Returns null if the expected queueing time at the
-  // chosen member exceeds `max_wait`.
+  // empty, and reused for further attempts. Returns null if the call would be answered later than
+  // after `max_wait` by the chosen member.
   const membership::Member* Choose(const Context& context, const document::Route& route,
                                    const std::vector<membership::NodeId>& tried,
                                    std::optional<std::size_t>& target,
-                                   utils::Duration max_wait = utils::Duration::max()) {
-    return this->Choose(context, route, {route.priority, RouteKeyOf(route), {}, 0.0}, tried, target,
-                        max_wait);
+                                   utils::Duration max_wait = utils::Duration::max(),
+                                   std::uint64_t request_bytes = 0) {
+    const Demand demand{route.priority, RouteKeyOf(route), {}, route.target_latency, max_wait,
+                        request_bytes,  !tried.empty()};
+    return this->Choose(context, route, demand, tried, target);
   }
   // The same for a call whose priority differs from that of its route or that has a workspace.
   const membership::Member* Choose(const Context& context, const document::Route& route,
                                    const Demand& demand,
                                    const std::vector<membership::NodeId>& tried,
-                                   std::optional<std::size_t>& target, utils::Duration max_wait);
+                                   std::optional<std::size_t>& target);
   // Whether the last Choose() rejected a member because of `max_wait`.
   bool WasOverloaded() const { return this->overloaded; }
+  // Expected wait at the best member that the last Choose() found, rejected or not.
+  utils::Duration LastExpectedWait() const { return this->expected_wait; }
+  // Expected wait of a call of the route at this gate; zero if it is not known.
+  utils::Duration ExpectedWait(const Context& context, const membership::NodeId& gate,
+                               const document::Route& route);
 
   // Returns a random index into the split, by weight; nothing if all weights are 0.
   std::optional<std::size_t> DrawTarget(const document::Route& route);
@@ -68,6 +82,12 @@
   // `latency` counts only if the attempt was answered.
   void OnEnded(const membership::NodeId& gate, RouteKey route, AttemptOutcome outcome,
                utils::Duration latency, utils::Timestamp now);
+  // The gate refused a call of the service and route because of its load.
+  void OnRefused(const Context& context, const membership::NodeId& gate, const std::string& service,
+                 RouteKey route);
+  // The outcome of an attempt of this priority that the gate refused with this code.
+  AttemptOutcome OutcomeOf(const membership::NodeId& gate, document::Priority priority,
+                           utils::ErrorCode code);
   // The backend server of the gate answered a call of the service; `time` is how long it worked on
   // it, if it is known.
   void OnAnswer(const membership::NodeId& gate, const std::string& service, RouteKey route,
@@ -115,10 +135,18 @@
   static constexpr std::size_t kLevels = 4;
   using Levels = std::array<std::vector<Candidate>, kLevels>;
 
+  // Averages over all backend servers of the service for the route of a choice; 0 where unknown.
+  struct RouteAveragesOfService {
+    double service_time_us = 0.0;
+    double answer_bytes = 0.0;
+  };
+
   const membership::Member* ChooseTarget(const Context& context,
-                                         const document::SplitTarget& target, Demand demand,
-                                         const std::vector<membership::NodeId>& tried,
-                                         utils::Duration max_wait);
+                                         const document::SplitTarget& target, const Demand& demand,
+                                         const std::vector<membership::NodeId>& tried);
+  // Returns an index into `candidates`, for policies that account for distance.
+  std::size_t ChooseByCost(const std::string& service, const Demand& demand,
+                           const std::vector<Candidate>& candidates, utils::Timestamp now);
   // Fills `levels`; returns false if there is no candidate.
   bool Collect(const Context& context, const document::ServiceDocument& document,
                const document::VersionSelector& selector, const Demand& demand,
@@ -127,7 +155,9 @@
                              document::LocalityPreference prefer) const;
   const ServicePeers& FindPeers(const std::string& service, const membership::MemberList& members);
   Candidate MakeCandidate(const membership::Member& member, Peer& peer, utils::Duration slow_start,
-                          const Demand& demand, utils::Timestamp now);
+                          const Demand& demand, const RouteAveragesOfService& averages,
+                          utils::Timestamp now);
+  RouteAveragesOfService FindAverages(const std::string& service, RouteKey route) const;
   // Running calls of the gate and queued ones that precede a new call, as last reported.
   // `drain_rate`: calls that the backend server takes from the queue in a microsecond.
   std::uint32_t ReportedLoad(const Peer& peer, const Demand& demand, double drain_rate,
@@ -142,12 +172,14 @@
   std::unique_ptr<BalancePolicy> policy;
   std::unordered_map<membership::NodeId, Peer> peers;
   ServiceStatistics statistics;
+  CrossingDecision crossing;
   // Members to reuse their memory. The candidates point into `service_members`.
   Levels levels;
   membership::MemberList service_members;
   // Cleared when peers are removed, to which it points.
   std::unordered_map<std::string, ServicePeers> peers_by_service;
   bool overloaded = false;
+  utils::Duration expected_wait{};
 };
 
 }  // namespace amaranthlatch::calls::details
--- a/libs/calls/src/entry.cc
+++ b/libs/calls/src/entry.cc
@@ -29,13 +29,12 @@
          SizeOf(request.headers);
 }
 
-document::Priority PriorityOf(const OpenCall& call) {
-  const auto of_route = call.match ? call.match->route->priority : document::Priority::kNormal;
-  return call.priority.value_or(of_route);
-}
-
 Balancer::Demand DemandOf(const OpenCall& call) {
-  return {PriorityOf(call), RouteKeyOf(call), call.workspace};
+  Balancer::Demand demand;
+  demand.priority = PriorityOf(call);
+  demand.route = RouteKeyOf(call);
+  demand.workspace = call.workspace;
+  return demand;
 }
 
 bool HasOpenAttempt(const OpenCall& call) {
@@ -49,6 +48,16 @@
 }
 }  // namespace
 
+document::Priority PriorityOf(const OpenCall& call) {
+  const auto of_route = call.match ? call.match->route->priority : document::Priority::kNormal;
+  return call.priority.value_or(of_route);
+}
+
+const std::string& TargetServiceOf(const OpenCall& call) {
+  const document::RouteMatch& match = *call.match;
+  return call.target ? match.route->split[*call.target].service : match.document->service;
+}
+
 RouteKey RouteKeyOf(const OpenCall& call) {
   return call.match ? RouteKeyOf(*call.match->route) : RouteKey{0};
 }
@@ -95,6 +104,7 @@
     remaining = std::min(remaining, *received.remaining);
   }
   call.deadline = context.now + remaining;
+  call.move_deadline = MoveDeadlineOf(call, context.now);
   return call;
 }
 
@@ -186,8 +196,12 @@
   }
   const Duration latency_budget =
       std::max(std::min(call.latency_deadline, call.deadline) - context.now, kMinLatencyBudget);
-  return this->balancer.Choose(context, *call.match->route, DemandOf(call), tried, call.target,
-                               latency_budget);
+  Balancer::Demand demand = DemandOf(call);
+  demand.target_latency = call.match->route->target_latency;
+  demand.budget = call.moving ? MoveBudget(call, latency_budget) : latency_budget;
+  demand.request_bytes = call.request_bytes;
+  demand.is_repeated = !tried.empty();
+  return this->balancer.Choose(context, *call.match->route, demand, tried, call.target);
 }
 
 Duration Entry::AttemptTimeout(const Context& context, const OpenCall& call) const {
@@ -202,6 +216,13 @@
   call.retry_at.reset();
   const bool is_allowed = call.attempts.empty() || this->AuthorizeAgain(context, call);
   const membership::Member* gate = is_allowed ? this->ChooseGate(context, call) : nullptr;
+  if (gate != nullptr && NeedsPause(call, *gate)) {
+    if (this->TryPause(context, call)) {
+      return;
+    }
+    gate = nullptr;
+  }
+  call.moving = false;
   if (gate == nullptr) {
     if (!call.permit && call.attempts.empty()) {
       call.failure = NotRunAnswer(this->balancer.WasOverloaded() ? ErrorCode::kQueueFull
@@ -279,10 +300,7 @@
     this->balancer.OnEnded(attempt->gate, RouteKeyOf(*call), AttemptOutcome::kAnswered,
                            context.now - attempt->sent, context.now);
     if (call->match) {
-      const document::RouteMatch& match = *call->match;
-      const std::string& service =
-          call->target ? match.route->split[*call->target].service : match.document->service;
-      this->balancer.OnAnswer(attempt->gate, service, RouteKeyOf(*call),
+      this->balancer.OnAnswer(attempt->gate, TargetServiceOf(*call), RouteKeyOf(*call),
                               BackendTimeOf(answer.response), answer.response.body.size());
     }
     attempt->stage = AttemptStage::kUnknown;
@@ -360,6 +378,9 @@
   }
   // Upstream nodes must not retry what this node has already retried.
   answer.no_retry = answer.no_retry || call.attempts.size() > 1;
+  if (answer.kind == ResultKind::kNotRun) {
+    answer.retry_after = this->AdviseRetry(context, call, answer.code);
+  }
   this->Finish(context, call, std::move(answer));
 }
 
--- a/libs/calls/src/entry_retry.cc
+++ b/libs/calls/src/entry_retry.cc
@@ -173,8 +173,13 @@
   // The reply tells the length of the queue: counted as a failure as well, the excess of one
   // workspace would keep the calls of all others away from the gate.
   const AttemptOutcome outcome =
-      IsShareUsed(call, failure) ? AttemptOutcome::kAbandoned : AttemptOutcome::kFailed;
+      IsShareUsed(call, failure)
+          ? AttemptOutcome::kAbandoned
+          : this->balancer.OutcomeOf(attempt.gate, PriorityOf(call), failure.code);
   this->balancer.OnEnded(attempt.gate, RouteKeyOf(call), outcome, {}, context.now);
+  if (call.match && outcome == AttemptOutcome::kBusy) {
+    this->balancer.OnRefused(context, attempt.gate, TargetServiceOf(call), RouteKeyOf(call));
+  }
   // Once the deadline has passed, the caller gets kDeadlineExceeded whatever an attempt returns.
   if (!call.closing_until) {
     call.failure = failure;
@@ -224,12 +229,8 @@
     return false;
   }
   // No backend server has received the request, so the next attempt does not repeat any work.
-  const bool is_move = moves == attempts_made && moves > 0;
-  if (is_move && moves == 1) {
-    ++this->shared.counters.moves;
-    call.retry_at = context.now;
-    this->Schedule(call);
-    return true;
+  if (moves == attempts_made && moves > 0) {
+    return this->TryMove(context, call);
   }
   const std::uint32_t doublings =
       std::clamp<std::uint32_t>(attempts_made - call.redirects, 1, kMaxDoublings) - 1;
@@ -239,11 +240,11 @@
   if (context.now + delay >= call.deadline) {
     return false;
   }
-  if (!is_move && !this->budget.TrySpend(call.budget_service)) {
+  if (!this->budget.TrySpend(call.budget_service)) {
     ++this->shared.counters.retries_over_budget;
     return false;
   }
-  ++(is_move ? this->shared.counters.moves : this->shared.counters.retries);
+  ++this->shared.counters.retries;
   call.retry_at = context.now + delay;
   this->Schedule(call);
   return true;
--- a/libs/calls/src/fair_queue.h
+++ b/libs/calls/src/fair_queue.h
@@ -30,6 +30,10 @@
   CallRequest request;
   // Key of the route in ServiceTimes.
   RouteKey route = 0;
+  // Assumed time at the backend server until the first call of the route has ended.
+  utils::Duration assumed_run_time{};
+  // Time until which a refusal still comes early enough for the caller to try elsewhere.
+  utils::Timestamp refusable_until{};
   utils::Timestamp deadline;
   // Time by which an answer meets the target latency of the route; max() if the route has none.
   utils::Timestamp latency_deadline = utils::Timestamp::max();
--- a/libs/calls/src/gate.cc
+++ b/libs/calls/src/gate.cc
@@ -82,10 +82,12 @@
   if (request.latency_budget.count() > 0) {
     call.latency_deadline = context.now + request.latency_budget;
   }
+  call.assumed_run_time = AssumedRunTime(request);
   call.request = std::move(request);
   call.route = utils::Hash64(call.request.route);
   call.uses_link = call.request.id.entry != self.id;
   call.weight = context.WeightOf(call.request.workspace);
+  call.refusable_until = RefusableUntil(call, context.now);
   if (!call.request.permit.empty() && !this->CheckPermit(context, call)) {
     return;
   }
@@ -119,7 +121,14 @@
     code = ErrorCode::kDeadlineExceeded;
   }
   this->UpdateSlots(context);
-  const bool has_slot = this->queue.Size() == 0 && this->runs.size() < this->limit.Get();
+  const bool is_internal = call.request.priority == document::Priority::kInternal;
+  if (is_internal) {
+    this->internal_at = context.now;
+  }
+  const std::size_t ahead =
+      is_internal ? this->queue.Size(document::Priority::kInternal) : this->queue.Size();
+  const bool has_slot = ahead == 0 && this->runs.size() < this->limit.Get() &&
+                        !this->KeepsLastSlot(call.request.priority, context.now);
   if (code == ErrorCode::kOk) {
     code = this->CheckExpectedTime(context, call, has_slot);
   }
@@ -154,8 +163,7 @@
   }
   if (call.latency_deadline != Timestamp::max()) {
     // A call dequeued later than this would be answered late.
-    call.expiry =
-        std::min(call.expiry, call.latency_deadline - this->service_times.Mean(call.route) / 2);
+    call.expiry = std::min(call.expiry, call.latency_deadline - this->ExpectedRunTime(call) / 2);
   }
   this->queue.Push(std::move(call));
 }
@@ -218,6 +226,7 @@
   run.route = call.route;
   run.priority = call.request.priority;
   run.uses_link = call.uses_link;
+  this->slot_use.OnStarted(run.priority, context.now);
   run.is_trial =
       this->quarantine.StateOf(this->service, run.fingerprint) == QuarantineState::kSuspect;
   this->running_bytes += run.body_bytes;
@@ -242,6 +251,10 @@
   }
   this->UpdateSlots(context);
   while (this->runs.size() < this->limit.Get()) {
+    if (this->queue.Size(document::Priority::kInternal) == 0 &&
+        this->KeepsLastSlot(document::Priority::kBatch, context.now)) {
+      return;
+    }
     std::optional<AdmittedCall> call = this->queue.Pop();
     if (!call) {
       return;
@@ -271,6 +284,7 @@
     this->Cancel(context, run_id, ErrorCode::kDeadlineExceeded);
   }
   this->DispatchQueued(context);
+  this->RefuseLateCalls(context);
 }
 
 void Gate::Cancel(const Context& context, std::uint64_t run_id, ErrorCode reason) {
@@ -318,7 +332,7 @@
   context.Send(cancel.id.entry, reply);
 }
 
-std::optional<Gate::Run> Gate::RemoveRun(std::uint64_t run_id) {
+std::optional<Gate::Run> Gate::RemoveRun(std::uint64_t run_id, Timestamp now) {
   const auto found = this->runs.find(run_id);
   if (found == this->runs.end()) {
     return std::nullopt;
@@ -327,13 +341,14 @@
   run.saturated = this->runs.size() >= this->limit.Get();
   this->runs.erase(found);
   this->running_bytes -= run.body_bytes;
+  this->slot_use.OnEnded(run.priority, now);
   this->run_by_key.erase(run.key);
   this->run_deadlines.erase({run.deadline, run_id});
   return run;
 }
 
 void Gate::OnAnswered(const Context& context, const BackendServerAnswered& answered) {
-  const std::optional<Run> run = this->RemoveRun(answered.run);
+  const std::optional<Run> run = this->RemoveRun(answered.run, context.now);
   if (!run) {
     return;
   }
--- a/libs/calls/src/gate_crash.cc
+++ b/libs/calls/src/gate_crash.cc
@@ -37,7 +37,7 @@
 }
 
 void Gate::OnFailed(const Context& context, const BackendServerFailed& failed) {
-  const std::optional<Run> run = this->RemoveRun(failed.run);
+  const std::optional<Run> run = this->RemoveRun(failed.run, context.now);
   if (!run) {
     return;
   }
--- a/libs/calls/src/gate_shares.cc
+++ b/libs/calls/src/gate_shares.cc
@@ -4,6 +4,16 @@
 
 namespace amaranthlatch::calls::details {
 
+namespace {
+
+// Rounded up, so that 0 means no wait.
+std::uint32_t ToMillisecondsUp(utils::Duration wait) {
+  return static_cast<std::uint32_t>(
+      utils::ToMilliseconds(wait + utils::Milliseconds(1) - utils::Duration(1)));
+}
+
+}  // namespace
+
 Gate::Share Gate::ShareOf(const AdmittedCall& call) {
   return {call.request.priority, call.request.workspace, call.weight};
 }
@@ -38,8 +48,11 @@
     const FairQueue& queued = this->queue.ClassQueue(priority);
     reply.load.queued.at(i) = static_cast<std::uint32_t>(queued.Size());
     reply.load.ahead_of_new.at(i) = static_cast<std::uint32_t>(queued.CountAheadOfNew());
-    reply.load.link_wait_ms.at(i) =
-        static_cast<std::uint32_t>(utils::ToMilliseconds(this->link.BulkWait(priority, now)));
+    if (this->runs.size() >= this->limit.Get() || this->KeepsLastSlot(priority, now)) {
+      const utils::Duration work = this->WorkAhead(priority) + this->service_times.Mean();
+      reply.load.wait_ms.at(i) = ToMillisecondsUp(this->WaitBehind(work, priority, now));
+    }
+    reply.load.link_wait_ms.at(i) = ToMillisecondsUp(this->link.BulkWait(priority, now));
   }
   if (share == nullptr) {
     return;
--- a/libs/calls/src/message_codec.cc
+++ b/libs/calls/src/message_codec.cc
@@ -246,7 +246,7 @@
 }
 
 std::string Encode(const CallReply& m) {
-  constexpr std::size_t kFields = kIdFields + 10 + 3 * document::kPriorityCount;
+  constexpr std::size_t kFields = kIdFields + 10 + 4 * document::kPriorityCount;
   Writer out(
       MessageType::kCallReply, kFields,
       kReservedBytes + EncodedSize(m.answer.response.headers) + m.answer.response.body.size());
@@ -261,6 +261,9 @@
   for (const std::uint32_t ahead : m.load.ahead_of_new) {
     out.Number(ahead);
   }
+  for (const std::uint32_t wait_ms : m.load.wait_ms) {
+    out.Number(wait_ms);
+  }
   for (const std::uint32_t wait_ms : m.load.link_wait_ms) {
     out.Number(wait_ms);
   }
@@ -348,6 +351,9 @@
   for (std::uint32_t& ahead : m.load.ahead_of_new) {
     ahead = in.Number32();
   }
+  for (std::uint32_t& wait_ms : m.load.wait_ms) {
+    wait_ms = in.Number32();
+  }
   for (std::uint32_t& wait_ms : m.load.link_wait_ms) {
     wait_ms = in.Number32();
   }
--- a/libs/calls/src/priority_queue.h
+++ b/libs/calls/src/priority_queue.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -19,6 +20,12 @@
 
 namespace amaranthlatch::calls::details {
 
+// Time at the backend server to assume for a call of a route that has not run here yet.
+utils::Duration AssumedRunTime(const CallRequest& request);
+
+// Time until which a refusal of the call is early enough. Its deadlines must be set.
+utils::Timestamp RefusableUntil(const AdmittedCall& call, utils::Timestamp now);
+
 class PriorityQueue {
  public:
   // Every `fairness_interval`-th Pop takes the oldest first call below the highest non-empty class,
@@ -47,6 +54,19 @@
                                         visit);
   }
 
+  // Calls `visit(call)` for each call of this class and of more urgent ones, without workspaces in
+  // the order in which they are dequeued.
+  template <typename Visitor>
+  void ForEachUpTo(document::Priority priority, Visitor visit) const {
+    for (std::size_t i = 0; i <= static_cast<std::size_t>(priority); ++i) {
+      this->classes.at(i).ForEach(visit);
+    }
+  }
+  bool HasWorkspaces() const {
+    return std::any_of(this->classes.begin(), this->classes.end(),
+                       [](const FairQueue& queued) { return queued.HasWorkspaces(); });
+  }
+
   // Calls that precede a new one of a workspace in its class, see FairQueue.
   const FairQueue& ClassQueue(document::Priority priority) const {
     return this->classes.at(static_cast<std::size_t>(priority));
--- a/libs/runtime/include/amaranthlatch/runtime/register_settings.h
+++ b/libs/runtime/include/amaranthlatch/runtime/register_settings.h
@@ -61,6 +61,11 @@
   double processor_share = 1.0;
   // Descriptors of the process, also those that the platform uses for files; 0 if unknown.
   std::size_t max_descriptors = 0;
+  // What leaving the zone or the region costs a call, and each kilobyte of it, expressed as time.
+  utils::Duration crossing_zone{};
+  utils::Duration crossing_region{};
+  utils::Duration crossing_zone_per_kb{};
+  utils::Duration crossing_region_per_kb{};
 
   bool operator==(const RegisterSettings&) const = default;
 };
--- a/libs/runtime/src/register_options.cc
+++ b/libs/runtime/src/register_options.cc
@@ -92,7 +92,6 @@
     options.directory.discovery_spread = kNewMeshDiscoverySpread;
   }
 
-
   calls::Options& calls = options.calls;
   calls.seed = seed + 1;
   calls.entry.max_deadline = kLongestDeadline;
@@ -100,8 +99,7 @@
   calls.entry.max_open_bytes = memory.request_bytes;
   calls.gate.max_admitted_bytes = memory.run_bytes;
   calls.entry.max_uncounted_moves = kFreeMoves;
-  calls.gate.link_bits_per_second =
-      static_cast<std::uint64_t>(settings.link_rate_bits_per_second);
+  calls.gate.link_bits_per_second = static_cast<std::uint64_t>(settings.link_rate_bits_per_second);
   calls.entry.fence_retry_interval = kFenceInterval;
   calls.entry.fence_timeout = kFenceTimeout;
   calls.entry.retry_burst = 1.0 + settings.retry_slack / kNodesSharingSlack;
@@ -110,6 +108,8 @@
   calls.gate.max_tracked_attempts = kMemoryCapacity;
   calls.gate.refusal_filter_bits = kRefusalFilterBits;
   calls.gate.transport_may_duplicate = kTransportRepeats;
+  calls.crossing = {settings.crossing_zone, settings.crossing_region, settings.crossing_zone_per_kb,
+                    settings.crossing_region_per_kb};
   if (settings.quota_window.count() > 0) {
     quota::Options quota;
     quota.id = settings.node_address;
--- a/libs/runtime/src/register_settings.cc
+++ b/libs/runtime/src/register_settings.cc
@@ -24,6 +24,8 @@
 constexpr std::int64_t kMaxDescriptors = 1'000'000;
 constexpr std::int64_t kMinShutdownMs = 1000;
 constexpr std::int64_t kMaxShutdownMs = 600'000;
+constexpr std::int64_t kMaxCrossingMs = 60'000;
+constexpr double kMicrosecondsPerMillisecond = 1'000.0;
 
 SettingSpec Address(std::string_view key) {
   return {key, SettingType::kAddress, "ip:port", "", true, 0, 0, {}};
@@ -33,6 +35,10 @@
   return {key, SettingType::kName, "name", "", true, 1, kMaxNameLength, {}};
 }
 
+SettingSpec Crossing(std::string_view key, std::string_view fallback) {
+  return {key, SettingType::kNumber, "ms", fallback, false, 0, kMaxCrossingMs, {}};
+}
+
 std::vector<SettingSpec> MakeTable() {
   return {
       Address("node_address"),
@@ -99,6 +105,10 @@
       {"link_rate_mbps", SettingType::kNumber, "Mbit/s", "0", false, 0, kMaxLinkMbps, {}},
       {"processor_share", SettingType::kNumber, "cores", "1", false, 0, kMaxProcessors, {}},
       {"max_descriptors", SettingType::kInteger, "descriptors", "0", false, 0, kMaxDescriptors, {}},
+      Crossing("crossing_zone_ms", "30"),
+      Crossing("crossing_region_ms", "150"),
+      Crossing("crossing_zone_ms_per_kb", "0"),
+      Crossing("crossing_region_ms_per_kb", "0"),
   };
 }
 
@@ -145,6 +155,14 @@
   settings.link_rate_bits_per_second = (*object)["link_rate_mbps"].get<double>() * kBitsPerMegabit;
   settings.processor_share = (*object)["processor_share"].get<double>();
   settings.max_descriptors = (*object)["max_descriptors"].get<std::size_t>();
+  const auto milliseconds = [&object](const char* key) {
+    return utils::Duration(static_cast<utils::Duration::rep>((*object)[key].get<double>() *
+                                                             kMicrosecondsPerMillisecond));
+  };
+  settings.crossing_zone = milliseconds("crossing_zone_ms");
+  settings.crossing_region = milliseconds("crossing_region_ms");
+  settings.crossing_zone_per_kb = milliseconds("crossing_zone_ms_per_kb");
+  settings.crossing_region_per_kb = milliseconds("crossing_region_ms_per_kb");
   return settings;
 }
 
