--- a/libs/rollout/src/evidence.cc
+++ b/libs/rollout/src/evidence.cc
@@ -22,7 +22,7 @@
 // only a failure rate above this and a larger factor of the latency count.
 constexpr double kUnmatchedShare = 0.1;
 constexpr double kUnmatchedFailureRate = 0.25;
-constexpr std::size_t kUnmatchedShift = 3;  // Buckets: a factor of 1.7.
+constexpr std::size_t kUnmatchedShift = 1;  // Buckets: a factor of 1.2.
 
 // Latency: a version whose server is slower than all others by less than the factor exceeds the old
 // quantile times the factor less often than the quantile says, whatever the distribution. Servers
