Expect answers of the new version only since it serves

Change: answers of the old version count towards the expectation from the first slice with answers of the new version on.

--- a/libs/rollout/src/coordinator.cc
+++ b/libs/rollout/src/coordinator.cc
@@ -264,8 +264,8 @@
   if (!this->has_surveyed) {
     // The slices keep their length, so that their numbers stay valid.
     this->has_surveyed = true;
-    this->slice_length =
-        std::max({kMinSlice, 2 * this->report_interval, Duration(order.duration / kMaxSlices)});
+    const Duration slice = order.duration / kMaxSlices;
+    this->slice_length = std::max({kMinSlice, 2 * this->report_interval, slice});
   }
   // Times at which the participants were last heard, for the majority.
   std::vector<Timestamp> heard;
--- a/libs/rollout/src/evidence.cc
+++ b/libs/rollout/src/evidence.cc
@@ -36,10 +36,11 @@
 // Answers of the old version on a route below which its latencies are not compared.
 constexpr std::uint64_t kMinOldTimed = 10;
 
-// Routes on which the new version is expected to answer at least this many calls need at least this
-// share of them.
+// Routes on which the new version would have answered at least this many calls if it had served
+// from the start need at least this share of what was expected since it served, and so many.
 constexpr double kMinExpected = 10.0;
 constexpr double kExpectedShare = 1.0 / 3.0;
+constexpr double kMinRequired = 5.0;
 // A route is not cleared while its failures fit a version that fails this share of the answers
 // which the old version would not.
 constexpr double kBadShare = 0.5;
@@ -302,14 +303,33 @@
                       1.0 - bad_rate) < kClearedSignificance;
 }
 
+std::size_t Evidence::FirstSliceOfNewVersion() const {
+  std::size_t first = SIZE_MAX;
+  for (const auto& [name, route] : this->routes) {
+    const auto has_new = [](const Slice& slice) { return slice.new_version.answers > 0; };
+    const auto found = std::find_if(route.slices.begin(), route.slices.end(), has_new);
+    if (found != route.slices.end()) {
+      first = std::min(first, static_cast<std::size_t>(found - route.slices.begin()));
+    }
+  }
+  return first;
+}
+
 bool Evidence::IsSufficient(bool is_late) const {
+  const std::size_t first = this->FirstSliceOfNewVersion();
   Comparison all;
   for (const auto& [name, route] : this->routes) {
     const Comparison comparison = this->Compare(route, 0);
-    const double expected = this->canary_share * static_cast<double>(route.old_version.answers);
-    if (expected >= kMinExpected &&
-        (static_cast<double>(comparison.answers) < expected * kExpectedShare ||
-         (!is_late && !IsCleared(comparison)))) {
+    double old_answers_since = 0.0;
+    for (std::size_t i = first; i < route.slices.size(); ++i) {
+      old_answers_since += static_cast<double>(route.slices[i].old_version.answers);
+    }
+    const double expected = this->canary_share * old_answers_since;
+    const double required = std::max(kMinRequired, expected * kExpectedShare);
+    const bool is_frequent =
+        this->canary_share * static_cast<double>(route.old_version.answers) >= kMinExpected;
+    if (is_frequent && (static_cast<double>(comparison.answers) < required ||
+                        (!is_late && !IsCleared(comparison)))) {
       return false;
     }
     all.Add(comparison);
--- a/libs/rollout/src/evidence.h
+++ b/libs/rollout/src/evidence.h
@@ -105,6 +105,9 @@
   };
 
   Comparison Compare(const Route& route, std::size_t first) const;
+  // The earliest slice with answers of the new version. Those before it, or before the canaries of
+  // a coordinator that was lost with them, say nothing of what could be expected.
+  std::size_t FirstSliceOfNewVersion() const;
   // What has to be seen for a finding.
   struct Criteria {
     std::uint64_t min_failures = 0;
--- a/libs/rollout/tests/failures_test.cc
+++ b/libs/rollout/tests/failures_test.cc
@@ -178,6 +178,28 @@
   CHECK_TRUE(mesh.status.records.at(records).state == State::kRunning);
 }
 
+// Guards against a coordinator that is cut off and goes on to a phase without limits.
+TEST(RolloutFailures, IsolatedCoordinatorDoesNotAdvance) {
+  Setup setup;
+  setup.duration = kLongRollout;
+  setup.rate = 300.0;
+  Mesh mesh(setup);
+  mesh.RunFor(kLongRollout * 45 / 100);
+  const std::size_t isolated = *mesh.Coordinator();
+  for (std::size_t i = 0; i < mesh.nodes.size(); ++i) {
+    const bool is_canary = mesh.nodes[i].rollout->GetGauges().allowance > 0;
+    if (i == isolated || is_canary) {
+      mesh.nodes[i].group = 1;
+      mesh.nodes[i].reaches_register = false;
+    }
+  }
+  mesh.RunFor(kLongRollout / 3);
+  CHECK_TRUE(mesh.nodes[isolated].rollout->GetGauges().phase == Phase::kCanary);
+  mesh.RunFor(kLongRollout - (mesh.Now() - mesh.ordered_at));
+  const std::string problem = mesh.CheckGood();
+  STRCMP_EQUAL("", problem.c_str());
+}
+
 // Guards against nodes that avoid their coordinator after a partition has ended.
 TEST(RolloutFailures, NodesReportAgainAfterAPartition) {
   Setup setup;
