--- a/libs/rollout/src/evidence.cc
+++ b/libs/rollout/src/evidence.cc
@@ -21,7 +21,7 @@
 // its gates have withdrawn, a fault of both versions cannot be told from one of the new version:
 // only a failure rate above this and a larger factor of the latency count.
 constexpr double kUnmatchedShare = 0.1;
-constexpr double kUnmatchedFailureRate = 0.25;
+constexpr double kUnmatchedFailureRate = 0.1;
 constexpr std::size_t kUnmatchedShift = 1;  // Buckets: a factor of 1.2.
 
 // Latency: a version whose server is slower than all others by less than the factor exceeds the old
