--- a/libs/rollout/tests/random_faults_test.cc
+++ b/libs/rollout/tests/random_faults_test.cc
@@ -103,8 +103,7 @@
     switch (kind) {
       case FaultKind::kKillCoordinator:
       case FaultKind::kKillNode:
-        mesh.KillNode(node);
-        mesh.At(duration, [&mesh, node] { mesh.StartNode(node); });
+        mesh.Restart(node, duration);
         break;
       case FaultKind::kKillServer:
         mesh.KillServer(node);
@@ -117,9 +116,7 @@
       case FaultKind::kCutOffWithRegister:
         // A minority, as an availability zone is.
         for (std::size_t i = 0; i <= mesh.nodes.size() / 5; ++i) {
-          Node& cut = mesh.nodes[(node + i) % mesh.nodes.size()];
-          cut.group = 1;
-          cut.reaches_register = kind == FaultKind::kCutOffWithRegister;
+          mesh.CutOff((node + i) % mesh.nodes.size(), kind == FaultKind::kCutOffWithRegister);
         }
         mesh.At(duration, [this] { this->Restore(); });
         break;
@@ -142,8 +139,7 @@
           mesh.stopped_at.reset();
         }
         for (std::size_t i = 0; i < mesh.nodes.size(); ++i) {
-          mesh.KillNode(i);
-          mesh.At(this->random.Jitter(duration), [&mesh, i] { mesh.StartNode(i); });
+          mesh.Restart(i, this->random.Jitter(duration));
         }
         break;
       case FaultKind::kCount:
@@ -155,9 +151,8 @@
     this->mesh.network = {};
     this->mesh.status.available = true;
     this->mesh.status.lost_answers = 0.0;
-    for (Node& node : this->mesh.nodes) {
-      node.group = 0;
-      node.reaches_register = true;
+    for (std::size_t i = 0; i < this->mesh.nodes.size(); ++i) {
+      this->mesh.Rejoin(i);
     }
   }
 
--- a/libs/rollout/tests/rollout_mesh.cc
+++ b/libs/rollout/tests/rollout_mesh.cc
@@ -2,6 +2,8 @@
 
 #include "rollout_mesh.h"
 
+#include <CppUTest/TestHarness.h>
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -81,16 +83,7 @@
 void Mesh::PlaceOrder(const std::string& version, Duration duration) {
   this->orders.push_back({kService, version, duration, this->orders.size() + 1});
   this->ordered_at = this->now;
-  this->calls = 0;
-  this->exposure = 0;
-  this->refused = 0;
-  this->bad_answers = 0;
-  this->promoted = false;
-  this->went_back = false;
-  this->phase = Phase::kNone;
-  this->term = 0;
-  this->stopped_at.reset();
-  this->verdict_at.reset();
+  static_cast<Observations&>(*this) = {};
   for (std::size_t node = 0; node < this->nodes.size(); ++node) {
     const std::uint64_t boot = this->nodes[node].boot;
     this->At(kPropagation + this->random.Jitter(kMaxOrderDelay),
@@ -146,6 +139,21 @@
   this->nodes[node].server_alive = false;
 }
 
+void Mesh::Restart(std::size_t node, Duration delay) {
+  this->KillNode(node);
+  this->At(delay, [this, node] { this->StartNode(node); });
+}
+
+void Mesh::CutOff(std::size_t node, bool keeps_register) {
+  this->nodes[node].group = 1;
+  this->nodes[node].reaches_register = keeps_register;
+}
+
+void Mesh::Rejoin(std::size_t node) {
+  this->nodes[node].group = 0;
+  this->nodes[node].reaches_register = true;
+}
+
 void Mesh::KillServer(std::size_t index) {
   Node& node = this->nodes[index];
   node.server_alive = false;
@@ -219,29 +227,23 @@
         this->stopped_at = this->now;
       }
     }
-    this->log.push_back(
-        std::to_string(utils::ToMilliseconds(this->now - this->ordered_at)) + " ms " +
-        this->nodes[index].id + " order " + std::to_string(f.order) + " " +
-        std::string(ToString(f.phase)) + " " + std::string(ToString(f.reason)) + " route '" +
-        f.route + "' " + std::to_string(f.failures) + "/" + std::to_string(f.answers) + " old " +
-        std::to_string(f.old_failures) + "/" + std::to_string(f.old_answers) + " median " +
-        std::to_string(f.median.count()) + "/" + std::to_string(f.old_median.count()) +
-        " exposure " + std::to_string(f.exposure) + "/" + std::to_string(f.total) + " term " +
-        std::to_string(f.term));
+    this->log.push_back(this->Elapsed() + this->nodes[index].id + " " +
+                        std::string(ToString(f.phase)) + " " + std::string(ToString(f.reason)) +
+                        " " + f.route + " " + std::to_string(f.failures) + "/" +
+                        std::to_string(f.answers) + " old " + std::to_string(f.old_failures) + "/" +
+                        std::to_string(f.old_answers) + " term " + std::to_string(f.term));
   } else if (const auto* verdict = std::get_if<VerdictReached>(&effect)) {
     if (verdict->figures.order == this->orders.size() && verdict->state != this->Verdict()) {
       this->error = "a node learned a verdict that the register does not hold";
     }
     if (verdict->figures.order == this->orders.size() && !this->verdict_at) {
       this->verdict_at = this->now;
-      this->log.push_back(std::to_string(utils::ToMilliseconds(this->now - this->ordered_at)) +
-                          " ms verdict " + std::string(ToString(verdict->state)));
+      this->log.push_back(this->Elapsed() + "verdict " + std::string(ToString(verdict->state)));
     }
   }
 }
 
 void Mesh::Send(std::size_t from, const membership::NodeId& to, const Message& message) {
-  ++this->messages;
   const std::string bytes = ToCbor(message);
   const utils::Result<Message> decoded = MessageFromCbor(bytes);
   if (!decoded || *decoded != message) {
@@ -389,15 +391,12 @@
   if (is_target) {
     ++this->exposure;
     this->last_exposure = this->now;
-    if (!this->promoted && this->error.empty() &&
-        static_cast<double>(this->exposure) >
-            kExposureShare * static_cast<double>(this->calls) + kExposureSlack) {
+    if (!this->promoted && this->error.empty() && this->IsExposureExceeded()) {
       this->error = "the exposure exceeds its bound in a limited phase";
     }
     if (this->stopped_at && !this->promoted && this->error.empty() &&
         this->now > *this->stopped_at + kMaxRunAfterStop) {
-      this->error = node.id + " ran the version after its stop at " +
-                    std::to_string(utils::ToMilliseconds(this->now - this->ordered_at));
+      this->error = node.id + " ran the version after its stop at " + this->Elapsed();
     }
   }
   this->bad_answers += is_bad ? 1 : 0;
@@ -434,9 +433,8 @@
   return result;
 }
 
-bool Mesh::IsInPhase(Phase phase) const {
-  const std::optional<std::size_t> coordinator = this->Coordinator();
-  return coordinator && this->nodes[*coordinator].rollout->GetGauges().phase == phase;
+bool Mesh::RunToPhase(Phase to) {
+  return this->RunUntil([this, to] { return this->phase == to; });
 }
 
 State Mesh::Verdict() const {
@@ -446,17 +444,26 @@
   return this->status.records.back().state;
 }
 
-std::uint64_t Mesh::RunsOf(const std::string& version) const {
-  const auto found = this->runs.find(version);
-  return found == this->runs.end() ? 0 : found->second;
+bool Mesh::IsExposureExceeded() const {
+  return static_cast<double>(this->exposure) >
+         kExposureShare * static_cast<double>(this->calls) + kExposureSlack;
+}
+
+std::string Mesh::Elapsed() const {
+  return std::to_string(utils::ToMilliseconds(this->now - this->ordered_at)) + " ms ";
+}
+
+void Expect(const std::string& problem, const std::string& text) {
+  if (!problem.empty()) {
+    FAIL((text + ": " + problem).c_str());
+  }
 }
 
 std::string Mesh::Describe() const {
-  std::string text = "seed " + std::to_string(this->setup.seed) + " verdict " +
+  std::string text = "seed " + std::to_string(this->setup.seed) + " " +
                      std::string(ToString(this->Verdict())) + " calls " +
                      std::to_string(this->calls) + " exposure " + std::to_string(this->exposure) +
-                     " bad " + std::to_string(this->bad_answers) + " refused " +
-                     std::to_string(this->refused) + " messages " + std::to_string(this->messages);
+                     " bad " + std::to_string(this->bad_answers);
   for (const std::string& line : this->log) {
     text += "\n  " + line;
   }
@@ -468,32 +475,31 @@
 }
 
 std::string Mesh::CheckGood() const {
-  std::string problem = this->CheckAlways();
-  if (problem.empty() && (this->Verdict() != State::kComplete ||
-                          *this->verdict_at > this->ordered_at + this->orders.back().duration)) {
-    problem = "a good version was not completed in time: " + this->Describe();
+  const bool in_time =
+      this->verdict_at && *this->verdict_at <= this->ordered_at + this->orders.back().duration;
+  if (this->error.empty() && (this->Verdict() != State::kComplete || !in_time)) {
+    return "a good version was not completed in time: " + this->Describe();
   }
-  return problem;
+  return this->CheckAlways();
 }
 
-std::string Mesh::CheckBad() const {
-  std::string problem = this->CheckAlways();
-  if (!problem.empty()) {
-    return problem;
-  }
+std::string Mesh::CheckStopped() const {
+  const char* problem = nullptr;
   if (this->Verdict() != State::kRolledBack ||
       *this->verdict_at > this->ordered_at + this->orders.back().duration) {
     problem = "a bad version was not rolled back in time: ";
-  } else if (static_cast<double>(this->exposure) >
-             kExposureShare * static_cast<double>(this->calls) + kExposureSlack) {
-    problem = "a bad version received too many requests: ";
   } else if (this->last_exposure > *this->stopped_at + kMaxRunAfterStop) {
     problem = "the version ran after its stop: ";
   } else if (this->fiftieth_bad_answer &&
              this->last_exposure > *this->fiftieth_bad_answer + Seconds(5)) {
     problem = "the version ran 5 s after its 50th bad answer: ";
   }
-  return problem.empty() ? problem : problem + this->Describe();
+  return problem == nullptr ? this->CheckAlways() : problem + this->Describe();
+}
+
+std::string Mesh::CheckBad() const {
+  return this->IsExposureExceeded() ? "too many requests: " + this->Describe()
+                                    : this->CheckStopped();
 }
 
 }  // namespace amaranthlatch::rollout::testing
--- a/libs/rollout/tests/rollout_mesh.h
+++ b/libs/rollout/tests/rollout_mesh.h
@@ -85,7 +85,31 @@
   std::optional<utils::Timestamp> wake;
 };
 
-class Mesh {
+// What was seen since the newest order.
+struct Observations {
+  // Calls, runs of the target version, and calls that no gate accepted.
+  std::uint64_t calls = 0;
+  std::uint64_t exposure = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t bad_answers = 0;
+  std::optional<utils::Timestamp> fiftieth_bad_answer;
+  std::optional<utils::Timestamp> stopped_at;
+  std::optional<utils::Timestamp> verdict_at;
+  // Start of the last run of the target version.
+  utils::Timestamp last_exposure{};
+  // Highest term of a coordinator, and its phase.
+  std::uint64_t term = 0;
+  Phase phase = Phase::kNone;
+  // Whether a coordinator let the target version serve without limit, or went back to an earlier
+  // phase.
+  bool promoted = false;
+  bool went_back = false;
+};
+
+// Fails the test if there is a problem.
+void Expect(const std::string& problem, const std::string& text);
+
+class Mesh : public Observations {
  public:
   // Starts the old servers, runs for 4 s and then orders the rollout, at time 0 of the checks.
   explicit Mesh(const Setup& setup);
@@ -95,28 +119,39 @@
   void RunFor(utils::Duration duration);
   // Runs until the deadline of the order, or until the condition holds. Returns whether it does.
   bool RunUntil(const std::function<bool()>& condition);
+  void Finish() {
+    this->RunUntil([] { return false; });
+  }
+  bool RunToCanary() {
+    return this->RunUntil([this] { return this->exposure > 2; });
+  }
+  bool RunToPhase(Phase to);
 
   void PlaceOrder(const std::string& version, utils::Duration duration);
   std::size_t AddNode(const std::string& version, double speed = 1.0);
   void StartNode(std::size_t node);
   void KillNode(std::size_t node);
+  void Restart(std::size_t node, utils::Duration delay);
   void KillServer(std::size_t node);
   void Pause(std::size_t node, utils::Duration duration);
+  // Separates the node from all that are not cut off, and from the register unless it keeps it.
+  void CutOff(std::size_t node, bool keeps_register);
+  void Rejoin(std::size_t node);
   // Runs a call at the gate of the node.
   void Run(std::size_t node, const std::string& route, utils::Duration work);
 
   // The node that coordinates under the highest term; none if none does.
   std::optional<std::size_t> Coordinator() const;
-  bool IsInPhase(Phase phase) const;
   // Verdict of the newest order; kRunning without one.
   State Verdict() const;
   // What is wrong at the end of a rollout to a good or a bad version; empty if nothing is.
   std::string CheckGood() const;
   std::string CheckBad() const;
+  // The same for a bad version that was promoted before it turned bad.
+  std::string CheckStopped() const;
   // Violated invariants of any rollout.
   std::string CheckAlways() const;
   std::string Describe() const;
-  std::uint64_t RunsOf(const std::string& version) const;
 
   Setup setup;
   std::vector<Node> nodes;
@@ -124,23 +159,10 @@
   Register status;
   std::vector<Order> orders;
   utils::Timestamp ordered_at{};
-  // Calls, runs of the target version, and calls that no gate accepted, since the order.
-  std::uint64_t calls = 0;
-  std::uint64_t exposure = 0;
-  std::uint64_t refused = 0;
-  std::uint64_t bad_answers = 0;
-  std::optional<utils::Timestamp> fiftieth_bad_answer;
-  std::optional<utils::Timestamp> stopped_at;
-  std::optional<utils::Timestamp> verdict_at;
-  // Start of the last run of the target version.
-  utils::Timestamp last_exposure{};
-  // Whether a coordinator let the target version serve without limit.
-  bool promoted = false;
-  // Whether a coordinator went back to an earlier phase.
-  bool went_back = false;
+  // By version, since the start.
+  std::map<std::string, std::uint64_t> runs;
   utils::Random random;
   std::vector<std::string> log;
-  std::uint64_t messages = 0;
 
  private:
   struct Action {
@@ -160,6 +182,8 @@
   void Call();
   void Publish(std::size_t node);
   void ScheduleWake(std::size_t node);
+  std::string Elapsed() const;
+  bool IsExposureExceeded() const;
   BackendServerChanged Announcement(const Node& node, bool available) const;
   std::size_t IndexOf(const membership::NodeId& id) const { return this->indices.at(id); }
 
@@ -169,12 +193,8 @@
   std::uint64_t last_boot = 0;
   std::uint64_t last_run = 0;
   std::map<membership::NodeId, std::size_t> indices;
-  std::map<std::string, std::uint64_t> runs;
   membership::details::MemberTable members;
   std::string error;
-  // Highest term of a coordinator of the order, and its phase.
-  std::uint64_t term = 0;
-  Phase phase = Phase::kNone;
 };
 
 }  // namespace amaranthlatch::rollout::testing
--- a/libs/rollout/tests/rollout_test.cc
+++ b/libs/rollout/tests/rollout_test.cc
@@ -39,12 +39,6 @@
   return result;
 }
 
-void CheckRun(const std::string& problem, const std::string& text) {
-  if (!problem.empty()) {
-    FAIL((text + ": " + problem).c_str());
-  }
-}
-
 }  // namespace
 
 TEST_GROUP(Rollout){};
@@ -60,8 +54,8 @@
         setup.rate = rate;
         setup.bad_version = fault;
         Mesh mesh(setup);
-        mesh.RunFor(setup.duration);
-        CheckRun(mesh.CheckBad(), name + " at " + std::to_string(rate));
+        mesh.Finish();
+        Expect(mesh.CheckBad(), name + " at " + std::to_string(rate));
       }
     }
   }
@@ -100,9 +94,9 @@
           setup.service.until = duration * 6 / 10;
         }
         Mesh mesh(setup);
-        mesh.RunFor(setup.duration);
-        CheckRun(mesh.CheckGood(),
-                 kind.name + " in " + std::to_string(utils::ToMilliseconds(duration)) + " ms");
+        mesh.Finish();
+        Expect(mesh.CheckGood(),
+               kind.name + " in " + std::to_string(utils::ToMilliseconds(duration)) + " ms");
       }
     }
   }
@@ -122,8 +116,8 @@
     setup.rate = 10.0 * 300.0 / 12.0;
     setup.bad_version = fault;
     Mesh mesh(setup);
-    mesh.RunFor(setup.duration);
-    CheckRun(mesh.CheckAlways(), name);
+    mesh.Finish();
+    Expect(mesh.CheckAlways(), name);
     CHECK_TRUE_TEXT(mesh.Verdict() == State::kRolledBack, (name + mesh.Describe()).c_str());
     CHECK_TRUE_TEXT(mesh.exposure <= mesh.calls / 10 + 50, (name + mesh.Describe()).c_str());
   }
@@ -132,7 +126,7 @@
   setup.rate = 0.5;
   setup.bad_version = BadVersions().front().second;
   Mesh mesh(setup);
-  mesh.RunFor(setup.duration);
+  mesh.Finish();
   CHECK_TRUE(mesh.Verdict() == State::kRolledBack);
 }
 
@@ -142,7 +136,7 @@
   Setup setup;
   setup.new_nodes = 0;
   Mesh mesh(setup);
-  mesh.RunFor(setup.duration);
+  mesh.Finish();
   CHECK_TRUE(mesh.Verdict() == State::kRolledBack);
   mesh.PlaceOrder("1", Seconds(12));
   mesh.RunFor(Seconds(12));
@@ -174,9 +168,9 @@
   CHECK_TRUE(mesh.RunUntil([&mesh] { return mesh.Verdict() == State::kComplete; }));
   mesh.StartNode(mesh.AddNode("9"));
   mesh.RunFor(Seconds(3));
-  CHECK_EQUAL(0, mesh.RunsOf("9"));
+  CHECK_EQUAL(0, mesh.runs["9"]);
   mesh.RunFor(Seconds(2));
-  CHECK_TRUE(mesh.RunsOf("9") > 0);
+  CHECK_TRUE(mesh.runs["9"] > 0);
 }
 
 // Guards against servers that serve again after a verdict: replaced ones after a completion, those
@@ -189,15 +183,14 @@
     CHECK_TRUE(mesh.RunUntil([&mesh] { return mesh.Verdict() != State::kRunning; }));
     mesh.RunFor(Seconds(1));
     const std::string closed = is_good ? "1" : "2";
-    const std::uint64_t runs = mesh.RunsOf(closed);
+    const std::uint64_t runs = mesh.runs[closed];
     for (std::size_t i = 0; i < mesh.nodes.size(); ++i) {
       if (mesh.nodes[i].version == closed && i % 2 == 0) {
-        mesh.KillNode(i);
-        mesh.At(Seconds(1), [&mesh, i] { mesh.StartNode(i); });
+        mesh.Restart(i, Seconds(1));
       }
     }
     mesh.RunFor(Seconds(6));
-    CHECK_EQUAL(runs, mesh.RunsOf(closed));
+    CHECK_EQUAL(runs, mesh.runs[closed]);
     CHECK_EQUAL(0, mesh.refused);
   }
 }
