--- a/libs/rollout/src/coordinator.cc
+++ b/libs/rollout/src/coordinator.cc
@@ -264,8 +264,8 @@
   if (!this->has_surveyed) {
     // The slices keep their length, so that their numbers stay valid.
     this->has_surveyed = true;
-    this->slice_length =
-        std::max({kMinSlice, 2 * this->report_interval, Duration(order.duration / kMaxSlices)});
+    const Duration slice = order.duration / kMaxSlices;
+    this->slice_length = std::max({kMinSlice, 2 * this->report_interval, slice});
   }
   // Times at which the participants were last heard, for the majority.
   std::vector<Timestamp> heard;
@@ -344,11 +344,9 @@
 
 Timestamp Coordinator::LeaseLimit() const {
   const Timestamp by_register = this->confirmed_at + LeaseTime(this->options);
-  if (this->register_answers) {
-    return by_register;
-  }
-  return std::max(by_register,
-                  this->majority_heard + LeaseTime(this->options) + this->report_interval);
+  const Timestamp by_majority =
+      this->majority_heard + LeaseTime(this->options) + this->report_interval;
+  return std::max(by_register, by_majority);
 }
 
 std::size_t Coordinator::SliceAt(Timestamp time) const {
