--- a/libs/calls/src/balancer.cc
+++ b/libs/calls/src/balancer.cc
@@ -239,16 +239,14 @@
   }
   const auto priority = static_cast<std::size_t>(demand.priority);
   const std::uint32_t queued = peer.load.queued.at(priority);
-  std::uint32_t ahead = peer.load.ahead_of_new.at(priority);
-  if (report != nullptr) {
-    // The calls that were ahead have left the queue in the meantime, as far as the backend server
-    // could take them: without this, a workspace with few calls, and few reports, would be refused
-    // by a figure of a full queue that others know to be shorter.
-    const double drained = static_cast<double>((now - report->at).count()) * drain_rate;
-    const double left = std::max(0.0, static_cast<double>(report->ahead) - drained);
-    ahead = std::max(ahead, static_cast<std::uint32_t>(left));
-  }
-  return load - queued + std::min(queued, ahead);
+  const std::uint32_t ahead_of_new = peer.load.ahead_of_new.at(priority);
+  std::uint32_t ahead = ahead_of_new;
+  if (report != nullptr && queued > 0) {
+    const double elapsed = static_cast<double>((now - report->at).count());
+    const double left = static_cast<double>(report->ahead) - elapsed * drain_rate;
+    ahead = std::max(ahead_of_new, static_cast<std::uint32_t>(std::max(0.0, left)));
+  }
+  return load - queued + ahead;
 }
 
 std::size_t Balancer::ChooseLevel(const document::Locality& locality) const {
--- a/libs/calls/src/balancer.h
+++ b/libs/calls/src/balancer.h
@@ -124,7 +124,8 @@
   Candidate MakeCandidate(const membership::Member& member, Peer& peer, utils::Duration slow_start,
                           const Demand& demand, utils::Timestamp now);
   // Running calls of the gate and queued ones that precede a new call, as last reported.
-  // `drain_rate`: calls that the backend server takes from the queue in a microsecond.
+  // `drain_rate`: calls that the backend server takes from the queue in a microsecond; 0 if it is
+  // not known.
   std::uint32_t ReportedLoad(const Peer& peer, const Demand& demand, double drain_rate,
                              utils::Timestamp now) const;
   std::size_t ChooseLevel(const document::Locality& locality) const;
--- a/libs/calls/src/entry_retry.cc
+++ b/libs/calls/src/entry_retry.cc
@@ -170,11 +170,7 @@
   attempt.stage = stage;
   attempt.reached_backend =
       stage == AttemptStage::kUnknown || failure.code == ErrorCode::kBackendShed;
-  // The reply tells the length of the queue: counted as a failure as well, the excess of one
-  // workspace would keep the calls of all others away from the gate.
-  const AttemptOutcome outcome =
-      IsShareUsed(call, failure) ? AttemptOutcome::kAbandoned : AttemptOutcome::kFailed;
-  this->balancer.OnEnded(attempt.gate, RouteKeyOf(call), outcome, {}, context.now);
+  this->balancer.OnEnded(attempt.gate, RouteKeyOf(call), AttemptOutcome::kFailed, {}, context.now);
   // Once the deadline has passed, the caller gets kDeadlineExceeded whatever an attempt returns.
   if (!call.closing_until) {
     call.failure = failure;
--- a/libs/calls/tests/fair_shares_test.cc
+++ b/libs/calls/tests/fair_shares_test.cc
@@ -2,7 +2,10 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <cmath>
 #include <map>
+#include <memory>
+#include <numeric>
 #include <string>
 #include <vector>
 
@@ -15,7 +18,6 @@
 using details::AdmittedCall;
 using details::FairQueue;
 using details::QueueMeasure;
-using details::QueueOrder;
 using utils::Milliseconds;
 using utils::Seconds;
 using utils::Timestamp;
@@ -35,14 +37,22 @@
 // The weight of a generated workspace, which its name contains.
 double WeightOf(int workspace) { return 0.5 * (1 + workspace % 4); }
 
-// Number of answered calls of each workspace in 12 s. All workspaces together send 1.2 times the
-// capacity of three backend servers, and the first one `hot_factor` times its usual besides.
-std::vector<int> Serve(int hot_factor) {
-  constexpr int kWorkspaces = 80;
-  constexpr int kRounds = 12 * 18;
-  constexpr int kWarmUpRounds = 2 * 18;
-  // 18 calls a second of each workspace.
-  constexpr utils::Duration kInterval{694};
+struct Served {
+  int sent = 0;
+  int answered = 0;
+};
+
+struct Outcome {
+  Served hot;
+  Served others;
+  double attempts_per_call = 0.0;
+  // Mean time after which a call was refused.
+  double refusal_ms = 0.0;
+};
+
+// Sends calls of the workspaces in `round`, one after the other and again and again, at this rate,
+// to three backend servers that take 1,200 calls a second. Returns what came of the calls of 10 s.
+Outcome Serve(const std::vector<int>& round, double calls_per_second) {
   Options options;
   options.gate.adaptive_concurrency_limit = false;
   options.entry.max_uncounted_moves = 3;
@@ -60,30 +70,35 @@
     received.workspace = received.request.body.substr(0, received.request.body.find('-'));
   };
   utils::Random random(5);
-  int calls = 0;
-  const auto send = [&](int workspace) {
+  const Timestamp start = mesh.Now() + Seconds(2);
+  for (std::size_t i = 0; mesh.Now() < start + Seconds(10); ++i) {
     mesh.Call(random.Uniform(3), "/write",
-              std::to_string(workspace) + "-" + std::to_string(++calls));
-  };
-  int warm_up_calls = 0;
-  for (int i = 0; i < kRounds * kWorkspaces; ++i) {
-    const int workspace = i % kWorkspaces;
-    warm_up_calls = i == kWarmUpRounds * kWorkspaces ? calls : warm_up_calls;
-    for (int copy = 0; copy < (workspace == 0 ? hot_factor : 1); ++copy) {
-      send(workspace);
-    }
-    mesh.RunFor(kInterval);
+              std::to_string(round[i % round.size()]) + "-" + std::to_string(i));
+    mesh.RunFor(utils::Duration(static_cast<int>(1e6 / calls_per_second)));
   }
   mesh.RunFor(Seconds(3));
   STRCMP_EQUAL("", mesh.FirstError().c_str());
-  std::vector<int> answered(kWorkspaces);
+  Outcome result;
+  int refused = 0;
   for (const auto& [call, outcome] : mesh.Outcomes()) {
-    if (call > static_cast<std::uint64_t>(warm_up_calls) &&
-        outcome.answer->kind == ResultKind::kAnswered) {
-      ++answered[std::stoul(outcome.body)];
+    if (outcome.sent < start) {
+      continue;
     }
+    Served& served = std::stoi(outcome.body) == 0 ? result.hot : result.others;
+    const bool is_answered = outcome.answer->kind == ResultKind::kAnswered;
+    ++served.sent;
+    served.answered += is_answered ? 1 : 0;
+    refused += is_answered ? 0 : 1;
+    const utils::Duration time = is_answered ? utils::Duration{} : outcome.ended - outcome.sent;
+    result.refusal_ms += static_cast<double>(utils::ToMilliseconds(time));
+  }
+  result.refusal_ms /= std::max(1, refused);
+  double attempts = 0.0;
+  for (const Node& node : mesh.nodes) {
+    attempts += static_cast<double>(node.calls->GetCounters().attempts);
   }
-  return answered;
+  result.attempts_per_call = attempts / static_cast<double>(mesh.Outcomes().size());
+  return result;
 }
 
 }  // namespace
@@ -106,10 +121,12 @@
     for (int i = 0; i < 60 * workspaces; ++i) {
       push(i % workspaces);
     }
-    const std::size_t removed = queue.Size();
-    const AdmittedCall next = MakeCall("0", WeightOf(0), ++arrival);
+    const std::size_t pushed = queue.Size();
+    const int own = *rc::gen::inRange(0, workspaces);
+    AdmittedCall next = MakeCall(std::to_string(own), WeightOf(own), ++arrival);
+    next.latency_deadline = Timestamp(Milliseconds(*rc::gen::inRange(0, 9)));
     std::size_t ahead = 0;
-    queue.ForEachAhead("0", next.weight, next.latency_deadline,
+    queue.ForEachAhead(next.request.workspace, next.weight, next.latency_deadline,
                        [&](const AdmittedCall& /*call*/, double count) {
                          RC_ASSERT(count >= 1.0);
                          ++ahead;
@@ -129,11 +146,12 @@
       RC_ASSERT(call.latency_deadline >= latest[call.request.workspace]);
       latest[call.request.workspace] = call.latency_deadline;
     }
+    RC_ASSERT(served.size() == static_cast<std::size_t>(workspaces));
     for (const auto& [workspace, time] : served) {
-      RC_ASSERT(time <= served.at("0") + 1.0 / WeightOf(0) + 1.0 / WeightOf(std::stoi(workspace)));
-      RC_ASSERT(served.size() == static_cast<std::size_t>(workspaces));
+      const double slack = 1.0 / WeightOf(0) + 1.0 / WeightOf(std::stoi(workspace));
+      RC_ASSERT(std::abs(time - served.at("0")) <= slack);
     }
-    RC_ASSERT(queue.Size() == removed - static_cast<std::size_t>(20 * workspaces));
+    RC_ASSERT(queue.Size() == pushed - static_cast<std::size_t>(20 * workspaces));
   }));
 }
 
@@ -152,24 +170,73 @@
   POINTERS_EQUAL(nullptr, queue.FindYielding(MakeCall("light", 0.1, 9), QueueMeasure::kCalls));
 }
 
-// Guards against a workspace whose excess is paid by the others when capacity is short, at the
-// gates or by refusals of the entry nodes.
+// Guards against a gate whose queue or memory is taken by one workspace, and against an answer
+// other than "not run" to the queued call that gives way.
+TEST(FairShares, QueuedCallOfTheLargestWorkspaceGivesWay) {
+  for (const bool by_bytes : {false, true}) {
+    Options options;
+    options.gate.max_admitted_bytes = by_bytes ? 20 : 1'000;
+    Mesh mesh(1, 1, options);
+    mesh.nodes[0].backend.mode = BackendMode::kSilent;
+    document::ServiceDocument document = FleetDocument();
+    document.protection.slots = 1;
+    document.protection.queue_length = by_bytes ? 100 : 3;
+    mesh.routes.Set(document);
+    mesh.prepare = [](CallReceived& received) {
+      received.workspace = received.request.body.substr(0, 3);
+    };
+    std::vector<std::uint64_t> hot;
+    for (const char* body : {"hot-1", "hot-2", "hot-3", "hot-4", "hot-5"}) {
+      hot.push_back(mesh.Call(0, "/write", body));
+    }
+    const std::uint64_t other = mesh.Call(0, "/write", "new-1");
+    mesh.RunFor(Milliseconds(100));
+    CHECK_FALSE(mesh.OutcomeOf(other).answer.has_value());
+    CHECK_FALSE(mesh.OutcomeOf(hot[2]).answer.has_value());
+    for (const std::size_t refused : {3, 4}) {
+      CHECK_TRUE(mesh.AnswerOf(hot[refused]).kind == ResultKind::kNotRun);
+      CHECK_TRUE(mesh.AnswerOf(hot[refused]).code == utils::ErrorCode::kQueueFull);
+    }
+    STRCMP_EQUAL("", mesh.FirstError().c_str());
+  }
+}
+
+// Guards against a workspace whose excess is paid by the others when capacity is short, and against
+// late refusals: 80 workspaces send 1.2 times the capacity together, and one of them 7 times its
+// usual besides. Measured: the others 11,918 and 11,893, the hot one 150 and 157, refusals after 4
+// ms; with one queue for all 11,687 and 11,114, 148 and 975; without a count of calls that will
+// arrive 191 ms.
 TEST(FairShares, HotWorkspaceDoesNotCostOthers) {
-  const std::vector<int> usual = Serve(1);
-  const std::vector<int> hot = Serve(7);
-  int usual_sum = 0;
-  int hot_sum = 0;
-  for (std::size_t i = 1; i < usual.size(); ++i) {
-    usual_sum += usual[i];
-    hot_sum += hot[i];
+  constexpr int kWorkspaces = 80;
+  constexpr double kCallsPerSecond = 1'440.0;
+  std::vector<int> round(kWorkspaces);
+  std::iota(round.begin(), round.end(), 0);
+  const Outcome usual = Serve(round, kCallsPerSecond);
+  for (int i = 1; i < 7; ++i) {
+    round.insert(round.begin() + i * 13, 0);
   }
-  // Measured: 11942 and 11888 of 79 workspaces, 149 and 155 of the hot one. Without workspaces in
-  // the calls: 11676 and 10953, 148 and 964.
-  const std::string text = "usual " + std::to_string(usual_sum) + ", beside a hot one " +
-                           std::to_string(hot_sum) + ", hot " + std::to_string(usual[0]) + " and " +
-                           std::to_string(hot[0]);
-  CHECK_TRUE_TEXT(hot_sum >= 0.95 * usual_sum, text.c_str());
-  CHECK_TRUE_TEXT(hot[0] <= 2 * usual[0], text.c_str());
+  const Outcome hot =
+      Serve(round, kCallsPerSecond * static_cast<double>(round.size()) / kWorkspaces);
+  CHECK_TRUE(hot.others.answered >= 0.95 * usual.others.answered);
+  CHECK_TRUE(hot.hot.answered <= 2 * usual.hot.answered);
+  // A fifth of the target latency.
+  CHECK_TRUE(usual.refusal_ms <= 50.0 && hot.refusal_ms <= 50.0);
+}
+
+// Guards against entry nodes that refuse a workspace with few calls because another one has filled
+// the queues, and against entry nodes that send all calls of that one to be refused by the gates.
+// Measured: 708 of 708 calls, 0.64 attempts a call; with one queue 235, without reports on
+// workspaces 1.84.
+TEST(FairShares, FewCallsAreServedBesideAFloodOfAnother) {
+  std::vector<int> round(153, 0);
+  round[50] = 1;
+  round[101] = 2;
+  round[152] = 3;
+  const Outcome flood = Serve(round, 3'600.0);
+  CHECK_TRUE(flood.others.answered >= 0.95 * flood.others.sent);
+  CHECK_TRUE(flood.attempts_per_call <= 1.0);
+  // The backend servers are busy all the time.
+  CHECK_TRUE(flood.others.answered + flood.hot.answered >= 0.95 * 12'000);
 }
 
 }  // namespace amaranthlatch::calls::testing
