--- a/libs/calls/src/balancer.h
+++ b/libs/calls/src/balancer.h
@@ -159,7 +159,8 @@
                           utils::Timestamp now);
   RouteAveragesOfService FindAverages(const std::string& service, RouteKey route) const;
   // Running calls of the gate and queued ones that precede a new call, as last reported.
-  // `drain_rate`: calls that the backend server takes from the queue in a microsecond.
+  // `drain_rate`: calls that the backend server takes from the queue in a microsecond; 0 if it is
+  // not known.
   std::uint32_t ReportedLoad(const Peer& peer, const Demand& demand, double drain_rate,
                              utils::Timestamp now) const;
   std::size_t ChooseLevel(const document::Locality& locality) const;
--- a/libs/calls/src/entry_retry.cc
+++ b/libs/calls/src/entry_retry.cc
@@ -170,12 +170,8 @@
   attempt.stage = stage;
   attempt.reached_backend =
       stage == AttemptStage::kUnknown || failure.code == ErrorCode::kBackendShed;
-  // The reply tells the length of the queue: counted as a failure as well, the excess of one
-  // workspace would keep the calls of all others away from the gate.
   const AttemptOutcome outcome =
-      IsShareUsed(call, failure)
-          ? AttemptOutcome::kAbandoned
-          : this->balancer.OutcomeOf(attempt.gate, PriorityOf(call), failure.code);
+      this->balancer.OutcomeOf(attempt.gate, PriorityOf(call), failure.code);
   this->balancer.OnEnded(attempt.gate, RouteKeyOf(call), outcome, {}, context.now);
   if (call.match && outcome == AttemptOutcome::kBusy) {
     this->balancer.OnRefused(context, attempt.gate, TargetServiceOf(call), RouteKeyOf(call));
