Quarantine what two crashes have in common

Change: a crash report names the requests that may be the cause: none if one was on trial, and none that the gate completed within 60 s. A request that is the only common one of two crashes at different gates within 10 s is quarantined at once. Unlike after a trial, a copy that completes lifts that; a gate that knows of a late completion does not begin it. The tests of quarantine_test.cc are unchanged.

--- a/libs/calls/include/amaranthlatch/calls/message.h
+++ b/libs/calls/include/amaranthlatch/calls/message.h
@@ -126,6 +126,9 @@
   membership::NodeId gate;
   std::uint64_t gate_boot_id = 0;
   std::uint64_t crash = 0;
+  // Those of the fingerprints that may be the cause: none if a request was on trial, whose outcome
+  // is reported apart, and none of a request that the gate completed lately.
+  std::vector<std::uint64_t> candidates = {};
   bool operator==(const CrashReport&) const = default;
 };
 
--- a/libs/calls/src/gate_quarantine.cc
+++ b/libs/calls/src/gate_quarantine.cc
@@ -65,7 +65,7 @@
   }
   this->lost_connections.clear();
   if (!fingerprints.empty()) {
-    this->quarantine.ReportCrash(context, this->service, std::move(fingerprints));
+    this->quarantine.ReportCrash(context, this->service, std::move(fingerprints), !trials.empty());
   }
   if (trials.size() == 1) {
     this->quarantine.ReportConfirmed(context, this->service, *trials.begin());
--- a/libs/calls/src/message_codec.cc
+++ b/libs/calls/src/message_codec.cc
@@ -289,9 +289,9 @@
 }
 
 std::string Encode(const CrashReport& m) {
-  Writer out(MessageType::kCrashReport, 5, kReservedBytes);
+  Writer out(MessageType::kCrashReport, 6, kReservedBytes);
   out.Text(m.service).Numbers(m.fingerprints).Text(m.gate);
-  return out.Number(m.gate_boot_id).Number(m.crash).Take();
+  return out.Number(m.gate_boot_id).Number(m.crash).Numbers(m.candidates).Take();
 }
 
 std::string Encode(const CrashCleared& m) {
@@ -391,6 +391,7 @@
   m.gate = in.Text(kMaxNameBytes);
   m.gate_boot_id = in.Number();
   m.crash = in.Number();
+  m.candidates = in.Numbers(kMaxFingerprints);
   return m;
 }
 
--- a/libs/calls/src/quarantine.cc
+++ b/libs/calls/src/quarantine.cc
@@ -3,6 +3,7 @@
 #include "quarantine.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "amaranthlatch/utils/hash.h"
 
@@ -50,7 +51,7 @@
 }
 
 void Quarantine::ReportCrash(const Context& context, const std::string& service,
-                             std::vector<std::uint64_t> fingerprints) {
+                             std::vector<std::uint64_t> fingerprints, bool on_trial) {
   std::sort(fingerprints.begin(), fingerprints.end());
   fingerprints.erase(std::unique(fingerprints.begin(), fingerprints.end()), fingerprints.end());
   ++this->shared.counters.backend_crashes;
@@ -64,7 +65,13 @@
     this->RecordCrash(context, Key{service, fingerprint}, crash_id);
   }
   CrashReport report{service, std::move(fingerprints), self.id, self.boot_id, this->local_crashes};
+  if (!on_trial) {
+    std::copy_if(report.fingerprints.begin(), report.fingerprints.end(),
+                 std::back_inserter(report.candidates),
+                 [&](std::uint64_t f) { return !this->completed.Contains(f, context.now); });
+  }
   this->Disseminate(context, service, report, true);
+  this->QuarantineCommon(context, report);
 }
 
 void Quarantine::OnReport(const Context& context, const CrashReport& report) {
@@ -76,6 +83,7 @@
   // A repeated report is not relayed, which prevents relay loops.
   if (counted) {
     this->Disseminate(context, report.service, report, false);
+    this->QuarantineCommon(context, report);
   }
 }
 
@@ -119,15 +127,30 @@
 
 bool Quarantine::Confirm(const Context& context, const Key& key) {
   const auto found = this->entries.find(key);
-  if (found != this->entries.end() && found->second.quarantined) {
+  if (found != this->entries.end() && found->second.confirmed) {
     return false;
   }
-  this->Renew(context, key).quarantined = true;
-  ++this->shared.counters.quarantined;
-  context.effects.emplace_back(QuarantineChanged{key.first, key.second, true});
+  this->SetQuarantined(context, key).confirmed = true;
   return true;
 }
 
+Quarantine::Entry& Quarantine::SetQuarantined(const Context& context, const Key& key) {
+  Entry& entry = this->Renew(context, key);
+  if (!entry.quarantined) {
+    entry.quarantined = true;
+    ++this->shared.counters.quarantined;
+    context.effects.emplace_back(QuarantineChanged{key.first, key.second, true});
+  }
+  return entry;
+}
+
+void Quarantine::QuarantineCommon(const Context& context, const CrashReport& report) {
+  const std::optional<std::uint64_t> common = this->history.Add(report, context.now);
+  if (common && !this->completed.Contains(*common, context.now)) {
+    this->SetQuarantined(context, Key{report.service, *common});
+  }
+}
+
 Quarantine::Entry& Quarantine::Renew(const Context& context, const Key& key) {
   auto found = this->entries.find(key);
   if (found == this->entries.end()) {
@@ -167,7 +190,7 @@
 
 bool Quarantine::Clear(const Context& context, const Key& key) {
   const auto found = this->entries.find(key);
-  if (found == this->entries.end() || found->second.quarantined) {
+  if (found == this->entries.end() || found->second.confirmed) {
     return false;
   }
   ++this->shared.counters.suspects_cleared;
@@ -177,6 +200,7 @@
 
 void Quarantine::ReportCompleted(const Context& context, const std::string& service,
                                  std::uint64_t fingerprint) {
+  this->completed.Record(fingerprint, context.now);
   if (this->entries.empty() || !this->Clear(context, Key{service, fingerprint})) {
     return;
   }
@@ -184,6 +208,8 @@
 }
 
 void Quarantine::OnCleared(const Context& context, const CrashCleared& cleared) {
+  // Reports that arrive after this one must not quarantine the request again.
+  this->completed.Record(cleared.fingerprint, context.now);
   if (this->Clear(context, Key{cleared.service, cleared.fingerprint})) {
     this->Disseminate(context, cleared.service, cleared, false);
   }
--- a/libs/calls/src/quarantine.h
+++ b/libs/calls/src/quarantine.h
@@ -5,6 +5,10 @@
 // on all of them. So a suspect gets a trial: its owner gate runs one copy of it. It is cleared if
 // that completes, and quarantined if the server crashes while no other suspect is on trial there.
 // Suspects on trial in the same crash are contested: each of them gets its next trial alone.
+//
+// Without a trial a request is quarantined if it is all that two crashes at different gates within
+// seconds have in common, leaving out requests that were completed lately. A copy that completes
+// afterwards lifts such a quarantine.
 
 #pragma once
 
@@ -18,6 +22,7 @@
 #include <vector>
 
 #include "context.h"
+#include "crash_history.h"
 
 namespace amaranthlatch::calls::details {
 
@@ -37,9 +42,9 @@
                                     std::uint64_t fingerprint);
 
   // Records a crash of the local backend server with these requests in flight and reports it to the
-  // other gates.
+  // other gates. `on_trial`: whether any of them was on trial.
   void ReportCrash(const Context& context, const std::string& service,
-                   std::vector<std::uint64_t> fingerprints);
+                   std::vector<std::uint64_t> fingerprints, bool on_trial = false);
   void OnReport(const Context& context, const CrashReport& report);
 
   // Quarantines a suspect request whose trial crashed the local backend server and notifies the
@@ -52,7 +57,8 @@
   void SetContested(const std::string& service, std::uint64_t fingerprint);
   bool IsContested(const std::string& service, std::uint64_t fingerprint) const;
 
-  // Clears a suspect request that completed on this node and notifies the other gates.
+  // Clears a suspect request that completed on this node and notifies the other gates. To be called
+  // for every completed request.
   void ReportCompleted(const Context& context, const std::string& service,
                        std::uint64_t fingerprint);
   void OnCleared(const Context& context, const CrashCleared& cleared);
@@ -69,6 +75,9 @@
     // Crashes already reported; the earliest ones are enough to stop repeated reports.
     std::set<CrashId> crash_ids;
     bool quarantined = false;
+    // Quarantined by a crash on trial. A quarantine by two crashes alone ends if a copy of the
+    // request that was still running completes.
+    bool confirmed = false;
     // Known to the gate of the trial only.
     bool contested = false;
     utils::Timestamp expiry{};
@@ -76,8 +85,11 @@
 
   // Returns false if the crash is already recorded or the request is already quarantined.
   bool RecordCrash(const Context& context, const Key& key, const CrashId& crash_id);
-  // Returns false if the request is already quarantined.
+  // Returns false if the request is already quarantined by a crash on trial.
   bool Confirm(const Context& context, const Key& key);
+  // Quarantines the only request that this crash and another one have in common, if any.
+  void QuarantineCommon(const Context& context, const CrashReport& report);
+  Entry& SetQuarantined(const Context& context, const Key& key);
   // Returns the entry of the key, with a new expiry; a new entry if there is none.
   Entry& Renew(const Context& context, const Key& key);
   void EvictIfFull(const Context& context);
@@ -90,6 +102,8 @@
 
   SharedState& shared;
   std::uint64_t local_crashes = 0;
+  CrashHistory history;
+  CompletedRequests completed;
   // `entries` and `expiries` contain the same keys.
   std::map<Key, Entry> entries;
   std::set<std::pair<utils::Timestamp, Key>> expiries;
--- a/libs/calls/tests/call_components_test.cc
+++ b/libs/calls/tests/call_components_test.cc
@@ -88,7 +88,8 @@
     case 5:
       return PermitReply{*rc::gen::arbitrary<std::uint64_t>(), ErrorCode::kOk, "token", 5};
     case 6:
-      return CrashReport{"fleet", *rc::gen::arbitrary<std::vector<std::uint64_t>>(), "a", 1, 2};
+      return CrashReport{"fleet", *rc::gen::arbitrary<std::vector<std::uint64_t>>(), "a", 1,
+                         2,       *rc::gen::arbitrary<std::vector<std::uint64_t>>()};
     case 7:
       return CrashConfirmed{"fleet", *rc::gen::arbitrary<std::uint64_t>()};
     default:
