--- a/libs/rollout/include/amaranthlatch/rollout/message.h
+++ b/libs/rollout/include/amaranthlatch/rollout/message.h
@@ -61,8 +61,8 @@
   std::uint64_t server = 0;
   // Clock of the sender; increases with each report and is echoed by the directive.
   utils::Duration sent_at{};
-  // Highest term known to the sender, and the sequence of the last directive of this term that is in
-  // force; 0 if there is none.
+  // Highest term known to the sender, and the sequence of the last directive of this term that is
+  // in force; 0 if there is none.
   std::uint64_t term = 0;
   std::uint64_t sequence = 0;
   // Highest phase that the sender was told, under any term.
--- a/libs/runtime/src/bulk_window.cc
+++ b/libs/runtime/src/bulk_window.cc
@@ -19,9 +19,9 @@
 constexpr utils::Duration kMaxQueueing = utils::Milliseconds(100);
 // The way to the peer may have changed since.
 constexpr utils::Duration kLeastTimeAge = utils::Seconds(30);
-// The answers that show a queue come after it has formed. A window that grew by all that was received
-// passed the accepted queueing by 120 ms in the test with a slow peer, one that grows by a quarter by
-// 50 ms.
+// The answers that show a queue come after it has formed. A window that grew by all that was
+// received passed the accepted queueing by 120 ms in the test with a slow peer, one that grows by a
+// quarter by 50 ms.
 constexpr std::uint64_t kGrowth = 4;
 constexpr std::uint64_t kMarkersInWindow = 4;
 constexpr std::uint64_t kMinMarkerBytes = 2 * kFragmentBytes;
--- a/libs/runtime/src/register_options.cc
+++ b/libs/runtime/src/register_options.cc
@@ -92,7 +92,6 @@
     options.directory.discovery_spread = kNewMeshDiscoverySpread;
   }
 
-
   calls::Options& calls = options.calls;
   calls.seed = seed + 1;
   calls.entry.max_deadline = kLongestDeadline;
@@ -100,8 +99,7 @@
   calls.entry.max_open_bytes = memory.request_bytes;
   calls.gate.max_admitted_bytes = memory.run_bytes;
   calls.entry.max_uncounted_moves = kFreeMoves;
-  calls.gate.link_bits_per_second =
-      static_cast<std::uint64_t>(settings.link_rate_bits_per_second);
+  calls.gate.link_bits_per_second = static_cast<std::uint64_t>(settings.link_rate_bits_per_second);
   calls.entry.fence_retry_interval = kFenceInterval;
   calls.entry.fence_timeout = kFenceTimeout;
   calls.entry.retry_burst = 1.0 + settings.retry_slack / kNodesSharingSlack;
