--- a/libs/rollout/tests/components_test.cc
+++ b/libs/rollout/tests/components_test.cc
@@ -9,6 +9,7 @@
 #include "amaranthlatch/membership/member_table.h"
 #include "amaranthlatch/rollout/message_codec.h"
 #include "amaranthlatch/utils/random.h"
+#include "coordinator.h"
 #include "evidence.h"
 #include "exposure_budget.h"
 #include "participant.h"
@@ -84,6 +85,39 @@
   CHECK_TRUE(counters.ToRoutes() == std::vector<RouteCounters>{expected});
 }
 
+// Guards against a process whose evidence is lost with it: none of the two fails often enough
+// alone.
+TEST(RolloutComponents, DeadProcessesStayInTheEvidence) {
+  Options options;
+  options.id = "a";
+  membership::Member self;
+  self.id = options.id;
+  const membership::details::MemberTable members(self);
+  const Timestamp start(Seconds(1000));
+  details::Coordinator::Claim claim;
+  claim.order = {"fleet", "2", Seconds(20), 7};
+  claim.term = 1;
+  details::Coordinator coordinator(options, claim, start);
+  std::vector<Effect> effects;
+  Report report;
+  report.service = "fleet";
+  report.order = 7;
+  report.available = true;
+  const auto deliver = [&](const membership::NodeId& from, const std::string& version,
+                           std::uint64_t boot_id, std::uint64_t failures, int step) {
+    report.version = version;
+    report.boot_id = boot_id;
+    report.sent_at = Milliseconds(step);
+    report.routes = {{"pay", 40, failures, {{20, 40 - failures}}}};
+    coordinator.OnReport(from, report, start + Milliseconds(100 * step), members, effects);
+  };
+  deliver("old", "1", 1, 0, 1);
+  deliver("new", "2", 2, 5, 2);
+  CHECK_FALSE(coordinator.Verdict().has_value());
+  deliver("new", "2", 3, 5, 3);
+  CHECK_TRUE(coordinator.Verdict() == State::kRolledBack);
+}
+
 // Guards against a new coordinator that grants again what an earlier one has granted.
 TEST(RolloutComponents, EarlierGrantsCount) {
   details::ExposureBudget budget(0.1, 50.0);
--- a/libs/rollout/tests/rollout_mesh.h
+++ b/libs/rollout/tests/rollout_mesh.h
@@ -174,7 +174,9 @@
     }
   };
 
+  // Delivers an event to this process of the node; later, if it is paused.
   void Deliver(std::size_t node, std::uint64_t boot, Event event);
+  void DeliverLater(std::size_t node, utils::Duration delay, Event event);
   void HandleEffect(std::size_t node, const Effect& effect);
   void Send(std::size_t from, const membership::NodeId& to, const Message& message);
   void Read(std::size_t node);
