--- a/libs/calls/src/entry_retry.cc
+++ b/libs/calls/src/entry_retry.cc
@@ -13,9 +13,9 @@
 using utils::Timestamp;
 
 constexpr std::uint32_t kMaxDoublings = 16;
-// Moves of a call whose workspace has used its share of a queue: where it has at one gate, it has
-// at most others, and with three moves 80 workspaces at 1.2 times the capacity made 2.2 attempts a
-// call.
+// Moves of a call whose workspace has used its share of a queue. Further gates seldom have more
+// room for it: with three moves, 80 workspaces at 1.2 times the capacity made 1.42 attempts a call
+// in place of 1.24 and were refused after 26 ms in place of 3 ms, with as many answers.
 constexpr std::uint32_t kMaxShareMoves = 1;
 
 // Counts the attempts that reached no backend server.
