--- a/libs/calls/tests/fair_shares_test.cc
+++ b/libs/calls/tests/fair_shares_test.cc
@@ -191,7 +191,7 @@
   std::vector<int> round(kWorkspaces);
   std::iota(round.begin(), round.end(), 0);
   const Outcome usual = Serve(round, kCallsPerSecond);
-  for (int i = 1; i < 7; ++i) {
+  for (std::ptrdiff_t i = 1; i < 7; ++i) {
     round.insert(round.begin() + i * 13, 0);
   }
   const Outcome hot =
--- a/libs/directory/include/amaranthlatch/directory/text_index.h
+++ b/libs/directory/include/amaranthlatch/directory/text_index.h
@@ -36,7 +36,10 @@
   template <typename HasText>
   std::optional<std::uint32_t> Find(std::string_view text, HasText has_text) const {
     const Slot& slot = this->slots[this->FindSlot(this->PlaceOf(HashOf(text)), has_text)];
-    return slot.entry == 0 ? std::nullopt : std::optional(slot.entry - 1);
+    if (slot.entry == 0) {
+      return std::nullopt;
+    }
+    return slot.entry - 1;
   }
 
  private:
--- a/libs/directory/include/amaranthlatch/directory/workspace.h
+++ b/libs/directory/include/amaranthlatch/directory/workspace.h
@@ -20,7 +20,8 @@
   std::string name;
   // Each of them identifies the workspace. Keys are never logged and never part of an error text.
   std::vector<std::string> keys;
-  // Priority of its calls; that of their routes if unset.
+  // Rank of its calls on the scale of routes, kInternal being the highest; that of their routes if
+  // unset. node::CallAuthorizer derives the priority class from it.
   std::optional<document::Priority> priority;
   // Quota in requests per second; 0 means unlimited.
   double rate = 0.0;
--- a/libs/node/src/register_node.cc
+++ b/libs/node/src/register_node.cc
@@ -103,9 +103,9 @@
     }
     this->effects.emplace_back(std::move(effect));
   }
-  void HandleEffect(directory::ConfigurationActivated effect) {
+  void HandleEffect(const directory::ConfigurationActivated& effect) {
     this->limits_changed = true;
-    this->effects.emplace_back(std::move(effect));
+    this->effects.emplace_back(effect);
   }
   void HandleEffect(quota::SendMessage effect) {
     this->effects.emplace_back(SendMessage{std::move(effect.to), std::move(effect.message)});
