Scale the wait that a gate reports to what a workspace has ahead of it

Change: the reported wait counts by the share of the calls ahead that hold for the workspace; without workspaces the factor is 1.

--- a/libs/calls/src/balancer.cc
+++ b/libs/calls/src/balancer.cc
@@ -300,7 +300,12 @@
     };
     candidate.has_report = true;
     candidate.report_age_us = static_cast<double>((now - peer.load_at).count());
-    candidate.reported_wait_us = reported_us(peer.load.wait_ms);
+    // The wait is that behind all queued calls. A call of a workspace goes ahead of some of them,
+    // or behind calls of others that come later.
+    const std::uint32_t all_ahead = peer.load.CallsAhead(demand.priority);
+    const double share =
+        all_ahead > 0 ? static_cast<double>(candidate.reported_load) / all_ahead : 1.0;
+    candidate.reported_wait_us = reported_us(peer.load.wait_ms) * share;
     // The transport sends small answers ahead of bulk.
     if (averages.answer_bytes > static_cast<double>(kMaxSmallAnswerBytes)) {
       candidate.link_wait_us = reported_us(peer.load.link_wait_ms);
