--- a/libs/rollout/tests/components_test.cc
+++ b/libs/rollout/tests/components_test.cc
@@ -109,7 +109,8 @@
     report.boot_id = boot_id;
     report.sent_at = Milliseconds(step);
     report.routes = {{"pay", 40, failures, {{20, 40 - failures}}}};
-    coordinator.OnReport(from, report, start + Milliseconds(100 * step), members, effects);
+    coordinator.OnReport(from, report, start + Milliseconds(std::int64_t{100} * step), members,
+                         effects);
   };
   deliver("old", "1", 1, 0, 1);
   deliver("new", "2", 2, 5, 2);
--- a/libs/runtime/tests/bulk_pacer_test.cc
+++ b/libs/runtime/tests/bulk_pacer_test.cc
@@ -115,18 +115,18 @@
   pacer.SetReady("a", true);
   pacer.SetReady("b", true);
   for (std::uint64_t number = 1; number <= 3; ++number) {
-    CHECK_TRUE(pacer.Add("a", number, Priority::kNormal, 3 * 8192));
+    CHECK_TRUE(pacer.Add("a", number, Priority::kNormal, std::size_t{3} * 8192));
   }
-  CHECK_TRUE(pacer.Add("b", 4, Priority::kNormal, 2 * 8192));
+  CHECK_TRUE(pacer.Add("b", 4, Priority::kNormal, std::size_t{2} * 8192));
   CHECK_TRUE(pacer.Add("b", 5, Priority::kInternal, 8192));
   CHECK_TRUE(pacer.Add("b", 6, Priority::kBatch, 8192));
   STRCMP_EQUAL("bababaaaaaaab", Order(pacer).c_str());
   // An idle peer has saved nothing up, and one that takes nothing holds up nobody.
-  CHECK_TRUE(pacer.Add("a", 7, Priority::kNormal, 6 * 8192));
-  CHECK_TRUE(pacer.Add("b", 8, Priority::kNormal, 6 * 8192));
+  CHECK_TRUE(pacer.Add("a", 7, Priority::kNormal, std::size_t{6} * 8192));
+  CHECK_TRUE(pacer.Add("b", 8, Priority::kNormal, std::size_t{6} * 8192));
   pacer.SetReady("a", false);
   STRCMP_EQUAL("bbbbbb", Order(pacer).c_str());
-  CHECK_TRUE(pacer.Add("b", 9, Priority::kNormal, 6 * 8192));
+  CHECK_TRUE(pacer.Add("b", 9, Priority::kNormal, std::size_t{6} * 8192));
   pacer.SetReady("a", true);
   STRCMP_EQUAL("aabababababb", Order(pacer).c_str());
 }
--- a/libs/runtime/tests/reassembly_test.cc
+++ b/libs/runtime/tests/reassembly_test.cc
@@ -210,7 +210,7 @@
   int changes = 0;
   for (int i = 0; i < 1000; ++i) {
     const utils::Duration wait = Milliseconds(i < 500 ? (i % 3) * 300 : (i < 800 ? 400 : 20));
-    changes += state.Update(wait, Timestamp(Milliseconds(i * 10))) ? 1 : 0;
+    changes += state.Update(wait, Timestamp(Milliseconds(std::int64_t{10} * i))) ? 1 : 0;
     CHECK_TRUE(i != 799 || (changes == 1 && state.IsCongested()));
   }
   LONGS_EQUAL(2, changes);
--- a/libs/runtime/tests/register_settings_test.cc
+++ b/libs/runtime/tests/register_settings_test.cc
@@ -76,7 +76,7 @@
   };
   LONGS_EQUAL(100'000, connections(0));
   // 200 for files, two for each of 512 links, 256 for the backend server.
-  CHECK_TRUE(connections(4100) + 200 + 2 * 512 + 256 < 4100);
+  CHECK_TRUE(connections(4100) + 200 + std::uint64_t{2} * 512 + 256 < 4100);
   CHECK_TRUE(connections(4100) > 1'500);
   CHECK_TRUE(connections(8192) == connections(4100) + 4092);
   object["max_connections"] = 1'000;
