Split the reducer of register mode by responsibility

Change: CallAdmission judges calls and holds them back for their quota, RolloutParticipant keeps the events of the rollout and what is announced of the server, RegisterModules passes events between the reducers, and RegisterNode creates them. Node and RegisterNode share the check of the secret, the report of violations of calls and the arithmetic of wake times. Behaviour is unchanged.

--- a/libs/node/include/amaranthlatch/node/envelope.h
+++ b/libs/node/include/amaranthlatch/node/envelope.h
@@ -33,6 +33,9 @@
 enum class KeyPurpose : std::uint8_t { kEnvelope = 1, kPermit = 2 };
 Key DeriveKey(std::string_view secret, KeyPurpose purpose);
 
+// Whether keys can be derived from the shared secret. Fails with kSettingsOutOfRange.
+utils::Result<void> CheckSecret(std::string_view secret);
+
 // Detects repeated message counters of many senders in bounded memory.
 class ReplayFilter {
  public:
--- a/libs/node/include/amaranthlatch/node/invariants.h
+++ b/libs/node/include/amaranthlatch/node/invariants.h
@@ -26,6 +26,9 @@
   void OnCallOpened(std::uint64_t call, std::vector<InvariantViolated>& violations);
   void OnCallAnswered(std::uint64_t call, std::vector<InvariantViolated>& violations);
 
+  // Passes the first violation that the calls reducer found on, once. Empty if there is none.
+  void CheckCalls(const std::string& first_violation, std::vector<InvariantViolated>& violations);
+
   std::uint64_t StateChecks() const { return this->state_checks; }
 
  private:
@@ -41,6 +44,7 @@
   std::set<std::string, std::less<>> previous_services;
   std::set<std::uint64_t> open_calls;
   std::uint64_t state_checks = 0;
+  bool calls_violation_reported = false;
 };
 
 }  // namespace amaranthlatch::node
--- a/libs/node/include/amaranthlatch/node/register_node.h
+++ b/libs/node/include/amaranthlatch/node/register_node.h
@@ -1,5 +1,5 @@
-// Reducer of a node whose members and configuration come from a register, composed of the directory
-// and calls reducers.
+// Reducer of a node whose members and configuration come from a register, composed of the
+// directory, calls, rollout and quota reducers.
 
 #pragma once
 
@@ -20,6 +20,10 @@
 
 namespace amaranthlatch::node {
 
+namespace details {
+class RegisterModules;
+}  // namespace details
+
 struct RegisterNodeOptions {
   // Secret shared by all nodes of the mesh, from which keys are derived.
   std::string secret;
@@ -99,10 +103,9 @@
   const node::AuthorizationCounters& AuthorizationCounters() const;
 
  private:
-  struct Impl;
-  explicit RegisterNode(std::unique_ptr<Impl> impl);
+  explicit RegisterNode(std::unique_ptr<details::RegisterModules> modules);
 
-  std::unique_ptr<Impl> impl;
+  std::unique_ptr<details::RegisterModules> modules;
 };
 
 }  // namespace amaranthlatch::node
--- a/libs/node/src/envelope.cc
+++ b/libs/node/src/envelope.cc
@@ -71,6 +71,17 @@
   return key;
 }
 
+utils::Result<void> CheckSecret(std::string_view secret) {
+  if (sodium_init() < 0) {
+    return utils::Fail(utils::ErrorCode::kSettingsOutOfRange, "libsodium cannot be initialised");
+  }
+  if (secret.empty()) {
+    return utils::Fail(utils::ErrorCode::kSettingsOutOfRange, "the shared secret is empty",
+                       "/secret");
+  }
+  return {};
+}
+
 bool ReplayFilter::Accept(const membership::NodeId& sender, std::uint64_t boot_id,
                           std::uint64_t counter) {
   Window& window = this->FindOrInsert(sender + ' ' + std::to_string(boot_id));
@@ -117,14 +128,11 @@
 
 Result<Envelope> Envelope::Create(membership::NodeId self, std::uint64_t boot_id,
                                   std::string_view secret) {
-  if (sodium_init() < 0) {
-    return Fail(ErrorCode::kSettingsOutOfRange, "libsodium cannot be initialised");
-  }
   if (self.empty() || self.size() > kMaxIdBytes) {
     return Fail(ErrorCode::kSettingsOutOfRange, "node id is empty or too long");
   }
-  if (secret.empty()) {
-    return Fail(ErrorCode::kSettingsOutOfRange, "the shared secret is empty", "/secret");
+  if (const auto usable = CheckSecret(secret); !usable) {
+    return tl::unexpected(usable.error());
   }
   return Envelope(std::move(self), boot_id, DeriveKey(secret, KeyPurpose::kEnvelope));
 }
--- a/libs/node/src/invariants.cc
+++ b/libs/node/src/invariants.cc
@@ -96,4 +96,12 @@
   }
 }
 
+void InvariantChecker::CheckCalls(const std::string& first_violation,
+                                  std::vector<InvariantViolated>& violations) {
+  if (!first_violation.empty() && !this->calls_violation_reported) {
+    this->calls_violation_reported = true;
+    violations.push_back({"calls", first_violation});
+  }
+}
+
 }  // namespace amaranthlatch::node
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -2,8 +2,6 @@
 
 #include "amaranthlatch/node/node.h"
 
-#include <sodium.h>
-
 #include <deque>
 #include <string>
 #include <utility>
@@ -16,6 +14,7 @@
 #include "amaranthlatch/node/invariants.h"
 #include "amaranthlatch/utils/hash.h"
 #include "recent_callers.h"
+#include "wake_time.h"
 
 namespace amaranthlatch::node {
 
@@ -127,20 +126,16 @@
   // Start of the recheck after a pause; empty when no recheck is in progress.
   std::optional<Timestamp> recheck_since;
   std::uint64_t observed_pauses = 0;
-  bool calls_violation_reported = false;
 };
 
 void Node::Impl::WakeDueModules() {
-  const auto due = [this](const std::optional<Timestamp>& wake) {
-    return wake && *wake <= this->now;
-  };
-  if (!this->started || due(this->membership.NextWake())) {
+  if (!this->started || details::IsDue(this->membership.NextWake(), this->now)) {
     this->queue.emplace_back(membership::Event(membership::WakeUp{}));
   }
-  if (!this->started || due(this->distribution.NextWake())) {
+  if (!this->started || details::IsDue(this->distribution.NextWake(), this->now)) {
     this->queue.emplace_back(distribution::Event(distribution::WakeUp{}));
   }
-  if (due(this->calls.NextWake())) {
+  if (details::IsDue(this->calls.NextWake(), this->now)) {
     this->queue.emplace_back(calls::Event(calls::WakeUp{}));
   }
   this->started = true;
@@ -332,11 +327,7 @@
 void Node::Impl::CheckInvariants() {
   this->invariants.CheckState(this->distribution.InForce(), this->distribution.Held(),
                               this->violations);
-  const std::string& violation_text = this->calls.FirstViolation();
-  if (!violation_text.empty() && !this->calls_violation_reported) {
-    this->calls_violation_reported = true;
-    this->violations.push_back({"calls", violation_text});
-  }
+  this->invariants.CheckCalls(this->calls.FirstViolation(), this->violations);
   this->counters.state_checks = this->invariants.StateChecks();
   this->counters.invariant_violations += this->violations.size();
   for (InvariantViolated& violation : this->violations) {
@@ -349,12 +340,8 @@
 Node::~Node() = default;
 
 utils::Result<std::unique_ptr<Node>> Node::Create(const NodeOptions& options) {
-  if (sodium_init() < 0) {
-    return utils::Fail(utils::ErrorCode::kSettingsOutOfRange, "libsodium cannot be initialised");
-  }
-  if (options.secret.empty()) {
-    return utils::Fail(utils::ErrorCode::kSettingsOutOfRange, "the shared secret is empty",
-                       "/secret");
+  if (const auto usable = CheckSecret(options.secret); !usable) {
+    return tl::unexpected(usable.error());
   }
   auto membership = membership::Membership::Create(MembershipOptions(options));
   if (!membership) {
@@ -392,16 +379,12 @@
     return Timestamp{};
   }
   std::optional<Timestamp> next;
-  const auto keep = [&next](const std::optional<Timestamp>& wake) {
-    if (wake && (!next || *wake < *next)) {
-      next = wake;
-    }
-  };
-  keep(modules.membership.NextWake());
-  keep(modules.distribution.NextWake());
-  keep(modules.calls.NextWake());
+  for (const auto& wake :
+       {modules.membership.NextWake(), modules.distribution.NextWake(), modules.calls.NextWake()}) {
+    next = details::Earlier(next, wake);
+  }
   if (modules.recheck_since) {
-    keep(*modules.recheck_since + kRecheckTimeout);
+    next = details::Earlier(next, *modules.recheck_since + kRecheckTimeout);
   }
   return next;
 }
