--- a/libs/calls/tests/mesh.cc
+++ b/libs/calls/tests/mesh.cc
@@ -128,14 +128,14 @@
   }
 }
 
-void Mesh::At(Duration delay, std::function<void()> action) {
+void Simulation::At(Duration delay, std::function<void()> action) {
   this->actions.push_back(Action{this->now + delay, ++this->last_order, std::move(action)});
   std::push_heap(this->actions.begin(), this->actions.end(), [](const auto& a, const auto& b) {
     return IsLater(a.at, a.order, b.at, b.order);
   });
 }
 
-void Mesh::RunFor(Duration duration) {
+void Simulation::RunFor(Duration duration) {
   const Timestamp end = this->now + duration;
   while (!this->actions.empty() && this->actions.front().at <= end) {
     std::pop_heap(this->actions.begin(), this->actions.end(), [](const auto& a, const auto& b) {
--- a/libs/calls/tests/mesh.h
+++ b/libs/calls/tests/mesh.h
@@ -108,15 +108,32 @@
   bool lost = false;
 };
 
-class Mesh {
+// Simulated time: runs scheduled actions in order.
+class Simulation {
  public:
-  Mesh(std::size_t nodes, std::uint64_t seed, const Options& options = {});
-
   utils::Timestamp Now() const { return this->now; }
   // Schedules an action after the delay.
   void At(utils::Duration delay, std::function<void()> action);
   void RunFor(utils::Duration duration);
 
+ protected:
+  utils::Timestamp now{utils::Seconds(1'000)};
+
+ private:
+  struct Action {
+    utils::Timestamp at;
+    std::uint64_t order;
+    std::function<void()> run;
+  };
+
+  std::uint64_t last_order = 0;
+  std::vector<Action> actions;
+};
+
+class Mesh : public Simulation {
+ public:
+  Mesh(std::size_t nodes, std::uint64_t seed, const Options& options = {});
+
   // Starts a call and returns its number. A body that starts with "poison" crashes the backend
   // server that runs it.
   std::uint64_t Call(std::size_t node, const std::string& path, const std::string& body,
@@ -160,12 +177,6 @@
   int backend_crashes = 0;
 
  private:
-  struct Action {
-    utils::Timestamp at;
-    std::uint64_t order;
-    std::function<void()> run;
-  };
-
   std::size_t IndexOf(const membership::NodeId& id) const;
   void StartProcess(std::size_t node, std::unique_ptr<BalancePolicy> policy);
   void HandleEffect(std::size_t node, Effect effect);
@@ -178,11 +189,8 @@
 
   Options options;
   utils::Random random;
-  utils::Timestamp now{utils::Seconds(1'000)};
-  std::uint64_t last_order = 0;
   std::uint64_t last_call = 0;
   std::uint64_t last_boot = 0;
-  std::vector<Action> actions;
   std::map<std::uint64_t, CallOutcome> outcomes;
   std::map<std::uint64_t, std::function<void(const AnswerPermit&)>> permit_callbacks;
   std::map<std::string, int> runs;
