--- a/tools/calls_benchmark/load_pattern.cc
+++ b/tools/calls_benchmark/load_pattern.cc
@@ -18,11 +18,10 @@
                                                 link_mbit, cold_s, cold_factor)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Wave, swing, period_s, phases)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Burst, factor, from_s, until_s)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(NestedCall, type, share)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CallType, service, priority, rate_per_zone,
                                                 target_ms, deadline_ms, work_ms, work_spread,
                                                 request_bytes, response_bytes, retries, idempotent,
-                                                wave, bursts, nested)
+                                                wave, bursts, nested_type, nested_share)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Fault, service, share, from_s, until_s, slowdown,
                                                 refuse, kill)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CrossingPrice, zone_ms, region_ms, zone_ms_per_kb,
@@ -44,28 +43,21 @@
   return {};
 }
 
-std::string Problem(const LoadPattern& pattern) {
-  for (const auto& [name, service] : pattern.services) {
-    if (service.servers_per_zone < 1 || service.slots < 1 || service.speeds.empty() ||
-        *std::min_element(service.speeds.begin(), service.speeds.end()) <= 0.0) {
-      return "service " + name + " needs servers, slots and positive speeds";
-    }
-  }
-  for (const auto& [name, type] : pattern.call_types) {
-    const bool nested_known = std::all_of(
-        type.nested.begin(), type.nested.end(),
-        [&pattern](const NestedCall& nested) { return pattern.call_types.contains(nested.type); });
-    if (!pattern.services.contains(type.service) || !nested_known || type.wave.phases.empty() ||
-        type.wave.period_s <= 0.0) {
-      return "call type " + name + " needs a known service, nested types and a wave with phases";
-    }
-  }
-  for (const Fault& fault : pattern.faults) {
-    if (!pattern.services.contains(fault.service)) {
-      return "fault of an unknown service " + fault.service;
-    }
-  }
-  return pattern.zone_regions.empty() || pattern.seconds <= 0.0 ? "no zones or no time" : "";
+bool IsValid(const LoadPattern& pattern) {
+  const auto& types = pattern.call_types;
+  const auto is_valid_service = [](const auto& entry) {
+    const ServicePattern& service = entry.second;
+    return service.servers_per_zone > 0 && service.slots > 0 && !service.speeds.empty() &&
+           *std::min_element(service.speeds.begin(), service.speeds.end()) > 0.0;
+  };
+  const auto is_valid_type = [&](const auto& entry) {
+    const CallType& type = entry.second;
+    return pattern.services.contains(type.service) && !type.wave.phases.empty() &&
+           (type.nested_type.empty() || types.contains(type.nested_type));
+  };
+  return !pattern.zone_regions.empty() && pattern.seconds > 0.0 &&
+         std::all_of(pattern.services.begin(), pattern.services.end(), is_valid_service) &&
+         std::all_of(types.begin(), types.end(), is_valid_type);
 }
 }  // namespace
 
@@ -84,8 +76,11 @@
   if (const std::string pointer = UnknownKey(input, json(pattern)); !pointer.empty()) {
     return Fail(ErrorCode::kSettingsUnknownKey, path + ": unknown key", pointer);
   }
-  if (const std::string problem = Problem(pattern); !problem.empty()) {
-    return Fail(ErrorCode::kSettingsOutOfRange, path + ": " + problem);
+  if (!IsValid(pattern)) {
+    return Fail(ErrorCode::kSettingsOutOfRange,
+                path +
+                    ": needs zones, seconds, servers, slots and speeds above 0, and call types "
+                    "whose services and nested types exist");
   }
   return pattern;
 }
--- a/tools/calls_benchmark/load_pattern.h
+++ b/tools/calls_benchmark/load_pattern.h
@@ -36,12 +36,6 @@
   double until_s = 0.0;
 };
 
-// Made by the backend server with this probability after half of its work.
-struct NestedCall {
-  std::string type;
-  double share = 1.0;
-};
-
 struct CallType {
   std::string service;
   // internal, interactive, normal or batch.
@@ -60,7 +54,10 @@
   bool idempotent = true;
   Wave wave;
   std::vector<Burst> bursts;
-  std::vector<NestedCall> nested;
+  // Call that the backend server makes with this probability after half of its work; empty for
+  // none.
+  std::string nested_type;
+  double nested_share = 1.0;
 };
 
 // Concerns a share of the servers of a service.
--- a/tools/calls_benchmark/main.cc
+++ b/tools/calls_benchmark/main.cc
@@ -12,7 +12,6 @@
 
 #include "pattern_player.h"
 #include "scenarios.h"
-#include "svg_plot.h"
 
 namespace {
 
@@ -64,7 +63,7 @@
     std::cout << report.dump(1) << "\n";
   }
   if (args.at("--svg")) {
-    std::ofstream(args.at("--svg").asString()) << GoodputPlot(result);
+    std::ofstream(args.at("--svg").asString()) << result.ToSvg();
   }
   return result.first_error.empty() ? 0 : kExitViolated;
 }
--- a/tools/calls_benchmark/pattern_player.cc
+++ b/tools/calls_benchmark/pattern_player.cc
@@ -16,7 +16,6 @@
 namespace amaranthlatch::calls::benchmark {
 
 namespace {
-using nlohmann::json;
 using testing::FakeMembers;
 using testing::FakeRoutes;
 using utils::Duration;
@@ -35,7 +34,6 @@
 constexpr double kMaxWaitShare = 1.0 / 3.0;
 constexpr double kLateRefusalShare = 0.2;
 constexpr double kMicrosecondsPerMs = 1e3;
-constexpr double kMicrosecondsPerSecond = 1e6;
 constexpr double kBitsPerMegabit = 1e6;
 constexpr std::size_t kMessageOverheadBytes = 200;
 // Messages up to this size overtake larger ones on a link, as in the transport.
@@ -49,25 +47,11 @@
 constexpr std::uint64_t kMaxBodyBytes = 1ULL << 24U;
 
 Duration FromMs(double ms) { return Duration(static_cast<Duration::rep>(ms * kMicrosecondsPerMs)); }
+double ToMs(Duration duration) {
+  return static_cast<double>(duration.count()) / kMicrosecondsPerMs;
+}
 Duration FromSeconds(double seconds) { return FromMs(seconds * 1e3); }
 
-struct Column {
-  const char* name;
-  std::uint64_t CallCounts::*member;
-};
-constexpr std::array kColumns = {Column{"offered", &CallCounts::offered},
-                                 Column{"in_time", &CallCounts::in_time},
-                                 Column{"late", &CallCounts::late},
-                                 Column{"refused", &CallCounts::refused},
-                                 Column{"failed", &CallCounts::failed},
-                                 Column{"requests", &CallCounts::requests},
-                                 Column{"refusals", &CallCounts::refusals},
-                                 Column{"late_refusals", &CallCounts::late_refusals},
-                                 Column{"sent", &CallCounts::sent},
-                                 Column{"arrivals", &CallCounts::arrivals},
-                                 Column{"zone_bytes", &CallCounts::zone_bytes},
-                                 Column{"region_bytes", &CallCounts::region_bytes}};
-
 // A node and its backend server.
 struct Node {
   membership::Member member;
@@ -105,6 +89,7 @@
   Caller caller;
   std::size_t node = 0;
   Timestamp sent{};
+  int arrivals = 0;
   int runs = 0;
   bool ended = false;
   bool refused = false;
@@ -144,8 +129,9 @@
   Duration OccupyLink(Node& node, std::size_t bytes);
 
   void Run(std::size_t index, const RunOnBackendServer& run);
-  void RunNested(std::size_t index, std::uint64_t boot, const RunOnBackendServer& run,
-                 std::size_t next, Duration rest);
+  // Makes the nested call, if any, and finishes the work.
+  void RunSecondHalf(std::size_t index, std::uint64_t boot, const RunOnBackendServer& run,
+                     Duration rest);
   bool IsRunning(std::size_t index, std::uint64_t boot, std::uint64_t run) const;
   void EndRun(std::size_t index, std::uint64_t boot, std::uint64_t run, const Event& event);
   void Respond(std::size_t index, std::uint64_t boot, std::uint64_t run, HttpResponse response);
@@ -279,8 +265,7 @@
 }
 
 double Player::RateOf(const CallType& type, std::size_t zone) const {
-  const double seconds =
-      static_cast<double>((this->Now() - this->start).count()) / kMicrosecondsPerSecond;
+  const double seconds = ToMs(this->Now() - this->start) / 1e3;
   const double phase = type.wave.phases[zone % type.wave.phases.size()];
   double rate = type.rate_per_zone * this->options.load *
                 (1.0 + type.wave.swing * std::sin(2.0 * std::numbers::pi *
@@ -360,8 +345,9 @@
   if (answer.kind == ResultKind::kNotRun) {
     request.refused = true;
     ++counts.refusals;
-    const Duration limit = FromMs(type.target_ms * kLateRefusalShare);
-    counts.late_refusals += this->Now() - request.sent > limit ? 1 : 0;
+    const double time_ms = ToMs(this->Now() - request.sent);
+    this->result.types.at(*caller->name).refusals_ms.push_back(time_ms);
+    counts.late_refusals += time_ms > type.target_ms * kLateRefusalShare ? 1 : 0;
     if (request.runs > 0) {
       this->SetError("a request that ran was refused as not run");
     }
@@ -381,10 +367,9 @@
     this->End(caller, &CallCounts::failed);
     return;
   }
-  const Duration time = this->Now() - caller->sent;
-  this->result.types.at(*caller->name)
-      .latencies_ms.push_back(static_cast<double>(time.count()) / kMicrosecondsPerMs);
-  this->End(caller, time <= FromMs(type.target_ms) ? &CallCounts::in_time : &CallCounts::late);
+  const double time_ms = ToMs(this->Now() - caller->sent);
+  this->result.types.at(*caller->name).answers_ms.push_back(time_ms);
+  this->End(caller, time_ms <= type.target_ms ? &CallCounts::in_time : &CallCounts::late);
 }
 
 void Player::End(const Caller& caller, std::uint64_t CallCounts::*outcome) {
@@ -426,13 +411,10 @@
 }
 
 void Player::AddCounters(const Node& node) {
-  Counters& sum = this->result.counters;
-  const Counters& counters = node.calls->GetCounters();
-  sum.calls += counters.calls;
-  sum.attempts += counters.attempts;
-  sum.retries += counters.retries;
-  sum.retries_over_budget += counters.retries_over_budget;
-  sum.moves += counters.moves;
+  for (const auto member : {&Counters::calls, &Counters::attempts, &Counters::retries,
+                            &Counters::retries_over_budget, &Counters::moves}) {
+    this->result.counters.*member += node.calls->GetCounters().*member;
+  }
 }
 
 void Player::KillNode(std::size_t index) {
@@ -522,9 +504,8 @@
   if (node.service->link_mbit <= 0.0) {
     return {};
   }
-  const Duration transfer(
-      static_cast<Duration::rep>(static_cast<double>(bytes) * 8.0 * kMicrosecondsPerSecond /
-                                 (node.service->link_mbit * kBitsPerMegabit)));
+  const Duration transfer =
+      FromSeconds(static_cast<double>(bytes) * 8.0 / (node.service->link_mbit * kBitsPerMegabit));
   node.link_free = std::max(node.link_free, this->Now()) + transfer;
   return bytes > kMaxSmallBytes ? node.link_free - this->Now() : transfer;
 }
@@ -566,7 +547,9 @@
   const std::uint64_t boot = node.member.boot_id;
   Request& request = this->requests[std::stoull(run.request.body)];
   const CallType& type = this->TypeOf(*request.caller);
-  ++this->CountsOf(*request.caller).arrivals;
+  CallCounts& counts = this->CountsOf(*request.caller);
+  ++counts.arrivals;
+  counts.repeated_arrivals += request.arrivals++ > 0 ? 1 : 0;
   node.running[run.run] = this->Now();
   if (this->random.Bernoulli(node.refuse)) {
     this->At(kRefusalTime, [this, index, boot, id = run.run] {
@@ -587,36 +570,28 @@
   const Duration time = FromMs(type.work_ms * (1.0 + spread) / node.speed * node.slowdown *
                                (is_cold ? node.service->cold_factor : 1.0));
   this->At(time / 2, [this, index, boot, run, time] {
-    this->RunNested(index, boot, run, 0, time - time / 2);
+    this->RunSecondHalf(index, boot, run, time - time / 2);
   });
 }
 
-void Player::RunNested(std::size_t index, std::uint64_t boot, const RunOnBackendServer& run,
-                       std::size_t next, Duration rest) {
+void Player::RunSecondHalf(std::size_t index, std::uint64_t boot, const RunOnBackendServer& run,
+                           Duration rest) {
   if (!this->IsRunning(index, boot, run.run)) {
     return;
   }
   const CallType& type = this->TypeOf(*this->requests[std::stoull(run.request.body)].caller);
-  while (next < type.nested.size() && !this->random.Bernoulli(type.nested[next].share)) {
-    ++next;
-  }
-  if (next == type.nested.size()) {
+  const auto finish = [this, index, boot, rest, id = run.run, &type](bool answered) {
     const std::string body(static_cast<std::size_t>(type.response_bytes), 'x');
-    this->At(rest, [this, index, boot, id = run.run, body] {
-      this->Respond(index, boot, id, {kOk, {}, body});
-    });
+    const HttpResponse response{answered ? kOk : kBadGateway, {}, body};
+    this->At(answered ? rest : Duration{}, [=, this] { this->Respond(index, boot, id, response); });
+  };
+  if (type.nested_type.empty() || !this->random.Bernoulli(type.nested_share)) {
+    finish(true);
     return;
   }
   const Timestamp deadline = this->nodes[index].running.at(run.run) + run.remaining;
-  this->Begin(std::make_shared<CallerState>(
-      CallerState{&type.nested[next].type, this->nodes[index].zone, index, this->Now(), deadline, 0,
-                  [this, index, boot, run, next, rest](bool answered) {
-                    if (answered) {
-                      this->RunNested(index, boot, run, next + 1, rest);
-                    } else {
-                      this->Respond(index, boot, run.run, {kBadGateway, {}, "nested call failed"});
-                    }
-                  }}));
+  this->Begin(std::make_shared<CallerState>(CallerState{&type.nested_type, this->nodes[index].zone,
+                                                        index, this->Now(), deadline, 0, finish}));
 }
 
 bool Player::IsRunning(std::size_t index, std::uint64_t boot, std::uint64_t run) const {
@@ -653,18 +628,17 @@
   }
   // Every call has ended within a second of its deadline.
   this->RunFor(this->end - this->start + longest + Seconds(1));
-  const double seconds =
-      static_cast<double>((this->end - this->start).count()) / kMicrosecondsPerSecond;
   for (const Node& node : this->nodes) {
     if (node.calls) {
       this->AddCounters(node);
     }
-    const double busy_s = static_cast<double>(node.busy.count()) / kMicrosecondsPerSecond;
-    this->result.servers.push_back({node.member.zone, node.member.service, node.speed, node.runs,
-                                    busy_s / seconds / node.service->slots});
+    const double busy = ToMs(node.busy) / ToMs(this->end - this->start) / node.service->slots;
+    this->result.servers.push_back(
+        {node.member.zone, node.member.service, node.speed, node.runs, busy});
   }
   for (auto& [name, type] : this->result.types) {
-    std::sort(type.latencies_ms.begin(), type.latencies_ms.end());
+    std::sort(type.answers_ms.begin(), type.answers_ms.end());
+    std::sort(type.refusals_ms.begin(), type.refusals_ms.end());
     const CallCounts sum = type.Sum();
     if (sum.offered != sum.in_time + sum.late + sum.refused + sum.failed) {
       this->SetError("a call of type " + name + " has not ended");
@@ -673,57 +647,8 @@
   return std::move(this->result);
 }
 
-double Percentile(const std::vector<double>& sorted, double share) {
-  const auto last = static_cast<double>(sorted.size()) - 1.0;
-  return sorted.empty() ? 0.0 : sorted[static_cast<std::size_t>(last * share)];
-}
 }  // namespace
 
-CallCounts& CallCounts::operator+=(const CallCounts& other) {
-  for (const Column& column : kColumns) {
-    this->*column.member += other.*column.member;
-  }
-  return *this;
-}
-
-CallCounts TypeResult::Sum(std::size_t from, std::size_t until) const {
-  CallCounts sum;
-  for (std::size_t i = from; i < std::min(until, this->seconds.size()); ++i) {
-    sum += this->seconds[i];
-  }
-  return sum;
-}
-
-json PatternResult::ToJson() const {
-  json report = {{"first_error", this->first_error}};
-  for (const auto& [name, type] : this->types) {
-    json& entry = report["types"][name];
-    const CallCounts sum = type.Sum();
-    for (const Column& column : kColumns) {
-      entry["total"][column.name] = sum.*column.member;
-      for (const CallCounts& counts : type.seconds) {
-        entry["by_second"][column.name].push_back(counts.*column.member);
-      }
-    }
-    entry["p50_ms"] = Percentile(type.latencies_ms, 0.5);
-    entry["p99_ms"] = Percentile(type.latencies_ms, 0.99);
-  }
-  report["attempts_per_request"] =
-      static_cast<double>(this->counters.attempts) /
-      static_cast<double>(std::max<std::uint64_t>(this->counters.calls, 1));
-  report["retries"] = this->counters.retries;
-  report["retries_over_budget"] = this->counters.retries_over_budget;
-  report["moves"] = this->counters.moves;
-  for (const ServerResult& server : this->servers) {
-    report["servers"].push_back({{"zone", server.zone},
-                                 {"service", server.service},
-                                 {"speed", server.speed},
-                                 {"runs", server.runs},
-                                 {"utilisation", server.utilisation}});
-  }
-  return report;
-}
-
 PatternResult PlayPattern(const LoadPattern& pattern, const PlayOptions& options) {
   return Player(pattern, options).Play();
 }
