--- a/tools/calls_benchmark/load_pattern.cc
+++ b/tools/calls_benchmark/load_pattern.cc
@@ -3,6 +3,7 @@
 #include "load_pattern.h"
 
 #include <algorithm>
+#include <array>
 #include <fstream>
 #include <nlohmann/json.hpp>
 
@@ -12,6 +13,8 @@
 using nlohmann::json;
 using utils::ErrorCode;
 using utils::Fail;
+
+constexpr std::array kPriorities = {"internal", "interactive", "normal", "batch"};
 }  // namespace
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ServicePattern, servers_per_zone, slots, speeds,
@@ -53,14 +56,24 @@
   const auto is_valid_type = [&](const auto& entry) {
     const CallType& type = entry.second;
     return pattern.services.contains(type.service) && !type.wave.phases.empty() &&
+           PriorityIndex(type) < kPriorities.size() &&
            (type.nested_type.empty() || types.contains(type.nested_type));
   };
+  const auto is_valid_fault = [&](const Fault& fault) {
+    return pattern.services.contains(fault.service) && fault.from_s < fault.until_s;
+  };
   return !pattern.zone_regions.empty() && pattern.seconds > 0.0 &&
          std::all_of(pattern.services.begin(), pattern.services.end(), is_valid_service) &&
-         std::all_of(types.begin(), types.end(), is_valid_type);
+         std::all_of(types.begin(), types.end(), is_valid_type) &&
+         std::all_of(pattern.faults.begin(), pattern.faults.end(), is_valid_fault);
 }
 }  // namespace
 
+std::size_t PriorityIndex(const CallType& type) {
+  return static_cast<std::size_t>(std::find(kPriorities.begin(), kPriorities.end(), type.priority) -
+                                  kPriorities.begin());
+}
+
 utils::Result<LoadPattern> ReadLoadPattern(const std::string& path) {
   std::ifstream file(path);
   const json input = json::parse(file, nullptr, false);
--- a/tools/calls_benchmark/load_pattern.h
+++ b/tools/calls_benchmark/load_pattern.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
@@ -98,6 +99,9 @@
   std::vector<Fault> faults;
 };
 
+// Index of the priority of the type in document::Priority; 4 if it is unknown.
+std::size_t PriorityIndex(const CallType& type);
+
 // Fails with kSettingsUnreadable, kSettingsUnknownKey, kSettingsWrongType or kSettingsOutOfRange.
 utils::Result<LoadPattern> ReadLoadPattern(const std::string& path);
 
