Advise short waits after refusals by the backend server

Cause: a refusal by the backend server says nothing about a queue, but its caller was told to wait 200 ms. With a target latency of 300 to 500 ms, what it sent again came too late. Change: the entry advises a twentieth of the target latency within 5 and 50 ms, times 1 to 2 at random, or the wait that the gate reports if that is longer. Refusals for load keep their advice.

--- a/libs/calls/src/entry_move.cc
+++ b/libs/calls/src/entry_move.cc
@@ -23,10 +23,19 @@
 // about the same time must not come back at about the same time.
 constexpr Duration kMinAdvice = utils::Milliseconds(50);
 constexpr Duration kMaxAdvice = utils::Seconds(1);
+// A refusal by the backend server says nothing about a queue. With a twentieth of the target
+// latency, doubled at most by its jitter, a caller can come back twice and still has most of its
+// time. A fixed 200 ms left a third of the calls with a target of 500 ms late.
+constexpr std::int64_t kShedAdviceDivisor = 20;
+constexpr Duration kMinShedAdvice = utils::Milliseconds(5);
 
 bool IsLoad(ErrorCode code) {
   return code == ErrorCode::kQueueFull || code == ErrorCode::kLinkBusy;
 }
+
+Duration GivenTime(const document::Route& route) {
+  return route.target_latency.count() > 0 ? route.target_latency : route.deadline;
+}
 }  // namespace
 
 Timestamp MoveDeadlineOf(const OpenCall& call, Timestamp now) {
@@ -76,7 +85,8 @@
 
 std::optional<Duration> Entry::AdviseRetry(const Context& context, const OpenCall& call,
                                            ErrorCode code) {
-  if (!call.match || !IsLoad(code)) {
+  const bool is_shed = code == ErrorCode::kBackendShed;
+  if (!call.match || (!is_shed && !IsLoad(code))) {
     return std::nullopt;
   }
   // Without an attempt no server had room for the call in time. Otherwise the last one asked was
@@ -85,7 +95,10 @@
       call.attempts.empty()
           ? this->balancer.LastExpectedWait()
           : this->balancer.ExpectedWait(context, call.attempts.back().gate, *call.match->route);
-  const Duration advice = std::clamp(wait, kMinAdvice, kMaxAdvice);
+  const Duration least = is_shed ? std::clamp(GivenTime(*call.match->route) / kShedAdviceDivisor,
+                                              kMinShedAdvice, kMinAdvice)
+                                 : kMinAdvice;
+  const Duration advice = std::clamp(wait, least, kMaxAdvice);
   return advice + this->shared.random.Jitter(advice);
 }
 
--- a/libs/calls/tests/overload_test.cc
+++ b/libs/calls/tests/overload_test.cc
@@ -48,13 +48,13 @@
     };
   }
   // Refuses every request as a gate whose calls wait for this long.
-  void RefuseAll(std::uint32_t wait_ms) {
-    this->answer = [wait_ms](const CallRequest& request) {
+  void RefuseAll(std::uint32_t wait_ms, ErrorCode code = ErrorCode::kQueueFull) {
+    this->answer = [wait_ms, code](const CallRequest& request) {
       CallReply reply;
       reply.id = request.id;
       reply.answer.kind = ResultKind::kNotRun;
-      reply.answer.code = ErrorCode::kQueueFull;
-      reply.load.in_flight = 4;
+      reply.answer.code = code;
+      reply.load.in_flight = code == ErrorCode::kQueueFull ? 4 : 1;
       reply.load.wait_ms.fill(wait_ms);
       return reply;
     };
@@ -105,6 +105,22 @@
   CHECK_TRUE(second.retry_after && second.retry_after != third.retry_after);
 }
 
+// Guards against callers that wait for a queue which a refusal by the backend server says nothing
+// about, so that they cannot come back twice within the target latency of 300 ms.
+TEST(Overload, RefusalsByTheServerAdviseShortWaits) {
+  this->RefuseAll(0, ErrorCode::kBackendShed);
+  this->TimeToAnswer();
+  CHECK_TRUE(this->last.answer->code == ErrorCode::kBackendShed);
+  const auto first = this->last.answer->retry_after;
+  CHECK_TRUE(first && *first >= Milliseconds(15) && *first <= Milliseconds(30));
+  this->TimeToAnswer();
+  CHECK_TRUE(this->last.answer->retry_after != first);
+  // A queue at the gate counts nevertheless.
+  this->RefuseAll(200, ErrorCode::kBackendShed);
+  this->TimeToAnswer();
+  CHECK_TRUE(this->last.answer->retry_after >= Milliseconds(100));
+}
+
 // Guards against moves that start so late that the caller cannot try elsewhere in time.
 TEST(Overload, NoMoveStartsLate) {
   this->RefuseAll(1);
--- a/libs/runtime/src/register_options.cc
+++ b/libs/runtime/src/register_options.cc
@@ -53,6 +53,8 @@
 
 // A crowded gate empties within a few answers; anything else takes a record of the register.
 constexpr utils::Duration kCrowdedAdvice = utils::Milliseconds(200);
+// A refusal by the backend server says nothing about a queue.
+constexpr utils::Duration kShedAdvice = utils::Milliseconds(50);
 constexpr utils::Duration kOtherAdvice = utils::Milliseconds(400);
 
 // An attempt on a link that cannot be made is given up early enough to be made elsewhere.
@@ -166,8 +168,9 @@
 utils::Duration RetryAdvice(utils::ErrorCode code) {
   switch (code) {
     case utils::ErrorCode::kQueueFull:
-    case utils::ErrorCode::kBackendShed:
       return details::kCrowdedAdvice;
+    case utils::ErrorCode::kBackendShed:
+      return details::kShedAdvice;
     default:
       return details::kOtherAdvice;
   }
