Retry calls that a backend server refused at once

Cause: a refusal by one backend server says nothing about the others, but its call waited 5 to 10 ms before another gate was asked. A retry that found no gate kept its token, and one that another gate refused was paid for twice. Change: such a retry is made at once, at a gate that was not asked; a gate is asked again only after a pause. The budget is charged for retries that are sent. An attempt that reached no server moves on, also if an earlier attempt of the call reached one. The mesh of the tests can refuse a share of the calls at random.

--- a/libs/calls/src/entry.cc
+++ b/libs/calls/src/entry.cc
@@ -224,6 +224,7 @@
   }
   call.moving = false;
   if (gate == nullptr) {
+    this->RefundRetry(call);
     if (!call.permit && call.attempts.empty()) {
       call.failure = NotRunAnswer(this->balancer.WasOverloaded() ? ErrorCode::kQueueFull
                                                                  : ErrorCode::kNoBackendServer);
@@ -242,6 +243,8 @@
   attempt.sent = context.now;
   attempt.overdue_at = context.now + this->AttemptTimeout(context, call);
   ++this->shared.counters.attempts;
+  this->shared.counters.retries += call.is_paid ? 1 : 0;
+  call.is_paid = false;
   this->balancer.OnSent(gate->id, PriorityOf(call), context.now);
   context.Send(gate->id, this->MakeRequest(context, call, attempt, *gate));
   call.attempts.push_back(std::move(attempt));
@@ -402,6 +405,7 @@
   ++(answer.kind == ResultKind::kAnswered ? counters.answered
      : answer.kind == ResultKind::kNotRun ? counters.not_run
                                           : counters.unknown);
+  this->RefundRetry(call);
   const std::uint64_t number = call.call;
   context.effects.emplace_back(AnswerCaller{number, std::move(answer)});
   this->open_bytes -= call.request_bytes;
--- a/libs/calls/src/entry.h
+++ b/libs/calls/src/entry.h
@@ -77,6 +77,8 @@
   std::optional<utils::Timestamp> retry_at;
   // Whether the next attempt is a move, which pauses first if it would ask a gate again.
   bool moving = false;
+  // Whether the next attempt has been charged to the retry budget.
+  bool is_paid = false;
   // Set once the deadline has passed: open attempts are fenced until this time.
   std::optional<utils::Timestamp> closing_until;
   // The answer if no attempt succeeds.
@@ -148,6 +150,8 @@
   void RetryOrFail(const Context& context, OpenCall& call);
   // Schedules another attempt if the retry rules, the budget and the deadline allow it.
   bool TryRetry(const Context& context, OpenCall& call);
+  // Returns the charge of a retry that is not made.
+  void RefundRetry(OpenCall& call);
   // Schedules a move to another gate at once, unless it is too late for it.
   bool TryMove(const Context& context, OpenCall& call);
   // Whether a move to this gate would ask it again without a pause.
--- a/libs/calls/src/entry_move.cc
+++ b/libs/calls/src/entry_move.cc
@@ -60,6 +60,13 @@
   return true;
 }
 
+void Entry::RefundRetry(OpenCall& call) {
+  if (call.is_paid) {
+    this->budget.Refund(call.budget_service);
+    call.is_paid = false;
+  }
+}
+
 bool Entry::NeedsPause(const OpenCall& call, const membership::Member& gate) {
   return call.moving &&
          std::any_of(call.attempts.begin(), call.attempts.end(),
@@ -73,7 +80,8 @@
   const Duration longest =
       std::min(options.max_backoff, options.initial_backoff * (1U << doublings));
   const Timestamp at = context.now + longest / 2 + this->shared.random.Jitter(longest / 2);
-  const bool was_refused = call.failure.code != ErrorCode::kGateUnreachable;
+  // A retry is paid for and may still be answered in time.
+  const bool was_refused = call.failure.code != ErrorCode::kGateUnreachable && !call.is_paid;
   if (at >= call.deadline || (was_refused && at > call.move_deadline)) {
     return false;
   }
--- a/libs/calls/src/entry_retry.cc
+++ b/libs/calls/src/entry_retry.cc
@@ -18,12 +18,14 @@
 // in place of 1.24 and were refused after 26 ms in place of 3 ms, with as many answers.
 constexpr std::uint32_t kMaxShareMoves = 1;
 
-// Counts the attempts that reached no backend server.
+// Whether the attempt reached no backend server.
+bool IsMove(const Attempt& attempt) {
+  return attempt.stage == AttemptStage::kNotRun && !attempt.reached_backend;
+}
+
 std::uint32_t CountMoves(const OpenCall& call) {
   return static_cast<std::uint32_t>(
-      std::count_if(call.attempts.begin(), call.attempts.end(), [](const Attempt& attempt) {
-        return attempt.stage == AttemptStage::kNotRun && !attempt.reached_backend;
-      }));
+      std::count_if(call.attempts.begin(), call.attempts.end(), IsMove));
 }
 
 // A full queue may only be full for the workspace of the call.
@@ -224,15 +226,22 @@
       attempts_made >= call.max_attempts + call.redirects + moves) {
     return false;
   }
-  // No backend server has received the request, so the next attempt does not repeat any work.
-  if (moves == attempts_made && moves > 0) {
-    return this->TryMove(context, call);
+  // No backend server has received the last attempt, so the next one does not repeat any work: it
+  // takes the place of an attempt that was free, or paid for.
+  if (moves > 0 && IsMove(call.attempts.back()) && this->TryMove(context, call)) {
+    return true;
+  }
+  if (moves > 0 && moves == attempts_made) {
+    return false;
   }
   const std::uint32_t doublings =
       std::clamp<std::uint32_t>(attempts_made - call.redirects, 1, kMaxDoublings) - 1;
   const Duration max_delay =
       std::min(options.max_backoff, options.initial_backoff * (1U << doublings));
-  const Duration delay = max_delay / 2 + this->shared.random.Jitter(max_delay / 2);
+  // A refusal by one backend server says nothing about the others, so that they are asked at once.
+  const bool is_shed = call.failure.code == ErrorCode::kBackendShed;
+  const Duration delay =
+      is_shed ? Duration{} : max_delay / 2 + this->shared.random.Jitter(max_delay / 2);
   if (context.now + delay >= call.deadline) {
     return false;
   }
@@ -240,7 +249,8 @@
     ++this->shared.counters.retries_over_budget;
     return false;
   }
-  ++this->shared.counters.retries;
+  call.is_paid = true;
+  call.moving = is_shed;
   call.retry_at = context.now + delay;
   this->Schedule(call);
   return true;
--- a/libs/calls/src/retry_budget.cc
+++ b/libs/calls/src/retry_budget.cc
@@ -27,4 +27,9 @@
   return true;
 }
 
+void RetryBudget::Refund(const std::string& service) {
+  double& available = this->tokens.try_emplace(service, this->burst).first->second;
+  available = std::min(this->burst, available + 1.0);
+}
+
 }  // namespace amaranthlatch::calls::details
--- a/libs/calls/tests/mesh.cc
+++ b/libs/calls/tests/mesh.cc
@@ -311,7 +311,10 @@
   }
   backend.running[run.run] = run.request.body;
   BackendServerAnswered answered{run.run, {}};
-  if (backend.mode == BackendMode::kShedding) {
+  const bool is_refused =
+      backend.mode == BackendMode::kShedding ||
+      (backend.refused_share > 0.0 && this->random.Bernoulli(backend.refused_share));
+  if (is_refused) {
     answered.response = {kUnavailable, {{"amaranthlatch-not-run", "true"}}, "busy"};
   } else {
     ++this->runs[run.request.body];
@@ -333,7 +336,7 @@
     const auto threshold = static_cast<Duration::rep>(backend.overload_threshold);
     time = time * running * running / (threshold * threshold);
   }
-  if (backend.mode == BackendMode::kShedding) {
+  if (is_refused) {
     time = utils::Milliseconds(1);
   }
   if (backend.reports_time) {
--- a/libs/calls/tests/mesh.h
+++ b/libs/calls/tests/mesh.h
@@ -82,6 +82,8 @@
   std::uint32_t overload_threshold = 0;
   // Share of the calls with ten times the service time.
   double slow_share = 0.0;
+  // Share of the calls that it refuses, independently of its load.
+  double refused_share = 0.0;
   std::uint32_t slots = 4;
   // Whether answers carry the time that the backend server worked on the request.
   bool reports_time = false;
--- a/libs/calls/tests/overload_test.cc
+++ b/libs/calls/tests/overload_test.cc
@@ -121,6 +121,50 @@
   CHECK_TRUE(this->last.answer->retry_after >= Milliseconds(100));
 }
 
+// Guards against a retry that waits although another server may run the call, and against tokens
+// of the retry budget that are lost for retries which are not made.
+TEST(Overload, RefusalsByTheServerAreRetriedElsewhereAtOnce) {
+  this->RefuseAll(0, ErrorCode::kBackendShed);
+  this->TimeToAnswer();
+  CHECK_EQUAL(3, this->requests.size());
+  CHECK_TRUE(this->requests[1].second.gate_boot_id != this->requests[0].second.gate_boot_id);
+  CHECK_TRUE(this->requests[1].first - this->requests[0].first == Milliseconds(1));
+  // Both have been asked, so that one of them is asked again.
+  CHECK_TRUE(this->requests[2].first - this->requests[1].first > Milliseconds(5));
+}
+
+// Guards against tokens of the retry budget that are spent on retries which are not made, and
+// against refusals that wait although no retry is possible.
+TEST(Overload, OnlyRetriesThatAreMadeAreCharged) {
+  document::ServiceDocument document = FleetDocument();
+  FindRoute(document, "read")->target_latency = Milliseconds(300);
+  document.protection.retry_budget_percent = 0;
+  this->mesh->routes.Set(document);
+  this->RefuseAll(1'000, ErrorCode::kBackendShed);
+  // The second attempt of a call is refused as well; a third one would be late at both gates.
+  for (int i = 0; i < 20; ++i) {
+    this->TimeToAnswer();
+    this->mesh->RunFor(Seconds(2));
+  }
+  CHECK_EQUAL(20 + 10, this->requests.size());
+  CHECK_TRUE(this->TimeToAnswer() == Milliseconds(1));
+}
+
+// Guards against a retry that is paid for twice because a gate refused it before its server did.
+TEST(Overload, RetryThatReachedNoServerMovesOn) {
+  this->answer = [this](const CallRequest& request) {
+    CallReply reply;
+    reply.id = request.id;
+    reply.answer.kind = ResultKind::kNotRun;
+    reply.answer.code =
+        this->requests.size() == 2 ? ErrorCode::kQueueFull : ErrorCode::kBackendShed;
+    return reply;
+  };
+  this->TimeToAnswer();
+  CHECK_EQUAL(4, this->requests.size());
+  CHECK_EQUAL(2, this->mesh->nodes[0].calls->GetCounters().retries);
+}
+
 // Guards against moves that start so late that the caller cannot try elsewhere in time.
 TEST(Overload, NoMoveStartsLate) {
   this->RefuseAll(1);
