Let calls leave their zone only if that is worth its price

Cause: a call that every near gate would answer late left its zone whatever the crossing cost, and so did every further attempt. Downloads of 90 KB crossed regions at several times their value.

Change: a late call leaves only for a group that answers it in time and whose crossing costs less than its target latency (its deadline without one); otherwise the home zone decides, which refuses it at once. Further attempts follow the same rule: if all servers at home were tried, the call goes back to them rather than cross for more than it is worth. Nested calls may always leave. Gates that recent attempts did not reach count as absent, and calls leave them at any price. Deployments that set no crossing costs keep the old rule.

--- a/libs/calls/include/amaranthlatch/calls/balance_policy.h
+++ b/libs/calls/include/amaranthlatch/calls/balance_policy.h
@@ -33,6 +33,8 @@
   double service_time_us = 0.0;
   // Number of recent refusals and failures, with exponential decay.
   double failure_score = 0.0;
+  // Whether the last of them was an attempt that did not reach the gate.
+  bool is_unreachable = false;
   // Share of its normal load that a newly started backend server receives, in (0, 1].
   double slow_start_factor = 1.0;
   // Running calls plus queued calls that precede a new one of this priority, as last reported.
@@ -76,6 +78,10 @@
   // zero if the policy has no estimate.
   virtual utils::Duration ExpectedWait(const Candidate& /*candidate*/) const { return {}; }
 
+  // Whether the operator has set what crossing costs. If not, its defaults only delay crossing, and
+  // a call that would otherwise be lost leaves whatever its target latency is.
+  virtual bool PricesCrossing() const { return false; }
+
   // Ranks the candidates by distance group. Only for policies that account for distance.
   virtual CandidateRanking Rank(std::span<const Candidate> /*candidates*/,
                                 const CallProfile& /*profile*/, utils::Random& /*random*/) const {
@@ -116,6 +122,7 @@
   explicit ExpectedTimePolicy(const Costs& costs) : costs(costs) {}
 
   bool WeighsDistance() const override { return true; }
+  bool PricesCrossing() const override;
   utils::Duration ExpectedWait(const Candidate& candidate) const override;
   CandidateRanking Rank(std::span<const Candidate> candidates, const CallProfile& profile,
                         utils::Random& random) const override;
--- a/libs/calls/include/amaranthlatch/calls/candidate_ranking.h
+++ b/libs/calls/include/amaranthlatch/calls/candidate_ranking.h
@@ -26,6 +26,8 @@
   bool is_own_instance = false;
   // The answer would come too late.
   bool is_late = false;
+  // Recent attempts did not reach it.
+  bool is_unreachable = false;
   bool has_free_slot = false;
   // There is a recent load report.
   bool has_report = false;
@@ -40,6 +42,8 @@
   const RankedCandidate& Best(std::size_t group) const { return this->groups.at(group).best[0]; }
   // The group with the best candidate of all; there must be one.
   std::size_t BestGroup() const;
+  // Whether the best candidate of the left group is better; neither may be empty.
+  bool IsBetterGroup(std::size_t left, std::size_t right) const;
 
   // Index of one of the best candidates of a group that is not empty. The probability halves with
   // each two calls of difference in cost: entries with the same reports must not all send to the
--- a/libs/calls/src/balance_policy.cc
+++ b/libs/calls/src/balance_policy.cc
@@ -66,6 +66,14 @@
   return costs;
 }
 
+bool ExpectedTimePolicy::PricesCrossing() const {
+  const Costs defaults;
+  return this->costs.cross_zone != defaults.cross_zone ||
+         this->costs.cross_region != defaults.cross_region ||
+         this->costs.cross_zone_per_kb != defaults.cross_zone_per_kb ||
+         this->costs.cross_region_per_kb != defaults.cross_region_per_kb;
+}
+
 utils::Duration ExpectedTimePolicy::ExpectedWait(const Candidate& candidate) const {
   // The latency contains waits, so that it overestimates the wait of a call that overtakes others.
   double service_time = candidate.service_time_us;
@@ -124,6 +132,7 @@
         candidate.service_time_us / std::max<std::uint32_t>(1, candidate.member->slots);
     ranked.is_own_instance = candidate.distance == Distance::kInstance;
     ranked.is_late = IsLate(candidate, wait, profile.budget);
+    ranked.is_unreachable = candidate.is_unreachable;
     ranked.has_free_slot = candidate.calls_ahead < candidate.member->slots;
     ranked.has_report = candidate.has_report;
     ranking.Add(GroupOf(candidate.distance), ranked);
--- a/libs/calls/src/balancer.cc
+++ b/libs/calls/src/balancer.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <numeric>
 #include <utility>
 
@@ -18,6 +19,9 @@
 using membership::NodeId;
 
 constexpr double kMinSlowStartFactor = 0.1;
+// Recent failures above which a gate that was not reached counts as absent. One alone may be a
+// message that was lost.
+constexpr double kUnreachableFailureScore = 1.0;
 constexpr double kPercent = 100.0;
 constexpr double kBytesPerKilobyte = 1'000.0;
 // Target latency from which on bytes weigh in full, and the least weights.
@@ -96,6 +100,7 @@
                                const Demand& demand, const std::vector<NodeId>& tried,
                                std::optional<std::size_t>& target) {
   this->overloaded = false;
+  this->crossing_too_expensive = false;
   if (!target) {
     target = this->DrawTarget(route);
   }
@@ -110,7 +115,8 @@
     if (route.split[index].weight == 0) {
       continue;
     }
-    if (const Member* member = this->ChooseTarget(context, route.split[index], demand, tried)) {
+    if (const Member* member =
+            this->ChooseTarget(context, route, route.split[index], demand, tried)) {
       target = index;
       return member;
     }
@@ -135,8 +141,9 @@
   return index;
 }
 
-const Member* Balancer::ChooseTarget(const Context& context, const document::SplitTarget& target,
-                                     const Demand& demand, const std::vector<NodeId>& tried) {
+const Member* Balancer::ChooseTarget(const Context& context, const document::Route& route,
+                                     const document::SplitTarget& target, const Demand& demand,
+                                     const std::vector<NodeId>& tried) {
   const auto document = context.routes.Find(target.service);
   if (!document) {
     return nullptr;
@@ -150,20 +157,42 @@
     return nullptr;
   }
   const std::vector<Candidate>& level = this->levels[this->ChooseLevel(document->locality)];
-  const Candidate& chosen =
-      level[this->policy->WeighsDistance()
-                ? this->ChooseByCost(target.service, demand, level, context.now)
-                : this->policy->Choose(level, this->shared.random)];
+  std::optional<std::size_t> index;
+  if (!this->policy->WeighsDistance()) {
+    index = this->policy->Choose(level, this->shared.random);
+  } else {
+    index = this->ChooseByCost(target.service, route, demand, context.now);
+    if (!index) {
+      // The servers at home were tried; they may have room for the call again.
+      this->Collect(context, *document, version->second, demand, {});
+      index = this->ChooseByCost(target.service, route, demand, context.now);
+    }
+  }
+  const Candidate& chosen = level[index.value_or(0)];
   this->expected_wait = this->policy->ExpectedWait(chosen);
   if (IsLate(chosen, this->expected_wait, demand.budget)) {
     this->overloaded = true;
+    this->crossing_too_expensive = this->crossing.WasTooExpensive();
     return nullptr;
   }
   return chosen.member;
 }
 
-std::size_t Balancer::ChooseByCost(const std::string& service, const Demand& demand,
-                                   const std::vector<Candidate>& candidates, utils::Timestamp now) {
+double Balancer::LossOf(const document::Route& route, const Demand& demand) const {
+  // The caller of a nested call loses its own work without it.
+  if (demand.priority == document::Priority::kInternal || !this->policy->PricesCrossing()) {
+    return std::numeric_limits<double>::infinity();
+  }
+  const utils::Duration loss =
+      demand.target_latency.count() > 0 ? demand.target_latency : route.deadline;
+  return static_cast<double>(loss.count());
+}
+
+std::optional<std::size_t> Balancer::ChooseByCost(const std::string& service,
+                                                  const document::Route& route,
+                                                  const Demand& demand, utils::Timestamp now) {
+  // Policies that account for distance expect all levels in one.
+  const std::vector<Candidate>& candidates = this->levels[0];
   CallProfile profile;
   profile.kilobytes = (static_cast<double>(demand.request_bytes) +
                        this->FindAverages(service, demand.route).answer_bytes) /
@@ -171,12 +200,10 @@
   profile.byte_weight = ByteWeight(demand.priority, demand.target_latency);
   profile.budget = demand.budget;
   const CandidateRanking ranking = this->policy->Rank(candidates, profile, this->shared.random);
-  // A call that was refused once may go wherever it is served best.
-  const std::size_t group = demand.is_repeated
-                                ? ranking.BestGroup()
-                                : this->crossing.Choose(CrossingKey(service, demand.route), ranking,
-                                                        now, this->shared.random);
-  return ranking.Draw(group, this->shared.random);
+  const CrossingDecision::Stake stake{this->home, this->LossOf(route, demand), demand.is_repeated};
+  const std::optional<std::size_t> group = this->crossing.Choose(
+      CrossingKey(service, demand.route), ranking, stake, now, this->shared.random);
+  return group ? std::optional(ranking.Draw(*group, this->shared.random)) : std::nullopt;
 }
 
 utils::Duration Balancer::ExpectedWait(const Context& context, const NodeId& gate,
@@ -207,6 +234,7 @@
   for (auto& level : this->levels) {
     level.clear();
   }
+  this->home = kDistanceGroups - 1;
   const Member& self = context.members.Self();
   this->service_members = context.members.ServiceMembers(document.service);
   const ServicePeers& service = this->FindPeers(document.service, this->service_members);
@@ -217,16 +245,18 @@
     Peer& peer = *service.peers[i];
     if (member.state != MemberState::kReady || member.slots == 0 ||
         !HasLabels(member, selector.labels) ||
-        std::find(tried.begin(), tried.end(), member.id) != tried.end()) {
+        (peer.replaced_boot_id != 0 && peer.replaced_boot_id == member.boot_id)) {
       continue;
     }
-    if (peer.replaced_boot_id != 0 && peer.replaced_boot_id == member.boot_id) {
+    const Distance distance = DistanceOf(self, member);
+    this->home = std::min(this->home, GroupOf(distance));
+    if (std::find(tried.begin(), tried.end(), member.id) != tried.end()) {
       continue;
     }
     const std::size_t level = this->LevelForPolicy(self, member, document.locality.prefer);
     Candidate candidate = this->MakeCandidate(member, peer, document.protection.slow_start, demand,
                                               averages, context.now);
-    candidate.distance = DistanceOf(self, member);
+    candidate.distance = distance;
     if (candidate.distance == Distance::kInstance) {
       candidate.link_wait_us = 0.0;
     }
@@ -280,6 +310,8 @@
                            Decay(now - peer.latency_at, options.latency_half_life);
   }
   candidate.failure_score = this->DecayedFailureScore(peer, now);
+  candidate.is_unreachable =
+      peer.is_unreachable && candidate.failure_score > kUnreachableFailureScore;
   if (peer.awaiting_reply && now - peer.awaiting_since > options.silence_interval) {
     candidate.failure_score +=
         static_cast<double>((now - peer.awaiting_since) / options.silence_interval);
@@ -402,7 +434,9 @@
   if (outcome == AttemptOutcome::kAnswered) {
     peer.latency_at = now;
     peer.latencies.Record(route, latency);
-  } else if (outcome == AttemptOutcome::kFailed) {
+    peer.is_unreachable = false;
+  } else if (outcome == AttemptOutcome::kFailed || outcome == AttemptOutcome::kUnreachable) {
+    peer.is_unreachable = outcome == AttemptOutcome::kUnreachable;
     peer.failure_score = this->DecayedFailureScore(peer, now) + 1.0;
     peer.failure_score_at = now;
   }
@@ -419,6 +453,10 @@
 
 AttemptOutcome Balancer::OutcomeOf(const NodeId& gate, document::Priority priority,
                                    utils::ErrorCode code) {
+  if (code == utils::ErrorCode::kGateUnreachable || code == utils::ErrorCode::kNoBackendServer ||
+      code == utils::ErrorCode::kNodeNotReady || code == utils::ErrorCode::kDraining) {
+    return AttemptOutcome::kUnreachable;
+  }
   // A policy that weighs waits knows the load by the gate's report. Counted as failures, refusals
   // of one class kept calls of all classes away from the gate for seconds.
   const bool is_load = code == utils::ErrorCode::kQueueFull || code == utils::ErrorCode::kLinkBusy;
--- a/libs/calls/src/balancer.h
+++ b/libs/calls/src/balancer.h
@@ -27,6 +27,8 @@
   kFailed,
   // The gate refused the attempt because of its load.
   kBusy,
+  // The gate did not get the attempt, or has no backend server that runs.
+  kUnreachable,
   // The call ended for another reason; says nothing about the gate.
   kAbandoned,
 };
@@ -69,6 +71,9 @@
                                    std::optional<std::size_t>& target);
   // Whether the last Choose() rejected a member because of `max_wait`.
   bool WasOverloaded() const { return this->overloaded; }
+  // Whether it did so although a farther member would have answered in time: crossing costs more
+  // than the call is worth.
+  bool WasCrossingTooExpensive() const { return this->crossing_too_expensive; }
   // Expected wait at the best member that the last Choose() found, rejected or not.
   utils::Duration LastExpectedWait() const { return this->expected_wait; }
   // Expected wait of a call of the route at this gate; zero if it is not known.
@@ -112,6 +117,8 @@
     utils::Timestamp latency_at{};
     double failure_score = 0.0;
     utils::Timestamp failure_score_at{};
+    // Whether the last failure was kUnreachable and no answer has come since.
+    bool is_unreachable = false;
     // Start of the current wait for a reply; valid while `awaiting_reply` is set.
     utils::Timestamp awaiting_since{};
     bool awaiting_reply = false;
@@ -141,13 +148,16 @@
     double answer_bytes = 0.0;
   };
 
-  const membership::Member* ChooseTarget(const Context& context,
+  const membership::Member* ChooseTarget(const Context& context, const document::Route& route,
                                          const document::SplitTarget& target, const Demand& demand,
                                          const std::vector<membership::NodeId>& tried);
-  // Returns an index into `candidates`, for policies that account for distance.
-  std::size_t ChooseByCost(const std::string& service, const Demand& demand,
-                           const std::vector<Candidate>& candidates, utils::Timestamp now);
-  // Fills `levels`; returns false if there is no candidate.
+  // Returns an index into the candidates, for policies that account for distance. Returns nothing
+  // if all servers near were tried and crossing costs more than the call is worth.
+  std::optional<std::size_t> ChooseByCost(const std::string& service, const document::Route& route,
+                                          const Demand& demand, utils::Timestamp now);
+  // What a call costs that is refused or answered late, in microseconds.
+  double LossOf(const document::Route& route, const Demand& demand) const;
+  // Fills `levels` and `home`; returns false if there is no candidate.
   bool Collect(const Context& context, const document::ServiceDocument& document,
                const document::VersionSelector& selector, const Demand& demand,
                const std::vector<membership::NodeId>& tried);
@@ -176,10 +186,13 @@
   CrossingDecision crossing;
   // Members to reuse their memory. The candidates point into `service_members`.
   Levels levels;
+  // Nearest distance group with a ready server, tried or not.
+  std::size_t home = 0;
   membership::MemberList service_members;
   // Cleared when peers are removed, to which it points.
   std::unordered_map<std::string, ServicePeers> peers_by_service;
   bool overloaded = false;
+  bool crossing_too_expensive = false;
   utils::Duration expected_wait{};
 };
 
--- a/libs/calls/src/candidate_ranking.cc
+++ b/libs/calls/src/candidate_ranking.cc
@@ -11,8 +11,12 @@
 // Difference in cost, in further calls, at which the probability of a candidate halves.
 constexpr double kHalvingCalls = 2.0;
 
-// Late candidates come last, and unknown ones after known ones of the same cost.
+// Unreachable candidates come last, late ones before them, and unknown ones after known ones of the
+// same cost.
 bool IsBetter(const RankedCandidate& left, const RankedCandidate& right) {
+  if (left.is_unreachable != right.is_unreachable) {
+    return right.is_unreachable;
+  }
   if (left.is_late != right.is_late) {
     return right.is_late;
   }
@@ -38,14 +42,17 @@
 std::size_t CandidateRanking::BestGroup() const {
   std::size_t best = kDistanceGroups;
   for (std::size_t i = 0; i < kDistanceGroups; ++i) {
-    if (!this->IsEmpty(i) &&
-        (best == kDistanceGroups || IsBetter(this->Best(i), this->Best(best)))) {
+    if (!this->IsEmpty(i) && (best == kDistanceGroups || this->IsBetterGroup(i, best))) {
       best = i;
     }
   }
   return best;
 }
 
+bool CandidateRanking::IsBetterGroup(std::size_t left, std::size_t right) const {
+  return IsBetter(this->Best(left), this->Best(right));
+}
+
 std::size_t CandidateRanking::Draw(std::size_t index, utils::Random& random) const {
   const Group& group = this->groups.at(index);
   const RankedCandidate& first = group.best[0];
@@ -57,7 +64,9 @@
   for (std::size_t i = 0; i < group.count; ++i) {
     const RankedCandidate& candidate = group.best.at(i);
     const double calls = (candidate.cost_us - first.cost_us) / std::max(1.0, first.step_us);
-    const bool is_alike = candidate.is_late == first.is_late && !candidate.is_own_instance;
+    const bool is_alike = candidate.is_late == first.is_late &&
+                          candidate.is_unreachable == first.is_unreachable &&
+                          !candidate.is_own_instance;
     weights.at(i) = is_alike ? std::exp2(-calls / kHalvingCalls) : 0.0;
     sum += weights.at(i);
   }
--- a/libs/calls/src/crossing_decision.cc
+++ b/libs/calls/src/crossing_decision.cc
@@ -1,4 +1,4 @@
-// Additive steps of the share, and halving at refusals.
+// Price of leaving, additive steps of the share, and halving at refusals.
 
 #include "crossing_decision.h"
 
@@ -34,24 +34,64 @@
 bool IsFailing(const RankedCandidate& near, const RankedCandidate& far) {
   return near.failure_us > 0.0 && near.cost_us - near.failure_us <= far.cost_us;
 }
+
+// The nearest group from `home` on whose best candidate can be reached; `home` if there is none.
+std::size_t FindReachable(const CandidateRanking& ranking, std::size_t home) {
+  for (std::size_t i = home; i < kDistanceGroups; ++i) {
+    if (!ranking.IsEmpty(i) && !ranking.Best(i).is_unreachable) {
+      return i;
+    }
+  }
+  return home;
+}
 }  // namespace
 
-std::size_t CrossingDecision::Choose(Key key, const CandidateRanking& ranking, utils::Timestamp now,
-                                     utils::Random& random) {
-  std::size_t near = 0;
-  while (ranking.IsEmpty(near)) {
-    ++near;
+std::optional<std::size_t> CrossingDecision::FindRescue(const CandidateRanking& ranking,
+                                                        std::size_t home, double home_crossing_us,
+                                                        double loss_us) {
+  std::optional<std::size_t> rescue;
+  for (std::size_t i = home + 1; i < kDistanceGroups; ++i) {
+    if (ranking.IsEmpty(i) || ranking.Best(i).is_late || ranking.Best(i).is_unreachable) {
+      continue;
+    }
+    if (ranking.Best(i).crossing_us - home_crossing_us >= loss_us) {
+      this->too_expensive = true;
+    } else if (!rescue || ranking.IsBetterGroup(i, *rescue)) {
+      rescue = i;
+    }
   }
+  this->too_expensive = this->too_expensive && !rescue;
+  return rescue;
+}
+
+std::optional<std::size_t> CrossingDecision::Choose(Key key, const CandidateRanking& ranking,
+                                                    const Stake& stake, utils::Timestamp now,
+                                                    utils::Random& random) {
+  this->too_expensive = false;
+  if (ranking.IsEmpty(stake.home)) {
+    const auto rescue = this->FindRescue(ranking, stake.home, 0.0, stake.loss_us);
+    return rescue || this->too_expensive ? rescue : ranking.BestGroup();
+  }
+  // Servers that cannot be reached are as good as none: the call leaves at any price.
+  const std::size_t near = FindReachable(ranking, stake.home);
   const RankedCandidate& home = ranking.Best(near);
+  if (home.is_late) {
+    return this->FindRescue(ranking, near, home.crossing_us, stake.loss_us).value_or(near);
+  }
   const std::size_t best = ranking.BestGroup();
-  if (best != near &&
-      (home.is_late != ranking.Best(best).is_late || IsFailing(home, ranking.Best(best)))) {
-    // Refusing the call at home would be worse than any crossing.
+  if (best != near && (stake.is_repeated || IsFailing(home, ranking.Best(best)))) {
     return best;
   }
+  return this->ChooseByShare(key, ranking, near, now, random);
+}
+
+std::size_t CrossingDecision::ChooseByShare(Key key, const CandidateRanking& ranking,
+                                            std::size_t near, utils::Timestamp now,
+                                            utils::Random& random) {
+  const RankedCandidate& home = ranking.Best(near);
   auto found = this->states.find(key);
   if (found == this->states.end()) {
-    if (best == near) {
+    if (ranking.BestGroup() == near) {
       return near;
     }
     if (this->states.size() >= kMaxStates) {
--- a/libs/calls/src/crossing_decision.h
+++ b/libs/calls/src/crossing_decision.h
@@ -1,4 +1,7 @@
-// Decides how many calls of a service and route may leave their zone, or their region.
+// Decides which calls of a service and route leave their zone, or their region, and how many.
+//
+// A call leaves only if that gains more than it costs: the waiting time that it saves, or, if no
+// near server answers it in time, the loss of the call.
 //
 // Each entry moves a share in steps: it is a reaction to waits that the calls themselves change,
 // and that other entries react to as well. Without the steps, zones whose loads rise at the same
@@ -9,6 +12,8 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
+#include <optional>
 #include <unordered_map>
 
 #include "amaranthlatch/calls/candidate_ranking.h"
@@ -22,9 +27,22 @@
   // Identifies a service and a route.
   using Key = std::uint64_t;
 
-  // Returns the distance group for a call; the ranking must not be empty.
-  std::size_t Choose(Key key, const CandidateRanking& ranking, utils::Timestamp now,
-                     utils::Random& random);
+  // What one call has at stake.
+  struct Stake {
+    // Nearest group in which the service has a ready server, which the call may have tried already.
+    std::size_t home = 0;
+    // What a call that is refused or answered late costs, in microseconds.
+    double loss_us = std::numeric_limits<double>::infinity();
+    // Whether a gate refused the call before. Such calls are not limited by the share.
+    bool is_repeated = false;
+  };
+
+  // Returns the distance group for a call, or nothing if only servers that are not worth crossing
+  // for are left. The ranking must not be empty.
+  std::optional<std::size_t> Choose(Key key, const CandidateRanking& ranking, const Stake& stake,
+                                    utils::Timestamp now, utils::Random& random);
+  // Whether the last Choose() kept a call at home that a far server would have answered in time.
+  bool WasTooExpensive() const { return this->too_expensive; }
 
   // A gate of this distance group refused a call because of its load.
   void OnRefused(Key key, std::size_t group, utils::Timestamp now);
@@ -43,9 +61,16 @@
   using Levels = std::array<Level, kDistanceGroups>;
 
   static void Step(Level& level, utils::Timestamp now);
+  // The best group beyond `home` that answers the call in time and costs less than its loss.
+  std::optional<std::size_t> FindRescue(const CandidateRanking& ranking, std::size_t home,
+                                        double home_crossing_us, double loss_us);
+  // The group for a call that some near server answers in time.
+  std::size_t ChooseByShare(Key key, const CandidateRanking& ranking, std::size_t near,
+                            utils::Timestamp now, utils::Random& random);
 
   // Bounded; only services and routes for which leaving has paid off are tracked.
   std::unordered_map<Key, Levels> states;
+  bool too_expensive = false;
 };
 
 }  // namespace amaranthlatch::calls::details
--- a/libs/calls/tests/balancer_test.cc
+++ b/libs/calls/tests/balancer_test.cc
@@ -302,4 +302,52 @@
   STRCMP_EQUAL("zone", choose().c_str());
 }
 
+// Guards against downloads that leave an overloaded zone although crossing costs several times
+// their value, against small calls that are refused for the price of large ones, and against calls
+// that stay in a zone whose gates cannot be reached.
+TEST(Balancer, CrossingIsPaidOnlyForWhatItSaves) {
+  ExpectedTimePolicy::Costs costs;
+  costs.cross_region_per_kb = Milliseconds(20);
+  details::Balancer priced{this->shared, std::make_unique<ExpectedTimePolicy>(costs)};
+  const details::Context context{this->now, this->members, this->routes, this->effects,
+                                 this->loopback};
+  this->Add("near", "r1", "z1");
+  this->Add("far", "r2", "z2");
+  document::Route small = *FindRoute(this->document, "read");
+  small.target_latency = Milliseconds(500);
+  document::Route bulk = *FindRoute(this->document, "write");
+  bulk.target_latency = Milliseconds(1'500);
+  for (int i = 0; i < 20; ++i) {
+    priced.OnAnswer("near", "fleet", details::RouteKeyOf(small), Milliseconds(100), 100);
+    priced.OnAnswer("near", "fleet", details::RouteKeyOf(bulk), Milliseconds(100), 90'000);
+  }
+  GateLoad full{4, {}, {}, {}, {}};
+  full.wait_ms.fill(5'000);
+  priced.OnLoadReport("near", full, this->now);
+  priced.OnLoadReport("far", GateLoad{}, this->now);
+  const auto choose = [&](const document::Route& route, const std::vector<std::string>& tried) {
+    std::optional<std::size_t> target;
+    const Member* chosen = priced.Choose(context, route, tried, target, route.target_latency);
+    return chosen == nullptr ? std::string() : chosen->id;
+  };
+  STRCMP_EQUAL("far", choose(small, {}).c_str());
+  STRCMP_EQUAL("", choose(bulk, {}).c_str());
+  CHECK_TRUE(priced.WasOverloaded() && priced.WasCrossingTooExpensive());
+  STRCMP_EQUAL("", choose(bulk, {"near"}).c_str());
+  bulk.priority = document::Priority::kInternal;
+  STRCMP_EQUAL("far", choose(bulk, {}).c_str());
+  bulk.priority = document::Priority::kInteractive;
+  // A refusal that says nothing about load is tried again at home.
+  priced.OnLoadReport("near", GateLoad{}, this->now);
+  STRCMP_EQUAL("near", choose(bulk, {"near"}).c_str());
+  for (int i = 0; i < 3; ++i) {
+    priced.OnSent("near", document::Priority::kNormal, this->now);
+    priced.OnEnded(
+        "near", 1,
+        priced.OutcomeOf("near", document::Priority::kNormal, utils::ErrorCode::kGateUnreachable),
+        {}, this->now);
+  }
+  STRCMP_EQUAL("far", choose(bulk, {}).c_str());
+}
+
 }  // namespace amaranthlatch::calls::testing
--- a/libs/calls/tests/crossing_test.cc
+++ b/libs/calls/tests/crossing_test.cc
@@ -36,11 +36,11 @@
     return ranking;
   }
   // Number of calls that leave the zone of 100, one each 5 ms.
-  int Crossings(const CandidateRanking& ranking) {
+  int Crossings(const CandidateRanking& ranking, const CrossingDecision::Stake& stake = {}) {
     int crossings = 0;
     for (int i = 0; i < 100; ++i) {
       this->now += Milliseconds(5);
-      crossings += this->decision.Choose(7, ranking, this->now, this->random) == 1 ? 1 : 0;
+      crossings += this->decision.Choose(7, ranking, stake, this->now, this->random) == 1 ? 1 : 0;
     }
     return crossings;
   }
@@ -90,6 +90,39 @@
   CHECK_EQUAL(100, this->Crossings(failing));
 }
 
+// Guards against calls of a full zone, and further attempts, that leave at a price above what they
+// are worth; against nested calls that are lost for the price; and against a price that keeps calls
+// at servers that cannot be reached.
+TEST(Crossing, ACallLeavesOnlyIfItIsWorthThePrice) {
+  RankedCandidate near = Rank(80, 500).Best(0);
+  RankedCandidate far = Rank(80, 500).Best(1);
+  far.crossing_us = 500e3;
+  near.is_late = true;
+  const auto ranking = [&near, &far] {
+    CandidateRanking result;
+    result.Add(0, near);
+    result.Add(1, far);
+    return result;
+  };
+  for (const bool is_repeated : {false, true}) {
+    CHECK_EQUAL(0, this->Crossings(ranking(), {0, 400e3, is_repeated}));
+    CHECK_TRUE(this->decision.WasTooExpensive());
+    CHECK_EQUAL(100, this->Crossings(ranking(), {0, 600e3, is_repeated}));
+    CHECK_FALSE(this->decision.WasTooExpensive());
+    CHECK_EQUAL(100, this->Crossings(ranking(), {.home = 0, .is_repeated = is_repeated}));
+  }
+  // All servers at home were tried: the call goes back to them, or leaves.
+  CandidateRanking tried;
+  tried.Add(1, far);
+  CHECK_FALSE(this->decision.Choose(7, tried, {0, 400e3, true}, this->now, this->random));
+  CHECK_EQUAL(100, this->Crossings(tried, {0, 600e3, true}));
+  // No server at home at all, or none that can be reached.
+  CHECK_EQUAL(100, this->Crossings(tried, {1, 1e3, false}));
+  near.is_late = false;
+  near.is_unreachable = true;
+  CHECK_EQUAL(100, this->Crossings(ranking(), {0, 1e3, false}));
+}
+
 // Guards against large answers that leave the zone as cheaply as small ones, and against entries
 // with the same reports that all send to the same gate.
 TEST(Crossing, BytesCostAndNearlyEqualGatesShare) {
