End a rollout lease before the first event after a pause

Cause: the node asked the rollout reducer only for the admission that its last effect had allowed. After a pause of the process a call that arrived before the wake-up was handled started a run although the lease had ended: 1 run 4 s after the directive in the new test. Change: each event first compares Admission(now) with the last admission and handles the wake-up if they differ. Result: NoRunStartsAfterTheLeaseEndedInAPause fails without the change (1 run) and passes with it; node_test passes.

--- a/libs/node/src/register_node.cc
+++ b/libs/node/src/register_node.cc
@@ -68,6 +68,8 @@
   // Queues an event for the rollout reducer, if there is one.
   void ToRollout(rollout::Event event);
   void DispatchToRollout();
+  // Ends a lease that expired in a pause of the process before its wake-up is handled.
+  void EndExpiredLease();
   // Announces the backend server, or withdraws it, as the rollout allows.
   void UpdateAnnouncement();
   // Passes on a call that is authorised.
@@ -355,6 +357,13 @@
   }
 }
 
+void RegisterNode::Impl::EndExpiredLease() {
+  if (this->rollout && this->rollout->Admission(this->now) != this->rollout->Admission()) {
+    this->ToRollout(rollout::WakeUp{});
+    this->DispatchToRollout();
+  }
+}
+
 void RegisterNode::Impl::UpdateAnnouncement() {
   const bool announce = this->ready_backend && this->rollout->Admission().announce;
   if (announce) {
@@ -568,6 +577,7 @@
 std::vector<RegisterEffect> RegisterNode::Reduce(const RegisterEvent& event, Timestamp now) {
   Impl& modules = *this->impl;
   modules.now = now;
+  modules.EndExpiredLease();
   std::visit([&modules](const auto& value) { modules.Handle(value); }, event);
   modules.DispatchToRollout();
   modules.UpdateLimits();
--- /dev/null
+++ b/libs/node/tests/register_traffic_test.cc
@@ -0,0 +1,204 @@
+// Tests of the connection of rollouts and quotas to the calls of a node in register mode.
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "amaranthlatch/node/register_node.h"
+
+namespace amaranthlatch::node {
+
+using calls::ResultKind;
+using directory::Stream;
+using utils::ErrorCode;
+using utils::Milliseconds;
+using utils::Seconds;
+
+namespace {
+
+constexpr const char* kPeer = "10.0.0.2:1";
+
+RegisterNodeOptions MakeOptions(bool has_rollouts, bool has_quotas) {
+  RegisterNodeOptions options;
+  options.secret = "0123456789abcdef";
+  options.directory.id = "10.0.0.1:1";
+  options.directory.region = "north";
+  options.directory.zone = "z1";
+  options.directory.boot_id = 7;
+  options.directory.share_reads = false;
+  options.calls.gate.adaptive_concurrency_limit = false;
+  options.calls.gate.transport_may_duplicate = false;
+  if (has_rollouts) {
+    options.rollout.emplace();
+    options.rollout->id = options.directory.id;
+    options.rollout->boot_id = 7;
+  }
+  if (has_quotas) {
+    options.quota.emplace();
+    options.quota->id = options.directory.id;
+    options.quota->zone = "z1";
+    options.quota->boot_id = 7;
+  }
+  return options;
+}
+
+directory::MeshConfiguration::Pointer MakeConfiguration(
+    document::Version version, std::vector<directory::Workspace> workspaces) {
+  directory::HostRoute entry;
+  entry.host = "fleet.example";
+  entry.route.name = "write";
+  entry.route.path_prefix = "/";
+  entry.route.split = {{"fleet", "", 1}};
+  entry.route.max_attempts = 3;
+  entry.route.idempotent = true;
+  entry.route.deadline = Seconds(2);
+  entry.route.max_request_bytes = 1000;
+  entry.route.max_response_bytes = 1000;
+  directory::ServiceDefaults defaults;
+  defaults.protection.slots = 10;
+  defaults.protection.queue_length = 10;
+  defaults.protection.queue_time = Seconds(1);
+  defaults.protection.retry_budget_percent = 100;
+  directory::WorkspaceTable::Pointer table;
+  if (!workspaces.empty()) {
+    table = *directory::WorkspaceTable::Create(directory::ShareWorkspaces(std::move(workspaces)));
+  }
+  return *directory::MeshConfiguration::Create(version, directory::ShareRoutes({entry}),
+                                               {{"fleet", "/", 1}}, defaults, table);
+}
+
+}  // namespace
+
+TEST_GROUP(RegisterTraffic) {
+  std::unique_ptr<RegisterNode> node;
+  utils::Timestamp now{Seconds(50)};
+  std::vector<RegisterEffect> effects;
+  std::uint64_t last_call = 0;
+  std::uint64_t last_directive = 0;
+
+  void Start(bool has_rollouts, bool has_quotas) {
+    this->node = *RegisterNode::Create(MakeOptions(has_rollouts, has_quotas));
+    this->HandleEvent(WakeUp{});
+    this->HandleEvent(directory::StreamReadSucceeded{Stream::kMembers, 0, nullptr, {}, {}});
+  }
+  void HandleEvent(const RegisterEvent& event) {
+    for (RegisterEffect& effect : this->node->Reduce(event, this->now)) {
+      CHECK_FALSE(std::holds_alternative<InvariantViolated>(effect));
+      this->effects.push_back(std::move(effect));
+    }
+  }
+  void AdvanceTime(utils::Duration time) {
+    const utils::Timestamp end = this->now + time;
+    while (this->node->NextWake() && *this->node->NextWake() <= end) {
+      this->now = std::max(this->now, *this->node->NextWake());
+      this->HandleEvent(WakeUp{});
+    }
+    this->now = end;
+  }
+  template <typename T>
+  std::vector<T> TakeEffects() {
+    std::vector<T> found;
+    std::erase_if(this->effects, [&found](const RegisterEffect& effect) {
+      if (const T* value = std::get_if<T>(&effect)) {
+        found.push_back(*value);
+        return true;
+      }
+      return false;
+    });
+    return found;
+  }
+  void Configure(document::Version version, std::vector<directory::Workspace> workspaces,
+                 std::vector<directory::RolloutOrder> orders = {}) {
+    this->HandleEvent(
+        directory::StreamReadSucceeded{Stream::kConfiguration,
+                                       version,
+                                       MakeConfiguration(version, std::move(workspaces)),
+                                       {},
+                                       std::move(orders)});
+  }
+  void AddPeer() {
+    membership::Member peer;
+    peer.id = kPeer;
+    peer.region = "north";
+    peer.zone = "z1";
+    peer.service = "fleet";
+    peer.slots = 20;
+    peer.labels[membership::kVersionLabel] = "1";
+    peer.incarnation = 1;
+    peer.boot_id = 9;
+    peer.state = membership::MemberState::kReady;
+    this->HandleEvent(directory::StreamReadSucceeded{Stream::kMembers, 1, nullptr, {peer}, {}});
+  }
+  // A server of the version that an order moves the service to, which may run `allowance` calls.
+  void BecomeCanary(std::uint64_t allowance, std::uint32_t slots = 8) {
+    this->Start(true, false);
+    this->AddPeer();
+    this->Configure(3, {}, {{"fleet", "2", Seconds(30), 5}});
+    this->AnnounceCanary(slots);
+    this->AdvanceTime(Milliseconds(300));
+    this->Direct(allowance);
+  }
+  void AnnounceCanary(std::uint32_t slots) {
+    this->HandleEvent(
+        directory::BackendServerReady{"fleet", {{membership::kVersionLabel, "2"}}, slots});
+  }
+  void Direct(std::uint64_t allowance) {
+    rollout::Directive directive;
+    directive.service = "fleet";
+    directive.order = 5;
+    directive.boot_id = 7;
+    directive.server = 1;
+    directive.term = 1;
+    directive.sequence = ++this->last_directive;
+    directive.phase = rollout::Phase::kCanary;
+    directive.announce = true;
+    directive.allowance = allowance;
+    directive.sent_at = this->now.time_since_epoch();
+    directive.lease = Milliseconds(1500);
+    this->HandleEvent(MessageReceived{kPeer, rollout::Message(directive)});
+  }
+  void SendToGate() {
+    calls::CallRequest request;
+    request.id = {kPeer, 9, ++this->last_call, 1};
+    request.gate_incarnation = this->node->Members().Self().incarnation;
+    request.gate_boot_id = 7;
+    request.service = "fleet";
+    request.route = "write";
+    request.version = 3;
+    request.request = {"POST", "/x", "fleet.example", {}, {}};
+    request.remaining = Seconds(2);
+    request.max_response_bytes = 1000;
+    this->HandleEvent(MessageReceived{kPeer, calls::Message(request)});
+  }
+  std::size_t Runs() { return this->TakeEffects<calls::RunOnBackendServer>().size(); }
+  void SendCall(const std::string& key, std::optional<utils::Duration> remaining = {}) {
+    calls::CallReceived call;
+    call.call = ++this->last_call;
+    call.request = {"POST", "/x", "fleet.example", {}, {}};
+    call.key = key;
+    call.remaining = remaining;
+    this->HandleEvent(call);
+  }
+  std::optional<calls::Answer> Answer() {
+    const auto answers = this->TakeEffects<calls::AnswerCaller>();
+    return answers.empty() ? std::nullopt : std::optional(answers.back().answer);
+  }
+};
+
+// Guards against a run that is started after a pause of the process, because the call arrives
+// before the wake-up that ends the lease is handled.
+TEST(RegisterTraffic, NoRunStartsAfterTheLeaseEndedInAPause) {
+  this->BecomeCanary(10);
+  this->SendToGate();
+  LONGS_EQUAL(1, this->Runs());
+  this->now += Seconds(4);
+  this->SendToGate();
+  LONGS_EQUAL(0, this->Runs());
+}
+
+}  // namespace amaranthlatch::node
