Limit the runs that one event starts to the allowance of a rollout

Cause: the rollout reducer learns of runs after the event that started them, so that an event which starts several exceeds the allowance. A server that announced more slots while calls were queued started 5 runs of 3 allowed. Change: the gate gets as its slots at most the runs in progress and those that the allowance leaves (Rollout::RunLimit). A run that ends is reported to the rollout reducer before the calls reducer may replace it.

--- a/libs/node/src/register_node.cc
+++ b/libs/node/src/register_node.cc
@@ -4,6 +4,7 @@
 
 #include <sodium.h>
 
+#include <algorithm>
 #include <deque>
 #include <type_traits>
 #include <unordered_map>
@@ -68,6 +69,7 @@
   // Queues an event for the rollout reducer, if there is one.
   void ToRollout(rollout::Event event);
   void DispatchToRollout();
+  void EndRun(const rollout::RunEnded& ended);
   // Ends a lease that expired in a pause of the process before its wake-up is handled.
   void EndExpiredLease();
   // Announces the backend server, or withdraws it, as the rollout allows.
@@ -208,6 +210,10 @@
   calls::BackendServerChanged next = this->announced_backend;
   const bool is_held = this->rollout && !this->rollout->Admission().accept;
   next.available = next.available && !this->draining && !is_held;
+  if (const auto limit = this->rollout ? this->rollout->RunLimit() : std::nullopt) {
+    // One event may start several runs, and the reducer of the rollout learns of them afterwards.
+    next.slots = static_cast<std::uint32_t>(std::min<std::uint64_t>(next.slots, *limit));
+  }
   if (next != this->reported_backend) {
     this->reported_backend = next;
     this->DispatchToCalls(next);
@@ -326,15 +332,24 @@
 }
 
 void RegisterNode::Impl::Handle(const calls::BackendServerAnswered& event) {
-  this->ToRollout(details::ToRunEnded(event));
+  this->EndRun(details::ToRunEnded(event));
   this->DispatchToCalls(event);
 }
 
 void RegisterNode::Impl::Handle(const calls::BackendServerFailed& event) {
-  this->ToRollout(details::ToRunEnded(event));
+  this->EndRun(details::ToRunEnded(event));
   this->DispatchToCalls(event);
 }
 
+void RegisterNode::Impl::EndRun(const rollout::RunEnded& ended) {
+  if (this->rollout) {
+    // Before the calls reducer, which may start another run in place of this one.
+    this->ToRollout(ended);
+    this->DispatchToRollout();
+    this->UpdateCalls();
+  }
+}
+
 void RegisterNode::Impl::ToRollout(rollout::Event event) {
   if (this->rollout) {
     this->rollout_events.push_back(std::move(event));
@@ -580,6 +595,10 @@
   modules.EndExpiredLease();
   std::visit([&modules](const auto& value) { modules.Handle(value); }, event);
   modules.DispatchToRollout();
+  if (modules.rollout) {
+    // A directive may have changed the allowance.
+    modules.UpdateCalls();
+  }
   modules.UpdateLimits();
   for (const quota::CallNotRun& unused : std::exchange(modules.unused_credit, {})) {
     modules.DispatchToQuota(unused);
--- a/libs/node/tests/register_traffic_test.cc
+++ b/libs/node/tests/register_traffic_test.cc
@@ -201,4 +201,19 @@
   LONGS_EQUAL(0, this->Runs());
 }
 
+// Guards against more runs than the allowance when one event starts several, such as queued calls
+// for which a server announces more slots.
+TEST(RegisterTraffic, OneEventStartsNoMoreRunsThanAllowed) {
+  this->BecomeCanary(3, 1);
+  for (int i = 0; i < 5; ++i) {
+    this->SendToGate();
+  }
+  LONGS_EQUAL(1, this->Runs());
+  this->AnnounceCanary(8);
+  LONGS_EQUAL(2, this->Runs());
+  // A run that ends makes no room for another one.
+  this->HandleEvent(calls::BackendServerAnswered{1, {200, {}, {}}});
+  LONGS_EQUAL(0, this->Runs());
+}
+
 }  // namespace amaranthlatch::node
--- a/libs/rollout/include/amaranthlatch/rollout/rollout.h
+++ b/libs/rollout/include/amaranthlatch/rollout/rollout.h
@@ -78,6 +78,9 @@
   // What is allowed at `now`. Differs from Admission() after a pause of the process, when a lease
   // has expired and the WakeUp has not been handled yet: a gate asks before it starts a run.
   AdmissionChanged Admission(utils::Timestamp now) const;
+  // Number of runs that may be in progress until the next event; none if the allowance does not
+  // limit them. Bounds the runs that a gate starts before it reports the first of them.
+  std::optional<std::uint64_t> RunLimit() const;
 
   const Counters& GetCounters() const;
   Gauges GetGauges() const;
--- a/libs/rollout/src/participant.cc
+++ b/libs/rollout/src/participant.cc
@@ -190,6 +190,14 @@
          IsLimited(this->phase);
 }
 
+std::optional<std::uint64_t> Participant::RunLimit() const {
+  if (!this->NeedsLease()) {
+    return std::nullopt;
+  }
+  const std::uint64_t started = this->counters.Started();
+  return this->running + (this->allowance > started ? this->allowance - started : 0);
+}
+
 bool Participant::HasBecomeIdle() const {
   return this->phase == Phase::kRetire && !this->IsNew() && !this->reported_idle &&
          this->running == 0;
--- a/libs/rollout/src/participant.h
+++ b/libs/rollout/src/participant.h
@@ -51,6 +51,8 @@
   std::uint64_t Allowance() const { return this->allowance; }
   // Whether this gate accepts calls only while its lease lasts.
   bool NeedsLease() const;
+  // The runs in progress and those that the allowance leaves; none if it limits nothing.
+  std::optional<std::uint64_t> RunLimit() const;
   // Whether the gate accepts no more calls and its last run has ended, which the coordinator waits
   // for in phase kRetire.
   bool HasBecomeIdle() const;
--- a/libs/rollout/src/rollout.cc
+++ b/libs/rollout/src/rollout.cc
@@ -282,6 +282,10 @@
   return this->impl->participant.Admission(now);
 }
 
+std::optional<std::uint64_t> Rollout::RunLimit() const {
+  return this->impl->participant.RunLimit();
+}
+
 const Counters& Rollout::GetCounters() const { return this->impl->counters; }
 
 Gauges Rollout::GetGauges() const {
