Judge a call that waited for credit by its new workspace and version

Cause: a call that waited for credit was judged again only if time had passed on the clock, so that a version that withdrew its key within the same tick did not count. If the key had moved to another workspace, the call ran as one of that workspace with credit of the former one, outside the quota of the new one. Change: a waiting call keeps the version that it was judged by. If another one is in force it is judged again, and a call of another workspace returns its credit and waits for that of its new workspace.

--- a/libs/node/src/register_node.cc
+++ b/libs/node/src/register_node.cc
@@ -139,10 +139,12 @@
   calls::Calls calls;
   std::optional<rollout::Rollout> rollout;
   std::optional<quota::Quota> quota;
-  // Calls that wait for credit, with the time at which they arrived.
+  // Calls that wait for credit, with the time at which they arrived and the version of the
+  // configuration by which they were judged.
   struct WaitingCall {
     calls::CallReceived call;
     Timestamp arrived{};
+    document::Version version = 0;
   };
   std::unordered_map<std::uint64_t, WaitingCall> waiting_calls;
   // Open calls that were admitted with credit.
@@ -409,7 +411,9 @@
     return;
   }
   const quota::CallArrived arrived{call.call, call.workspace};
-  this->waiting_calls.emplace(arrived.call, WaitingCall{std::move(call), this->now});
+  this->waiting_calls.emplace(
+      arrived.call,
+      WaitingCall{std::move(call), this->now, this->directory.Configuration()->GetVersion()});
   this->DispatchToQuota(arrived);
 }
 
@@ -424,8 +428,8 @@
     *call.remaining -= waited;
   }
   const quota::CallNotRun unused{call.workspace, this->now};
-  if (waited.count() > 0) {
-    // The key may have been withdrawn while the call waited.
+  if (waiting.mapped().version != this->directory.Configuration()->GetVersion()) {
+    // The key may have been withdrawn, or may belong to another workspace now.
     const calls::Authorization authorization =
         CallAuthorizer(this->directory.Configuration()).Apply(call);
     if (authorization.Code() != utils::ErrorCode::kOk) {
@@ -433,6 +437,11 @@
       this->RefuseCall(call.call, authorization.Code());
       return;
     }
+    if (call.workspace != unused.workspace) {
+      this->unused_credit.push_back(unused);
+      this->AcceptCall(std::move(call));
+      return;
+    }
   }
   this->admitted_calls.emplace(call.call, unused);
   this->DispatchToCalls(std::move(call));
--- a/libs/node/tests/register_traffic_test.cc
+++ b/libs/node/tests/register_traffic_test.cc
@@ -28,7 +28,7 @@
   options.secret = "0123456789abcdef";
   options.directory.id = "10.0.0.1:1";
   options.directory.region = "north";
-  options.directory.zone = "z1";
+  options.directory.zone = "z2";
   options.directory.boot_id = 7;
   options.directory.share_reads = false;
   options.calls.gate.adaptive_concurrency_limit = false;
@@ -41,7 +41,7 @@
   if (has_quotas) {
     options.quota.emplace();
     options.quota->id = options.directory.id;
-    options.quota->zone = "z1";
+    options.quota->zone = "z2";
     options.quota->boot_id = 7;
   }
   return options;
@@ -125,7 +125,7 @@
     membership::Member peer;
     peer.id = kPeer;
     peer.region = "north";
-    peer.zone = "z1";
+    peer.zone = "z2";
     peer.service = "fleet";
     peer.slots = 20;
     peer.labels[membership::kVersionLabel] = "1";
@@ -175,6 +175,36 @@
     request.max_response_bytes = 1000;
     this->HandleEvent(MessageReceived{kPeer, calls::Message(request)});
   }
+  // A node without credit, with a peer that runs the calls and is the holder of its credit.
+  void StartWithQuotas() {
+    this->Start(false, true);
+    this->AddPeer();
+    this->Configure(3, {{"w1", {"k1"}, {}, 10.0, 10.0}, {"w2", {"k2"}, {}, 10.0, 10.0}});
+  }
+  // Advances in steps in which the holder answers without credit, so that calls wait for it.
+  void AdvanceWithoutCredit(utils::Duration time) {
+    const utils::Timestamp end = this->now + time;
+    while (this->now < end) {
+      for (const SendMessage& sent : this->TakeEffects<SendMessage>()) {
+        const auto* const message = std::get_if<quota::Message>(&sent.message);
+        if (message != nullptr && std::holds_alternative<quota::CreditRequest>(*message)) {
+          const quota::Stamp stamp{9, this->now};
+          this->HandleEvent(MessageReceived{
+              kPeer, quota::Message(quota::CreditGrant{
+                         std::get<quota::CreditRequest>(*message).sent, 0, stamp, 2, {}})});
+        }
+      }
+      this->AdvanceTime(std::min<utils::Duration>(Milliseconds(10), end - this->now));
+    }
+  }
+  std::size_t SentCalls() {
+    std::size_t count = 0;
+    for (const SendMessage& sent : this->TakeEffects<SendMessage>()) {
+      const auto* const message = std::get_if<calls::Message>(&sent.message);
+      count += message != nullptr && std::holds_alternative<calls::CallRequest>(*message) ? 1 : 0;
+    }
+    return count;
+  }
   std::size_t Runs() { return this->TakeEffects<calls::RunOnBackendServer>().size(); }
   void SendCall(const std::string& key, std::optional<utils::Duration> remaining = {}) {
     calls::CallReceived call;
@@ -216,4 +246,27 @@
   LONGS_EQUAL(0, this->Runs());
 }
 
+// Guards against a call that waits for credit of one workspace and is then run as a call of another
+// one, whose quota it does not count against.
+TEST(RegisterTraffic, CallOfAMovedKeyWaitsForCreditOfItsNewWorkspace) {
+  this->StartWithQuotas();
+  this->SendCall("k1");
+  this->AdvanceTime(Milliseconds(5));
+  CHECK_FALSE(this->Answer().has_value());
+  this->Configure(4, {{"w1", {}, {}, 0.0, 0.0}, {"w2", {"k1", "k2"}, {}, 10.0, 10.0}});
+  LONGS_EQUAL(0, this->SentCalls());
+  this->AdvanceTime(Milliseconds(200));
+  CHECK_TRUE(this->Answer()->code == ErrorCode::kQuotaExceeded);
+}
+
+// Guards against a key that counts after the version that withdraws it, because the call arrived
+// within the same tick of the clock.
+TEST(RegisterTraffic, CallThatWaitsIsJudgedByTheVersionInForce) {
+  this->StartWithQuotas();
+  this->SendCall("k1");
+  this->Configure(4, {{"w1", {}, {}, 0.0, 0.0}});
+  LONGS_EQUAL(0, this->SentCalls());
+  CHECK_TRUE(this->Answer()->code == ErrorCode::kKeyUnknown);
+}
+
 }  // namespace amaranthlatch::node
