Refuse a call that waits for credit at its deadline

Cause: calls that wait for credit had no deadline: a call with 30 ms left was refused as over the quota after up to 140 ms, or passed on after its time. Change: CreditWaiters keeps the waiting calls by number and by deadline; at the deadline a call is refused as not run with deadline-exceeded, and no longer waits for credit. Result: CallThatWaitsIsRefusedAtItsDeadline fails without the change (no answer) and passes with it.

--- a/libs/node/src/register_node.cc
+++ b/libs/node/src/register_node.cc
@@ -13,6 +13,7 @@
 #include "amaranthlatch/node/envelope.h"
 #include "amaranthlatch/node/invariants.h"
 #include "call_authorizer.h"
+#include "credit_waiters.h"
 #include "rollout_events.h"
 
 namespace amaranthlatch::node {
@@ -79,6 +80,8 @@
   // Answers a call that was not passed on.
   void RefuseCall(std::uint64_t call, utils::ErrorCode code,
                   std::optional<utils::Duration> retry_after = std::nullopt);
+  // Refuses a call that waits for credit; returns false if it does not wait.
+  bool RefuseWaitingCall(std::uint64_t call, utils::ErrorCode code);
   void CountAuthorization(calls::AuthorizationResult result);
   // Notifies the directory if a call was routed with a newer configuration.
   void ReportNewerVersion(const membership::NodeId& from, const calls::Message& message);
@@ -139,14 +142,7 @@
   calls::Calls calls;
   std::optional<rollout::Rollout> rollout;
   std::optional<quota::Quota> quota;
-  // Calls that wait for credit, with the time at which they arrived and the version of the
-  // configuration by which they were judged.
-  struct WaitingCall {
-    calls::CallReceived call;
-    Timestamp arrived{};
-    document::Version version = 0;
-  };
-  std::unordered_map<std::uint64_t, WaitingCall> waiting_calls;
+  details::CreditWaiters waiting_calls;
   // Open calls that were admitted with credit.
   std::unordered_map<std::uint64_t, quota::CallNotRun> admitted_calls;
   // Credit of calls that ended as not run; returned at the end of the event.
@@ -411,24 +407,19 @@
     return;
   }
   const quota::CallArrived arrived{call.call, call.workspace};
-  this->waiting_calls.emplace(
-      arrived.call,
-      WaitingCall{std::move(call), this->now, this->directory.Configuration()->GetVersion()});
+  this->waiting_calls.Add(
+      {std::move(call), this->now, this->directory.Configuration()->GetVersion()});
   this->DispatchToQuota(arrived);
 }
 
 void RegisterNode::Impl::HandleEffect(const quota::AdmitCall& effect) {
-  auto waiting = this->waiting_calls.extract(effect.call);
-  if (waiting.empty()) {
+  auto waiter = this->waiting_calls.Take(effect.call, this->now);
+  if (!waiter) {
     return;
   }
-  calls::CallReceived call = std::move(waiting.mapped().call);
-  const utils::Duration waited = this->now - waiting.mapped().arrived;
-  if (call.remaining) {
-    *call.remaining -= waited;
-  }
+  calls::CallReceived call = std::move(waiter->call);
   const quota::CallNotRun unused{call.workspace, this->now};
-  if (waiting.mapped().version != this->directory.Configuration()->GetVersion()) {
+  if (waiter->version != this->directory.Configuration()->GetVersion()) {
     // The key may have been withdrawn, or may belong to another workspace now.
     const calls::Authorization authorization =
         CallAuthorizer(this->directory.Configuration()).Apply(call);
@@ -448,7 +439,7 @@
 }
 
 void RegisterNode::Impl::HandleEffect(const quota::RefuseCall& effect) {
-  if (this->waiting_calls.erase(effect.call) > 0) {
+  if (this->waiting_calls.Take(effect.call, this->now)) {
     this->RefuseCall(effect.call, utils::ErrorCode::kQuotaExceeded, effect.retry_after);
   }
 }
@@ -478,12 +469,18 @@
 }
 
 void RegisterNode::Impl::Handle(const calls::CallerGone& event) {
-  if (this->waiting_calls.erase(event.call) > 0) {
-    this->DispatchToQuota(quota::CallGone{event.call});
-    this->RefuseCall(event.call, utils::ErrorCode::kCallerGone);
-    return;
+  if (!this->RefuseWaitingCall(event.call, utils::ErrorCode::kCallerGone)) {
+    this->DispatchToCalls(event);
   }
-  this->DispatchToCalls(event);
+}
+
+bool RegisterNode::Impl::RefuseWaitingCall(std::uint64_t call, utils::ErrorCode code) {
+  if (!this->waiting_calls.Take(call, this->now)) {
+    return false;
+  }
+  this->DispatchToQuota(quota::CallGone{call});
+  this->RefuseCall(call, code);
+  return true;
 }
 
 void RegisterNode::Impl::Handle(const directory::StreamReadSucceeded& event) {
@@ -602,6 +599,9 @@
   Impl& modules = *this->impl;
   modules.now = now;
   modules.EndExpiredLease();
+  while (const auto expired = modules.waiting_calls.FindExpired(now)) {
+    modules.RefuseWaitingCall(*expired, utils::ErrorCode::kDeadlineExceeded);
+  }
   std::visit([&modules](const auto& value) { modules.Handle(value); }, event);
   modules.DispatchToRollout();
   if (modules.rollout) {
@@ -626,8 +626,8 @@
   const auto quota_wake = modules.quota ? modules.quota->NextWake() : std::optional<Timestamp>();
   const auto rollout_wake =
       modules.rollout ? modules.rollout->NextWake() : std::optional<Timestamp>();
-  for (const auto& wake :
-       {modules.directory.NextWake(), modules.calls.NextWake(), rollout_wake, quota_wake}) {
+  for (const auto& wake : {modules.directory.NextWake(), modules.calls.NextWake(), rollout_wake,
+                           quota_wake, modules.waiting_calls.NextDeadline()}) {
     if (wake && (!next || *wake < *next)) {
       next = wake;
     }
--- a/libs/node/tests/register_traffic_test.cc
+++ b/libs/node/tests/register_traffic_test.cc
@@ -269,4 +269,17 @@
   CHECK_TRUE(this->Answer()->code == ErrorCode::kKeyUnknown);
 }
 
+// Guards against a call that waits for credit beyond its deadline, or is refused as over the quota.
+TEST(RegisterTraffic, CallThatWaitsIsRefusedAtItsDeadline) {
+  this->StartWithQuotas();
+  this->SendCall("k1", Milliseconds(30));
+  this->AdvanceTime(Milliseconds(29));
+  CHECK_FALSE(this->Answer().has_value());
+  this->AdvanceTime(Milliseconds(1));
+  const auto answer = this->Answer();
+  CHECK_TRUE(answer && answer->code == ErrorCode::kDeadlineExceeded);
+  CHECK_TRUE(answer->kind == ResultKind::kNotRun);
+  LONGS_EQUAL(0, this->node->QuotaGauges().calls_waiting);
+}
+
 }  // namespace amaranthlatch::node
