Refuse calls that wait for credit when a drain closes the intake

Cause: the calls reducer does not know the calls that wait for credit. It reported the end of a drain while such calls were open, and the process exited 100 ms later; a wait takes up to 140 ms, so their callers got no answer. Change: when the intake closes, calls that wait are refused as draining, and later ones do not wait for credit. Result: DrainRefusesCallsThatWait fails without the change (drain finished, no answer) and passes with it.

--- a/libs/node/src/credit_waiters.cc
+++ b/libs/node/src/credit_waiters.cc
@@ -2,6 +2,7 @@
 
 #include "credit_waiters.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace amaranthlatch::node::details {
@@ -36,6 +37,17 @@
   return this->deadlines.begin()->second;
 }
 
+std::vector<std::uint64_t> CreditWaiters::Numbers() const {
+  std::vector<std::uint64_t> numbers;
+  numbers.reserve(this->waiters.size());
+  for (const auto& [number, waiter] : this->waiters) {
+    numbers.push_back(number);
+  }
+  // Effects must not depend on the iteration order of an unordered map.
+  std::sort(numbers.begin(), numbers.end());
+  return numbers;
+}
+
 std::optional<Timestamp> CreditWaiters::NextDeadline() const {
   return this->deadlines.empty() ? std::nullopt
                                  : std::optional<Timestamp>(this->deadlines.begin()->first);
--- a/libs/node/src/credit_waiters.h
+++ b/libs/node/src/credit_waiters.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "amaranthlatch/calls/event.h"
 #include "amaranthlatch/utils/time.h"
@@ -27,6 +28,7 @@
   std::optional<Waiter> Take(std::uint64_t call, utils::Timestamp now);
   // A call whose deadline has passed; none if there is none.
   std::optional<std::uint64_t> FindExpired(utils::Timestamp now) const;
+  std::vector<std::uint64_t> Numbers() const;
   // The earliest deadline.
   std::optional<utils::Timestamp> NextDeadline() const;
 
--- a/libs/node/src/register_node.cc
+++ b/libs/node/src/register_node.cc
@@ -177,6 +177,7 @@
   bool draining = false;
   // Time at which callers are refused; set during the grace period of a drain.
   std::optional<Timestamp> caller_intake_deadline;
+  bool caller_intake_closed = false;
   bool calls_violation_reported = false;
 };
 
@@ -221,6 +222,11 @@
 void RegisterNode::Impl::CloseCallerIntakeIfDue() {
   if (this->caller_intake_deadline && *this->caller_intake_deadline <= this->now) {
     this->caller_intake_deadline.reset();
+    this->caller_intake_closed = true;
+    // The calls reducer does not know these calls, and reports an end of the drain without them.
+    for (const std::uint64_t call : this->waiting_calls.Numbers()) {
+      this->RefuseWaitingCall(call, utils::ErrorCode::kDraining);
+    }
     this->effects.emplace_back(CallerIntakeClosed{});
     this->DispatchToCalls(calls::DrainStarted{});
   }
@@ -402,7 +408,8 @@
 }
 
 void RegisterNode::Impl::AcceptCall(calls::CallReceived call) {
-  if (!this->quota || call.workspace.empty()) {
+  // After the end of the intake the calls reducer refuses every call.
+  if (!this->quota || call.workspace.empty() || this->caller_intake_closed) {
     this->DispatchToCalls(std::move(call));
     return;
   }
--- a/libs/node/tests/register_traffic_test.cc
+++ b/libs/node/tests/register_traffic_test.cc
@@ -282,4 +282,21 @@
   LONGS_EQUAL(0, this->node->QuotaGauges().calls_waiting);
 }
 
+// Guards against a drain that is finished, so that the process exits, while a call waits for
+// credit.
+TEST(RegisterTraffic, DrainRefusesCallsThatWait) {
+  this->StartWithQuotas();
+  this->HandleEvent(DrainRequested{});
+  this->AdvanceWithoutCredit(Milliseconds(2590));
+  this->SendCall("k1");
+  CHECK_FALSE(this->Answer().has_value());
+  this->AdvanceTime(Milliseconds(20));
+  LONGS_EQUAL(1, this->TakeEffects<calls::DrainFinished>().size());
+  const auto answer = this->Answer();
+  CHECK_TRUE(answer && answer->code == ErrorCode::kDraining);
+  CHECK_TRUE(answer->kind == ResultKind::kNotRun);
+  this->SendCall("k1");
+  CHECK_TRUE(this->Answer()->code == ErrorCode::kDraining);
+}
+
 }  // namespace amaranthlatch::node
