--- a/libs/node/src/call_admission.cc
+++ b/libs/node/src/call_admission.cc
@@ -32,6 +32,23 @@
   return this->Reduce(quota::WakeUp{}, context);
 }
 
+CallAdmission::Outputs CallAdmission::RefuseExpired(const Context& context) {
+  Outputs outputs;
+  while (const auto expired = this->waiting_calls.FindExpired(context.now)) {
+    this->RefuseWaiting(*expired, utils::ErrorCode::kDeadlineExceeded, context, outputs);
+  }
+  return outputs;
+}
+
+CallAdmission::Outputs CallAdmission::CloseIntake(const Context& context) {
+  this->intake_closed = true;
+  Outputs outputs;
+  for (const std::uint64_t call : this->waiting_calls.Numbers()) {
+    this->RefuseWaiting(call, utils::ErrorCode::kDraining, context, outputs);
+  }
+  return outputs;
+}
+
 CallAdmission::Outputs CallAdmission::OnCallReceived(const calls::CallReceived& event,
                                                      const Context& context) {
   calls::CallReceived call = event;
@@ -40,24 +57,40 @@
   if (authorization.Code() != utils::ErrorCode::kOk) {
     return {Refusal(call.call, authorization.Code())};
   }
-  if (!this->quota || call.workspace.empty()) {
-    return {calls::Event(std::move(call))};
+  Outputs outputs;
+  this->Accept(std::move(call), context, outputs);
+  return outputs;
+}
+
+void CallAdmission::Accept(calls::CallReceived call, const Context& context, Outputs& outputs) {
+  if (!this->quota || call.workspace.empty() || this->intake_closed) {
+    outputs.emplace_back(calls::Event(std::move(call)));
+    return;
   }
   const quota::CallArrived arrived{call.call, call.workspace};
-  this->waiting_calls.emplace(arrived.call, WaitingCall{std::move(call), context.now});
-  return this->Reduce(arrived, context);
+  this->waiting_calls.Add({std::move(call), context.now, context.configuration->GetVersion()});
+  this->Reduce(arrived, context, outputs);
 }
 
 CallAdmission::Outputs CallAdmission::OnCallerGone(const calls::CallerGone& event,
                                                    const Context& context) {
-  if (this->waiting_calls.erase(event.call) == 0) {
-    return {calls::Event(event)};
+  Outputs outputs;
+  if (!this->RefuseWaiting(event.call, utils::ErrorCode::kCallerGone, context, outputs)) {
+    outputs.emplace_back(calls::Event(event));
   }
-  Outputs outputs = this->Reduce(quota::CallGone{event.call}, context);
-  outputs.emplace_back(Refusal(event.call, utils::ErrorCode::kCallerGone));
   return outputs;
 }
 
+bool CallAdmission::RefuseWaiting(std::uint64_t call, utils::ErrorCode code, const Context& context,
+                                  Outputs& outputs) {
+  if (!this->waiting_calls.Take(call, context.now)) {
+    return false;
+  }
+  this->Reduce(quota::CallGone{call}, context, outputs);
+  outputs.emplace_back(Refusal(call, code));
+  return true;
+}
+
 CallAdmission::Outputs CallAdmission::OnMessage(const membership::NodeId& from,
                                                 const quota::Message& message,
                                                 const Context& context) {
@@ -124,47 +157,55 @@
 }
 
 std::optional<utils::Timestamp> CallAdmission::NextWake() const {
-  return this->quota ? this->quota->NextWake() : std::nullopt;
+  const auto deadline = this->waiting_calls.NextDeadline();
+  return this->quota ? Earlier(this->quota->NextWake(), deadline) : deadline;
 }
 
 CallAdmission::Outputs CallAdmission::Reduce(const quota::Event& event, const Context& context) {
   Outputs outputs;
+  this->Reduce(event, context, outputs);
+  return outputs;
+}
+
+void CallAdmission::Reduce(const quota::Event& event, const Context& context, Outputs& outputs) {
   if (!this->quota) {
-    return outputs;
+    return;
   }
   for (quota::Effect& effect : this->quota->Reduce(event, context.now, context.members)) {
     std::visit([&](auto& value) { this->HandleEffect(std::move(value), context, outputs); },
                effect);
   }
-  return outputs;
 }
 
 void CallAdmission::HandleEffect(const quota::AdmitCall& effect, const Context& context,
                                  Outputs& outputs) {
-  auto waiting = this->waiting_calls.extract(effect.call);
-  if (waiting.empty()) {
+  auto waiter = this->waiting_calls.Take(effect.call, context.now);
+  if (!waiter) {
     return;
   }
-  calls::CallReceived call = std::move(waiting.mapped().call);
-  const utils::Duration waited = context.now - waiting.mapped().arrived;
-  if (call.remaining) {
-    *call.remaining -= waited;
-  }
-  this->admitted_calls.emplace(call.call, quota::CallNotRun{call.workspace, context.now});
-  if (waited.count() > 0) {
-    // The key may have been withdrawn while the call waited.
+  calls::CallReceived call = std::move(waiter->call);
+  const quota::CallNotRun unused{call.workspace, context.now};
+  if (waiter->version != context.configuration->GetVersion()) {
+    // The key may have been withdrawn, or may belong to another workspace now.
     const calls::Authorization authorization = CallAuthorizer(context.configuration).Apply(call);
     if (authorization.Code() != utils::ErrorCode::kOk) {
+      this->unused_credit.push_back(unused);
       outputs.emplace_back(Refusal(call.call, authorization.Code()));
       return;
     }
+    if (call.workspace != unused.workspace) {
+      this->unused_credit.push_back(unused);
+      this->Accept(std::move(call), context, outputs);
+      return;
+    }
   }
+  this->admitted_calls.emplace(call.call, unused);
   outputs.emplace_back(calls::Event(std::move(call)));
 }
 
-void CallAdmission::HandleEffect(const quota::RefuseCall& effect, const Context& /*context*/,
+void CallAdmission::HandleEffect(const quota::RefuseCall& effect, const Context& context,
                                  Outputs& outputs) {
-  if (this->waiting_calls.erase(effect.call) > 0) {
+  if (this->waiting_calls.Take(effect.call, context.now)) {
     outputs.emplace_back(
         Refusal(effect.call, utils::ErrorCode::kQuotaExceeded, effect.retry_after));
   }
--- a/libs/node/src/call_admission.h
+++ b/libs/node/src/call_admission.h
@@ -16,6 +16,7 @@
 #include "amaranthlatch/node/effect.h"
 #include "amaranthlatch/node/register_node.h"
 #include "amaranthlatch/quota/quota.h"
+#include "credit_waiters.h"
 
 namespace amaranthlatch::node::details {
 
@@ -38,6 +39,11 @@
   explicit CallAdmission(std::optional<quota::Quota> quota) : quota(std::move(quota)) {}
 
   Outputs OnWakeUp(const Context& context);
+  // Refuses the calls whose deadline has passed while they waited for credit.
+  Outputs RefuseExpired(const Context& context);
+  // Refuses all calls that wait for credit. From now on calls are passed on without credit: the
+  // calls reducer refuses them, and reports the end of the drain without those that wait here.
+  Outputs CloseIntake(const Context& context);
   Outputs OnCallReceived(const calls::CallReceived& event, const Context& context);
   Outputs OnCallerGone(const calls::CallerGone& event, const Context& context);
   Outputs OnMessage(const membership::NodeId& from, const quota::Message& message,
@@ -62,12 +68,12 @@
   const quota::Quota* GetQuota() const { return this->quota ? &*this->quota : nullptr; }
 
  private:
-  // Calls that wait for credit, with the time at which they arrived.
-  struct WaitingCall {
-    calls::CallReceived call;
-    utils::Timestamp arrived{};
-  };
-
+  // Passes on a call that is authorised, as soon as there is credit for it.
+  void Accept(calls::CallReceived call, const Context& context, Outputs& outputs);
+  // Refuses a call that waits for credit; returns false if it does not wait.
+  bool RefuseWaiting(std::uint64_t call, utils::ErrorCode code, const Context& context,
+                     Outputs& outputs);
+  void Reduce(const quota::Event& event, const Context& context, Outputs& outputs);
   Outputs Reduce(const quota::Event& event, const Context& context);
   void HandleEffect(const quota::AdmitCall& effect, const Context& context, Outputs& outputs);
   void HandleEffect(const quota::RefuseCall& effect, const Context& context, Outputs& outputs);
@@ -76,7 +82,8 @@
   void Count(calls::AuthorizationResult result);
 
   std::optional<quota::Quota> quota;
-  std::unordered_map<std::uint64_t, WaitingCall> waiting_calls;
+  CreditWaiters waiting_calls;
+  bool intake_closed = false;
   // Open calls that were admitted with credit.
   std::unordered_map<std::uint64_t, quota::CallNotRun> admitted_calls;
   // Credit of calls that ended as not run; returned at the end of the event.
--- a/libs/node/src/register_modules.cc
+++ b/libs/node/src/register_modules.cc
@@ -32,8 +32,15 @@
 
 std::vector<RegisterEffect> RegisterModules::Reduce(const RegisterEvent& event, Timestamp at) {
   this->now = at;
+  this->participant.QueueExpiredLease(this->now);
+  this->DispatchToRollout();
+  this->HandleOutputs(this->admission.RefuseExpired(this->AdmissionContext()));
   std::visit([this](const auto& value) { this->Handle(value); }, event);
   this->DispatchToRollout();
+  if (this->participant.GetRollout() != nullptr) {
+    // A directive may have changed the allowance.
+    this->UpdateCalls();
+  }
   this->HandleOutputs(this->admission.UpdateLimits(this->AdmissionContext()));
   this->HandleOutputs(this->admission.ReturnCredit(this->AdmissionContext()));
   this->CloseCallerIntakeIfDue();
@@ -87,6 +94,7 @@
 void RegisterModules::CloseCallerIntakeIfDue() {
   if (IsDue(this->caller_intake_deadline, this->now)) {
     this->caller_intake_deadline.reset();
+    this->HandleOutputs(this->admission.CloseIntake(this->AdmissionContext()));
     this->effects.emplace_back(CallerIntakeClosed{});
     this->DispatchToCalls(calls::DrainStarted{});
   }
@@ -164,15 +172,24 @@
 }
 
 void RegisterModules::Handle(const calls::BackendServerAnswered& event) {
-  this->participant.Queue(details::ToRunEnded(event));
+  this->EndRun(details::ToRunEnded(event));
   this->DispatchToCalls(event);
 }
 
 void RegisterModules::Handle(const calls::BackendServerFailed& event) {
-  this->participant.Queue(details::ToRunEnded(event));
+  this->EndRun(details::ToRunEnded(event));
   this->DispatchToCalls(event);
 }
 
+void RegisterModules::EndRun(const rollout::RunEnded& ended) {
+  if (this->participant.GetRollout() != nullptr) {
+    // Before the calls reducer, which may start another run in place of this one.
+    this->participant.Queue(ended);
+    this->DispatchToRollout();
+    this->UpdateCalls();
+  }
+}
+
 void RegisterModules::DispatchToRollout() {
   while (this->participant.HasQueued()) {
     for (rollout::Effect& effect :
--- a/libs/node/src/register_modules.h
+++ b/libs/node/src/register_modules.h
@@ -60,6 +60,7 @@
   void DispatchToDirectory(const directory::Event& event);
   void DispatchToCalls(const calls::Event& event);
   void DispatchToRollout();
+  void EndRun(const rollout::RunEnded& ended);
   // Announces the backend server, or withdraws it, as the rollout allows.
   void UpdateAnnouncement();
   CallAdmission::Context AdmissionContext() const;
--- a/libs/node/src/rollout_participant.cc
+++ b/libs/node/src/rollout_participant.cc
@@ -2,6 +2,8 @@
 
 #include "rollout_participant.h"
 
+#include <algorithm>
+
 #include "rollout_events.h"
 #include "wake_time.h"
 
@@ -13,6 +15,12 @@
   }
 }
 
+void RolloutParticipant::QueueExpiredLease(utils::Timestamp now) {
+  if (this->rollout && this->rollout->Admission(now) != this->rollout->Admission()) {
+    this->Queue(rollout::WakeUp{});
+  }
+}
+
 void RolloutParticipant::QueueWakeUpIfDue(utils::Timestamp now) {
   if (IsDue(this->NextWake(), now)) {
     this->Queue(rollout::WakeUp{});
@@ -70,6 +78,10 @@
 std::optional<calls::BackendServerChanged> RolloutParticipant::NextServerState(bool draining) {
   calls::BackendServerChanged next = this->announced_state;
   next.available = next.available && !draining && this->Admission().accept;
+  if (const auto limit = this->rollout ? this->rollout->RunLimit() : std::nullopt) {
+    // One event may start several runs, and the reducer of the rollout learns of them afterwards.
+    next.slots = static_cast<std::uint32_t>(std::min<std::uint64_t>(next.slots, *limit));
+  }
   if (next == this->reported_state) {
     return std::nullopt;
   }
--- a/libs/node/src/rollout_participant.h
+++ b/libs/node/src/rollout_participant.h
@@ -23,6 +23,8 @@
 
   // Queues an event for the rollout reducer, if there is one.
   void Queue(rollout::Event event);
+  // Queues a wake-up if a lease has expired in a pause of the process, before its wake-up.
+  void QueueExpiredLease(utils::Timestamp now);
   void QueueWakeUpIfDue(utils::Timestamp now);
   bool HasQueued() const { return !this->events.empty(); }
   // Applies the first queued event.
