--- a/libs/calls/src/entry_move.cc
+++ b/libs/calls/src/entry_move.cc
@@ -23,6 +23,8 @@
 // about the same time must not come back at about the same time.
 constexpr Duration kMinAdvice = utils::Milliseconds(50);
 constexpr Duration kMaxAdvice = utils::Seconds(1);
+// Longest advice as a part of the target latency, before its jitter.
+constexpr std::int64_t kAdviceDivisor = 6;
 
 bool IsLoad(ErrorCode code) {
   return code == ErrorCode::kQueueFull || code == ErrorCode::kLinkBusy;
@@ -85,7 +87,12 @@
       call.attempts.empty()
           ? this->balancer.LastExpectedWait()
           : this->balancer.ExpectedWait(context, call.attempts.back().gate, *call.match->route);
-  const Duration advice = std::clamp(wait, kMinAdvice, kMaxAdvice);
+  // A queue is as long as its calls have time, so that its wait says little about the next free
+  // slot. A caller that comes back within the target latency can still be answered in time.
+  const Duration target = call.match->route->target_latency;
+  const Duration max_advice =
+      target.count() > 0 ? std::clamp(target / kAdviceDivisor, kMinAdvice, kMaxAdvice) : kMaxAdvice;
+  const Duration advice = std::clamp(wait, kMinAdvice, max_advice);
   return advice + this->shared.random.Jitter(advice);
 }
 
--- a/libs/runtime/src/register_options.cc
+++ b/libs/runtime/src/register_options.cc
@@ -52,7 +52,7 @@
 constexpr utils::Duration kNewMeshDiscoverySpread = utils::Milliseconds(2500);
 
 // A crowded gate empties within a few answers; anything else takes a record of the register.
-constexpr utils::Duration kCrowdedAdvice = utils::Milliseconds(200);
+constexpr utils::Duration kCrowdedAdvice = utils::Milliseconds(40);
 constexpr utils::Duration kOtherAdvice = utils::Milliseconds(400);
 
 // An attempt on a link that cannot be made is given up early enough to be made elsewhere.
