--- a/libs/calls/src/balancer.cc
+++ b/libs/calls/src/balancer.cc
@@ -155,7 +155,9 @@
                 ? this->ChooseByCost(target.service, demand, level, context.now)
                 : this->policy->Choose(level, this->shared.random)];
   this->expected_wait = this->policy->ExpectedWait(chosen);
-  if (IsLate(chosen, this->expected_wait, demand.budget)) {
+  const bool has_free_slot = chosen.calls_ahead < chosen.member->slots;
+  if (IsLate(chosen, this->expected_wait, demand.budget) ||
+      (demand.needs_free_slot && !has_free_slot)) {
     this->overloaded = true;
     return nullptr;
   }
@@ -191,6 +193,11 @@
                           this->FindAverages(member->service, demand.route), context.now));
 }
 
+utils::Duration Balancer::MeanServiceTime(const std::string& service, RouteKey route) const {
+  return utils::Duration(
+      static_cast<utils::Duration::rep>(this->FindAverages(service, route).service_time_us));
+}
+
 Balancer::RouteAveragesOfService Balancer::FindAverages(const std::string& service,
                                                         RouteKey route) const {
   RouteAveragesOfService averages;
--- a/libs/calls/src/balancer.h
+++ b/libs/calls/src/balancer.h
@@ -45,6 +45,8 @@
     std::uint64_t request_bytes = 0;
     // Whether the call was sent to another gate before.
     bool is_repeated = false;
+    // Whether an attempt of the call still runs, so that another one is worth a free slot only.
+    bool needs_free_slot = false;
   };
 
   Balancer(SharedState& shared, std::unique_ptr<BalancePolicy> policy);
@@ -71,6 +73,8 @@
   bool WasOverloaded() const { return this->overloaded; }
   // Expected wait at the best member that the last Choose() found, rejected or not.
   utils::Duration LastExpectedWait() const { return this->expected_wait; }
+  // Mean time of a call of the route at the backend servers of the service; zero if not known.
+  utils::Duration MeanServiceTime(const std::string& service, RouteKey route) const;
   // Expected wait of a call of the route at this gate; zero if it is not known.
   utils::Duration ExpectedWait(const Context& context, const membership::NodeId& gate,
                                const document::Route& route);
--- a/libs/calls/src/entry.cc
+++ b/libs/calls/src/entry.cc
@@ -15,6 +15,10 @@
 using utils::Timestamp;
 
 constexpr Duration kMinLatencyBudget = utils::Milliseconds(20);
+// A second attempt is sent while it can still be answered within the target latency, but not before
+// the first one has taken longer than most calls of the route do; both in mean service times.
+constexpr double kHedgeReserve = 1.2;
+constexpr double kMinHedgeDelay = 1.5;
 
 std::uint64_t SizeOf(const Headers& headers) {
   std::uint64_t bytes = 0;
@@ -201,6 +205,7 @@
   demand.budget = call.moving ? MoveBudget(call, latency_budget) : latency_budget;
   demand.request_bytes = call.request_bytes;
   demand.is_repeated = !tried.empty();
+  demand.needs_free_slot = HasOpenAttempt(call);
   return this->balancer.Choose(context, *call.match->route, demand, tried, call.target);
 }
 
@@ -209,7 +214,20 @@
   const std::uint32_t left =
       call.max_attempts > attempts_made ? call.max_attempts - attempts_made : 0;
   const Duration share = (call.deadline - context.now) / (left + 1);
-  return std::max(share, this->shared.options.entry.min_attempt_timeout);
+  return std::max(std::min(share, this->HedgeDelay(context, call)),
+                  this->shared.options.entry.min_attempt_timeout);
+}
+
+Duration Entry::HedgeDelay(const Context& context, const OpenCall& call) const {
+  if (!call.idempotent || !call.match || call.latency_deadline == Timestamp::max()) {
+    return Duration::max();
+  }
+  const Duration mean = this->balancer.MeanServiceTime(TargetServiceOf(call), RouteKeyOf(call));
+  const auto means = [mean](double count) {
+    return Duration(static_cast<Duration::rep>(count * static_cast<double>(mean.count())));
+  };
+  const Duration delay = call.latency_deadline - context.now - means(kHedgeReserve);
+  return mean.count() > 0 && delay >= means(kMinHedgeDelay) ? delay : Duration::max();
 }
 
 void Entry::SendAttempt(const Context& context, OpenCall& call) {
@@ -229,6 +247,8 @@
                                                                  : ErrorCode::kNoBackendServer);
     }
     if (HasOpenAttempt(call)) {
+      // Another attempt beside one that runs is always a retry, which was paid for.
+      this->budget.Refund(call.budget_service);
       this->Schedule(call);
     } else {
       this->Fail(context, call);
--- a/libs/calls/src/entry.h
+++ b/libs/calls/src/entry.h
@@ -132,6 +132,9 @@
   bool AuthorizeAgain(const Context& context, OpenCall& call);
   CallRequest MakeRequest(const Context& context, const OpenCall& call, const Attempt& attempt,
                           const membership::Member& gate) const;
+  // Time after which an idempotent call is sent to another gate while the first one runs, so that
+  // it is still answered within its target latency; max() if that is not worthwhile.
+  utils::Duration HedgeDelay(const Context& context, const OpenCall& call) const;
   utils::Duration AttemptTimeout(const Context& context, const OpenCall& call) const;
 
   // Sends a fence for the attempt and schedules the next one.
--- a/libs/calls/src/retry_budget.cc
+++ b/libs/calls/src/retry_budget.cc
@@ -27,4 +27,11 @@
   return true;
 }
 
+void RetryBudget::Refund(const std::string& service) {
+  const auto found = this->tokens.find(service);
+  if (found != this->tokens.end()) {
+    found->second = std::min(this->burst, found->second + 1.0);
+  }
+}
+
 }  // namespace amaranthlatch::calls::details
--- a/libs/calls/src/retry_budget.h
+++ b/libs/calls/src/retry_budget.h
@@ -18,6 +18,8 @@
   void OnCall(const std::string& service, std::uint32_t percent);
   // Takes one token; returns false if the bucket has less than one.
   bool TrySpend(const std::string& service);
+  // Returns the token of a retry that was not sent.
+  void Refund(const std::string& service);
 
  private:
   double burst;
