--- a/libs/calls/src/balancer.cc
+++ b/libs/calls/src/balancer.cc
@@ -170,7 +170,9 @@
   }
   const Candidate& chosen = level[index.value_or(0)];
   this->expected_wait = this->policy->ExpectedWait(chosen);
-  if (IsLate(chosen, this->expected_wait, demand.budget)) {
+  const bool has_free_slot = chosen.calls_ahead < chosen.member->slots;
+  if (IsLate(chosen, this->expected_wait, demand.budget) ||
+      (demand.needs_free_slot && !has_free_slot)) {
     this->overloaded = true;
     this->crossing_too_expensive = this->crossing.WasTooExpensive();
     return nullptr;
@@ -218,6 +220,11 @@
                           this->FindAverages(member->service, demand.route), context.now));
 }
 
+utils::Duration Balancer::MeanServiceTime(const std::string& service, RouteKey route) const {
+  return utils::Duration(
+      static_cast<utils::Duration::rep>(this->FindAverages(service, route).service_time_us));
+}
+
 Balancer::RouteAveragesOfService Balancer::FindAverages(const std::string& service,
                                                         RouteKey route) const {
   RouteAveragesOfService averages;
