--- a/libs/calls/src/balance_policy.cc
+++ b/libs/calls/src/balance_policy.cc
@@ -21,6 +21,9 @@
 // Share of a reported wait by which it is taken to have shrunk at most since the report.
 constexpr double kMaxDrainedShare = 0.5;
 
+// As at gates: a call that will be queued must be in time with a run twice as long as expected.
+constexpr double kQueuedRunTimes = 2.0;
+
 constexpr std::size_t kDistances = 4;
 
 double RelativeCost(const Candidate& candidate) {
@@ -34,8 +37,8 @@
 
 bool IsLate(const Candidate& candidate, utils::Duration wait, utils::Duration budget) {
   const bool is_full = candidate.calls_ahead >= candidate.member->slots;
-  const utils::Duration service_time(
-      static_cast<utils::Duration::rep>(is_full ? candidate.service_time_us : 0.0));
+  const utils::Duration service_time(static_cast<utils::Duration::rep>(
+      is_full ? kQueuedRunTimes * candidate.service_time_us : 0.0));
   return wait > budget || service_time > budget - wait;
 }
 
--- a/libs/calls/src/gate_admission.cc
+++ b/libs/calls/src/gate_admission.cc
@@ -28,6 +28,9 @@
 // Waits vary around the estimate, as more urgent calls come unevenly. Without this factor, a sixth
 // of the calls admitted at twice the capacity were answered late, with it a hundredth.
 constexpr double kWaitMargin = 1.5;
+// A call is queued only if it would still be in time with a run twice as long as expected. With one
+// run time, queues under overload grew until half of their calls were late.
+constexpr std::int64_t kQueuedRunTimes = 2;
 // Share of the turns for less urgent calls that a class may count on.
 constexpr double kLeastShareOfTurns = 0.5;
 constexpr Duration kReviewInterval = utils::Milliseconds(5);
@@ -52,7 +55,8 @@
     return ErrorCode::kOk;
   }
   const Duration wait = has_slot ? Duration{} : this->ExpectedWait(context, call);
-  const Duration run = wait + this->ExpectedRunTime(call);
+  const Duration expected = this->ExpectedRunTime(call);
+  const Duration run = wait + (has_slot ? expected : kQueuedRunTimes * expected);
   const Duration link_wait =
       call.uses_link ? this->link.Wait(call.route, priority, context.now) : Duration{};
   const Duration transfer =
