--- a/libs/calls/src/entry_move.cc
+++ b/libs/calls/src/entry_move.cc
@@ -28,8 +28,6 @@
 // time. A fixed 200 ms left a third of the calls with a target of 500 ms late.
 constexpr std::int64_t kShedAdviceDivisor = 20;
 constexpr Duration kMinShedAdvice = utils::Milliseconds(5);
-// Longest advice as a part of the target latency, before its jitter.
-constexpr std::int64_t kAdviceDivisor = 6;
 
 bool IsLoad(ErrorCode code) {
   return code == ErrorCode::kQueueFull || code == ErrorCode::kLinkBusy;
@@ -108,12 +106,7 @@
   const Duration least = is_shed ? std::clamp(GivenTime(*call.match->route) / kShedAdviceDivisor,
                                               kMinShedAdvice, kMinAdvice)
                                  : kMinAdvice;
-  // A queue is as long as its calls have time, so that its wait says little about the next free
-  // slot. A caller that comes back within the target latency can still be answered in time.
-  const Duration target = call.match->route->target_latency;
-  const Duration most =
-      target.count() > 0 ? std::clamp(target / kAdviceDivisor, kMinAdvice, kMaxAdvice) : kMaxAdvice;
-  const Duration advice = std::clamp(wait, least, most);
+  const Duration advice = std::clamp(wait, least, kMaxAdvice);
   return advice + this->shared.random.Jitter(advice);
 }
 
