Split the host of register mode by responsibility

Change: PeerMessenger seals and opens messages, RegisterServers opens the four servers, ServerAnnouncements takes what the backend server says of itself, and HostTimers, which Host uses too, wakes the node and stops the host. Behaviour is unchanged.

--- a/libs/runtime/src/host.cc
+++ b/libs/runtime/src/host.cc
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 #include <optional>
 #include <string>
 #include <utility>
@@ -27,7 +26,9 @@
 #include "amaranthlatch/runtime/traffic.h"
 #include "amaranthlatch/runtime/wall_clock.h"
 #include "effect_log.h"
+#include "host_timers.h"
 #include "node_options.h"
+#include "random_number.h"
 
 namespace amaranthlatch::runtime {
 
@@ -46,12 +47,6 @@
 // Publish records older than this are replayed history and say nothing about convergence.
 constexpr std::uint64_t kMaxConvergenceMs = 60'000;
 
-std::uint64_t RandomNumber() {
-  std::uint64_t number = 0;
-  randombytes_buf(&number, sizeof(number));
-  return number;
-}
-
 }  // namespace
 
 class Host::Impl final : public TransportListener, public NodeControl {
@@ -60,9 +55,8 @@
        std::function<void(StopReason)> on_stopped)
       : context(context),
         settings(settings),
-        on_stopped(std::move(on_stopped)),
-        wake_timer(context),
-        drain_timer(context),
+        timers(
+            context, this->clock, [this] { this->OnWake(); }, std::move(on_stopped)),
         gateway(this->clock, [this](const node::Event& event) { this->Apply(event); }),
         admin(*this) {}
 
@@ -70,9 +64,9 @@
     if (sodium_init() < 0) {
       return utils::Fail(utils::ErrorCode::kSettingsOutOfRange, "libsodium does not initialise");
     }
-    const std::uint64_t boot_id = RandomNumber();
-    auto created = node::Node::Create(
-        details::MakeNodeOptions(this->settings, RandomNumber(), boot_id, WallTimeMilliseconds()));
+    const std::uint64_t boot_id = details::RandomNumber();
+    auto created = node::Node::Create(details::MakeNodeOptions(
+        this->settings, details::RandomNumber(), boot_id, WallTimeMilliseconds()));
     if (!created) {
       return tl::unexpected(created.error());
     }
@@ -101,16 +95,11 @@
   }
 
   void BeginDrain() override {
-    if (this->draining || this->stopped) {
+    if (this->draining || this->timers.Stopped()) {
       return;
     }
     this->draining = true;
-    this->drain_timer.expires_after(this->LongestDeadline() + kDrainMargin);
-    this->drain_timer.async_wait([this](const asio::error_code& error) {
-      if (!error) {
-        this->Stop(StopReason::kDrainTimedOut);
-      }
-    });
+    this->timers.StopAfter(this->LongestDeadline() + kDrainMargin, StopReason::kDrainTimedOut);
     LogLine("drain-started").Add("open_calls", this->gateway.OpenCalls()).Info();
     this->data_server->BeginShutdown();
     this->Apply(node::DrainRequested{});
@@ -118,7 +107,7 @@
 
   void OnMessage(std::string bytes) override {
     auto opened = this->envelope->Open(bytes);
-    if (!opened || this->stopped) {
+    if (!opened || this->timers.Stopped()) {
       return;
     }
     if (KindOf(opened->message).is_answer) {
@@ -240,7 +229,7 @@
 
   // The one place where the reducer is called.
   void Apply(const node::Event& event) {
-    if (this->stopped) {
+    if (this->timers.Stopped()) {
       return;
     }
     const Timestamp before = this->clock.Now();
@@ -249,27 +238,12 @@
     for (node::Effect& effect : effects) {
       std::visit([this, &event](auto& inner) { this->Perform(inner, event); }, effect);
     }
-    this->ScheduleWake();
+    this->timers.ScheduleWake(this->node->NextWake());
   }
 
-  void ScheduleWake() {
-    const std::optional<Timestamp> next = this->node->NextWake();
-    if (next == this->scheduled_wake || this->stopped) {
-      return;
-    }
-    this->scheduled_wake = next;
-    if (!next) {
-      this->wake_timer.cancel();
-      return;
-    }
-    this->wake_timer.expires_after(*next - this->clock.Now());
-    this->wake_timer.async_wait([this](const asio::error_code& error) {
-      if (!error) {
-        this->scheduled_wake.reset();
-        ++this->timer_wakes;
-        this->Apply(node::WakeUp{});
-      }
-    });
+  void OnWake() {
+    ++this->timer_wakes;
+    this->Apply(node::WakeUp{});
   }
 
   std::string RegionOf(const membership::NodeId& id) const {
@@ -296,7 +270,7 @@
 
   void Perform(const node::InvariantViolated& effect, const node::Event& cause) {
     details::LogEffect(effect, cause);
-    this->Stop(StopReason::kInvariantViolated);
+    this->timers.Stop(StopReason::kInvariantViolated);
   }
 
   void Perform(const membership::MemberChanged& effect, const node::Event& /*cause*/) {
@@ -352,12 +326,7 @@
 
   void Perform(const calls::DrainFinished& /*effect*/, const node::Event& /*cause*/) {
     LogLine("drain-finished").Info();
-    this->drain_timer.expires_after(kFlushTime);
-    this->drain_timer.async_wait([this](const asio::error_code& error) {
-      if (!error) {
-        this->Stop(StopReason::kDrained);
-      }
-    });
+    this->timers.StopAfter(kFlushTime, StopReason::kDrained);
   }
 
   void Perform(const calls::QuarantineChanged& effect, const node::Event& /*cause*/) {
@@ -375,24 +344,10 @@
     return longest;
   }
 
-  void Stop(StopReason reason) {
-    if (this->stopped) {
-      return;
-    }
-    this->stopped = true;
-    this->wake_timer.cancel();
-    this->drain_timer.cancel();
-    LogLine("stopped").Add("reason", static_cast<std::uint64_t>(reason)).Info();
-    asio::post(this->context, [done = this->on_stopped, reason] { done(reason); });
-  }
-
   asio::io_context& context;
   const Settings settings;
-  const std::function<void(StopReason)> on_stopped;
   const utils::SteadyClock clock;
-  asio::steady_timer wake_timer;
-  asio::steady_timer drain_timer;
-  std::optional<Timestamp> scheduled_wake;
+  details::HostTimers timers;
   std::unique_ptr<node::Node> node;
   std::optional<node::Envelope> envelope;
   CallerGateway gateway;
@@ -412,7 +367,6 @@
   std::uint64_t timer_wakes = 0;
   std::uint64_t seal_failures = 0;
   bool draining = false;
-  bool stopped = false;
 };
 
 utils::Result<std::unique_ptr<Host>> Host::Create(asio::io_context& context,
--- a/libs/runtime/src/register_host.cc
+++ b/libs/runtime/src/register_host.cc
@@ -5,41 +5,34 @@
 #include <sodium.h>
 
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 #include <optional>
 #include <string>
 #include <type_traits>
 #include <utility>
 #include <variant>
 
-#include "amaranthlatch/node/envelope.h"
 #include "amaranthlatch/node/register_node.h"
 #include "amaranthlatch/runtime/curl_http_client.h"
 #include "amaranthlatch/runtime/log_line.h"
-#include "amaranthlatch/runtime/nng_transport.h"
-#include "amaranthlatch/runtime/restinio_server.h"
-#include "amaranthlatch/runtime/traffic.h"
-#include "amaranthlatch/runtime/wall_clock.h"
-#include "control_listener.h"
 #include "dialect_gateway.h"
 #include "effect_log.h"
+#include "host_timers.h"
 #include "memory_plan.h"
-#include "message_class.h"
+#include "peer_messenger.h"
 #include "quota_log.h"
+#include "random_number.h"
 #include "register_metrics.h"
 #include "register_options.h"
+#include "register_servers.h"
 #include "rollout_log.h"
+#include "server_announcements.h"
 
 namespace amaranthlatch::runtime {
 
 namespace {
 
-using utils::Timestamp;
-
 // Two reads and a write are under way at once; the rest is for connections that went silent.
 constexpr std::size_t kMaxRegisterConnections = 6;
-constexpr std::size_t kMaxControlConnections = 32;
-constexpr std::size_t kMaxControlBodyBytes = 65536;
 // A backend server may think for as long as its request's deadline allows: only the network shows
 // that a connection is silent, by bytes that nobody acknowledges.
 constexpr utils::Duration kNoSilenceLimit = utils::Duration(0);
@@ -53,55 +46,49 @@
 // Left over from the shutdown limit for the end of the process itself.
 constexpr utils::Duration kExitTime = utils::Milliseconds(300);
 
-std::uint64_t RandomNumber() {
-  std::uint64_t number = 0;
-  randombytes_buf(&number, sizeof(number));
-  return number;
-}
-
 }  // namespace
 
-class RegisterHost::Impl final : public TransportListener,
-                                 public NodeGate,
-                                 public details::ConfigurationView {
+class RegisterHost::Impl final : public NodeGate, public details::ConfigurationView {
  public:
   Impl(asio::io_context& context, const RegisterSettings& settings, Adapter& adapter,
        std::function<void(StopReason)> on_stopped)
       : context(context),
         settings(settings),
         adapter(adapter),
-        on_stopped(std::move(on_stopped)),
-        wake_timer(context),
-        drain_timer(context),
+        timers(
+            context, this->clock, [this] { this->Apply(node::WakeUp{}); }, std::move(on_stopped)),
         gateway(
             this->clock, adapter.Callers(), *this,
             [this](const calls::CallReceived& call) { this->Apply(call); },
             [this](const calls::CallerGone& gone) { this->Apply(gone); }),
-        announcements(settings.backend_service, settings.backend_address),
-        control([this](const calls::HttpRequest& request) {
-          return this->adapter.Control(*this, request);
-        }),
-        ready(this->control),
-        admin([this](const calls::HttpRequest& request) { return this->Admin(request); }) {}
+        announcements(settings, [this](const auto& withdrawn) { this->Apply(withdrawn); }),
+        servers([this](const auto& request) { return this->adapter.Control(*this, request); },
+                [this](const auto& request) { return this->Admin(request); }) {}
 
   utils::Result<void> Open() {
     if (sodium_init() < 0) {
       return utils::Fail(utils::ErrorCode::kSettingsOutOfRange, "libsodium does not initialise");
     }
-    this->boot_id = RandomNumber();
+    this->boot_id = details::RandomNumber();
     auto created = node::RegisterNode::Create(
-        details::MakeRegisterNodeOptions(this->settings, RandomNumber(), this->boot_id));
-    auto sealer =
-        node::Envelope::Create(this->settings.node_address, this->boot_id, this->settings.secret);
-    if (!created || !sealer) {
-      return tl::unexpected(created ? sealer.error() : created.error());
+        details::MakeRegisterNodeOptions(this->settings, details::RandomNumber(), this->boot_id));
+    if (!created) {
+      return tl::unexpected(created.error());
     }
     this->node = std::move(*created);
-    this->envelope.emplace(std::move(*sealer));
     if (auto opened = this->OpenClients(); !opened) {
       return opened;
     }
-    return this->OpenServers();
+    auto opened = details::PeerMessenger::Create(
+        this->context, this->settings, this->memory, this->boot_id,
+        [this](const node::RegisterEvent& event) { this->Apply(event); },
+        [this] { return this->timers.Stopped(); });
+    if (!opened) {
+      return tl::unexpected(opened.error());
+    }
+    this->messenger = std::move(*opened);
+    return this->servers.Open(this->context, this->settings, this->memory, this->gateway,
+                              [this](std::size_t bytes) { this->messenger->ChargeLink(bytes); });
   }
 
   void Start() {
@@ -116,35 +103,16 @@
   }
 
   void BeginDrain() {
-    if (this->draining || this->stopped) {
+    if (this->draining || this->timers.Stopped()) {
       return;
     }
     this->draining = true;
-    this->After(this->settings.shutdown_limit - kExitTime, StopReason::kDrainTimedOut);
+    this->timers.StopAfter(this->settings.shutdown_limit - kExitTime, StopReason::kDrainTimedOut);
     LogLine("drain-started").Add("open_calls", this->gateway.OpenCalls()).Info();
-    this->data_server->AskToClose();
+    this->servers.Data().AskToClose();
     this->Apply(node::DrainRequested{});
   }
 
-  void OnMessage(std::string bytes) override {
-    auto opened = this->envelope->Open(bytes);
-    if (!opened || this->stopped) {
-      return;
-    }
-    if (KindOf(opened->message).is_answer) {
-      this->transport->NoteAnswered(opened->sender);
-    } else {
-      this->transport->NoteHeard(opened->sender);
-    }
-    this->classes.OnReceived(opened->sender, opened->message, *this->transport);
-    this->Apply(node::MessageReceived{std::move(opened->sender), std::move(opened->message)});
-  }
-
-  void OnPeerLost(const membership::NodeId& peer) override {
-    LogLine("peer-lost").Add("id", peer).Info();
-    this->Apply(node::PeerUnreachable{peer});
-  }
-
   directory::ConfigurationStatus Status() const override {
     return this->node->ConfigurationStatus();
   }
@@ -154,40 +122,14 @@
     return configuration != nullptr && configuration->HasHost(host);
   }
 
-  bool Ready() const override { return this->node->Ready() && !this->stopped; }
+  bool Ready() const override { return this->node->Ready() && !this->timers.Stopped(); }
 
   utils::Result<void> Announce(Announcement announcement) override {
-    const std::optional<Announcement> before = this->announcements.Newest();
-    if (auto taken = this->announcements.Take(announcement); !taken) {
-      ++this->announcements_refused;
-      return taken;
-    }
-    const bool changed = !before || before->draining != announcement.draining ||
-                         before->server != announcement.server;
-    if (changed) {
-      LogLine("backend-server-announced")
-          .Add("process", announcement.server.process)
-          .Add("service", announcement.server.service)
-          .Add("slots", announcement.server.slots)
-          .Add("draining", announcement.draining ? "true" : "false")
-          .Info();
-    }
-    if (announcement.draining) {
-      this->backend_server->Leave();
-      this->Apply(directory::BackendServerUnavailable{this->announcements.LatestWithdrawal()});
-    } else {
-      this->backend_server->Announce(std::move(announcement.server));
-    }
-    return {};
+    return this->announcements.Announce(std::move(announcement));
   }
 
   utils::Result<void> Leave(std::string_view process) override {
-    if (!this->announcements.TakeLeave(process, WallTimeMilliseconds())) {
-      return {};
-    }
-    LogLine("backend-server-leaves").Add("process", process).Info();
-    this->backend_server->Leave();
-    this->Apply(directory::BackendServerUnavailable{this->announcements.LatestWithdrawal()});
+    this->announcements.Leave(process);
     return {};
   }
 
@@ -210,6 +152,7 @@
     this->backend_server = std::make_unique<BackendServerLink>(
         this->context, this->clock, *this->backend_client, this->adapter.BackendServers(),
         kNoSilenceLimit, [this](const node::Event& event) { this->OnBackendEvent(event); });
+    this->announcements.SetLink(*this->backend_server);
     this->register_client = this->adapter.MakeRegisterClient(
         *this->register_http_client, details::MakeServiceDefaults(this->settings),
         [this](const directory::Event& event) {
@@ -218,44 +161,6 @@
     return {};
   }
 
-  utils::Result<void> OpenServers() {
-    auto links = NngTransport::Create(
-        this->context, details::MakeTransportOptions(this->settings, this->memory), *this);
-    if (!links) {
-      return tl::unexpected(links.error());
-    }
-    this->transport = std::move(*links);
-    RestinioServerOptions options;
-    options.max_header_bytes = this->settings.max_header_bytes;
-    options.max_connections = kMaxControlConnections;
-    options.max_body_bytes = kMaxControlBodyBytes;
-    const auto open = [this, &options](const std::string& address, auto& listener,
-                                       std::unique_ptr<RestinioServer>& server) {
-      options.address = address;
-      auto opened = RestinioServer::Create(this->context, options, listener);
-      if (opened) {
-        server = std::move(*opened);
-        listener.SetServer(*server);
-      }
-      return opened.map([](const auto& /*moved*/) {});
-    };
-    auto opened = open(this->settings.ready_address, this->ready, this->ready_server);
-    if (opened) {
-      opened = open(this->settings.control_address, this->control, this->control_server);
-    }
-    if (opened) {
-      opened = open(this->settings.admin_address, this->admin, this->admin_server);
-    }
-    options.max_connections = details::MaxCallerConnections(this->settings);
-    options.max_body_bytes = this->settings.max_body_bytes;
-    options.max_buffered_bytes = this->memory.request_bytes;
-    options.sent_to_others = [this](std::size_t bytes) { this->transport->ChargeLink(bytes); };
-    if (opened) {
-      opened = open(this->settings.data_address, this->gateway, this->data_server);
-    }
-    return opened;
-  }
-
   calls::HttpResponse Admin(const calls::HttpRequest& request) const {
     if (request.method != "GET" || request.target != "/metrics") {
       return {404, {}, "no such path here\n"};
@@ -270,9 +175,9 @@
     metrics.quota = this->node->QuotaCounters();
     metrics.quota_gauges = this->node->QuotaGauges();
     metrics.authorizations = this->node->AuthorizationCounters();
-    metrics.envelope = this->envelope->GetCounters();
-    metrics.transport = this->transport->Counters();
-    metrics.data_server = this->data_server->Counters();
+    metrics.envelope = this->messenger->EnvelopeCounters();
+    metrics.transport = this->messenger->LinkCounters();
+    metrics.data_server = this->servers.Data().Counters();
     metrics.call_times = &this->gateway.CallTimes();
     metrics.added_times = &this->gateway.AddedTimes();
     metrics.run_times = &this->backend_server->RunTimes();
@@ -284,7 +189,7 @@
     }
     metrics.backend_client = this->backend_client->Counters();
     metrics.bad_answers = this->backend_server->BadAnswers();
-    metrics.announcements_refused = this->announcements_refused;
+    metrics.announcements_refused = this->announcements.Refused();
     metrics.call_lines_dropped =
         this->gateway.LinesDropped() + this->backend_server->LinesDropped();
     return {200, {{"content-type", "text/plain; version=0.0.4"}}, details::ToPrometheus(metrics)};
@@ -294,7 +199,8 @@
   void OnBackendEvent(const node::Event& event) {
     if (const auto* announced = std::get_if<node::BackendServerAnnounced>(&event)) {
       this->Apply(directory::BackendServerReady{announced->service, announced->labels,
-                                                announced->slots, this->ColdTimeLeft()});
+                                                announced->slots,
+                                                this->announcements.ColdTimeLeft()});
     } else if (std::holds_alternative<node::BackendServerLost>(event)) {
       LogLine("backend-server-lost").Warn();
       this->Apply(directory::BackendServerUnavailable{});
@@ -316,69 +222,27 @@
     std::visit([this](const auto& inner) { this->ApplyDirectory(inner); }, event);
   }
 
-  utils::Duration ColdTimeLeft() const {
-    const auto& newest = this->announcements.Newest();
-    return newest ? newest->cold_left : utils::Duration{};
-  }
-
   // The one place where the reducer is called.
   void Apply(const node::RegisterEvent& event) {
-    if (this->stopped) {
+    if (this->timers.Stopped()) {
       return;
     }
     for (node::RegisterEffect& effect : this->node->Reduce(event, this->clock.Now())) {
       std::visit([this](auto& inner) { this->Perform(inner); }, effect);
     }
-    this->ScheduleWake();
+    this->timers.ScheduleWake(this->node->NextWake());
   }
 
-  void ScheduleWake() {
-    const std::optional<Timestamp> next = this->node->NextWake();
-    if (next == this->scheduled_wake || this->stopped) {
-      return;
-    }
-    this->scheduled_wake = next;
-    if (!next) {
-      this->wake_timer.cancel();
-      return;
-    }
-    this->wake_timer.expires_after(*next - this->clock.Now());
-    this->wake_timer.async_wait([this](const asio::error_code& error) {
-      if (!error) {
-        this->scheduled_wake.reset();
-        this->Apply(node::WakeUp{});
-      }
-    });
-  }
-
-  void Perform(node::SendMessage& effect) {
-    if (!details::MessageClasses::Prepare(effect.to, effect.message, *this->transport)) {
-      return;
-    }
-    auto sealed = this->envelope->Seal(effect.to, effect.message);
-    OutgoingMessage outgoing = this->classes.Describe(effect.message);
-    // Shared, because the callback is copied on its way.
-    const auto message = std::make_shared<const node::Message>(std::move(effect.message));
-    outgoing.not_sent = [this, to = effect.to, message] {
-      this->Apply(node::MessageNotSent{to, *message});
-    };
-    if (!sealed) {
-      LogLine("message-not-sealed").Add("code", utils::ToNumber(sealed.error().code)).Warn();
-      asio::post(this->context, outgoing.not_sent);
-      return;
-    }
-    outgoing.bytes = std::move(*sealed);
-    this->transport->Send(effect.to, std::move(outgoing));
-  }
+  void Perform(node::SendMessage& effect) { this->messenger->Send(std::move(effect)); }
 
   void Perform(const node::InvariantViolated& effect) {
     details::LogViolation(effect, "register-mode");
-    this->Stop(StopReason::kInvariantViolated);
+    this->timers.Stop(StopReason::kInvariantViolated);
   }
 
   void Perform(const node::CallerIntakeClosed& /*effect*/) {
     LogLine("entry-closed").Add("open_calls", this->gateway.OpenCalls()).Info();
-    this->data_server->BeginShutdown();
+    this->servers.Data().BeginShutdown();
   }
 
   void Perform(const directory::ReadStream& effect) { this->register_client->Read(effect); }
@@ -416,14 +280,7 @@
   }
 
   void Perform(const directory::EarlierWithdrawalFound& effect) {
-    const bool is_withdrawn = this->announcements.Restore(effect.withdrawal);
-    LogLine("backend-server-withdrawn-before")
-        .Add("started_at_ms", effect.withdrawal.started_at_ms)
-        .Add("departed", effect.withdrawal.IsDeparture() ? "true" : "false")
-        .Add("was_announced", is_withdrawn ? "true" : "false")
-        .Info();
-    if (is_withdrawn) {
-      this->backend_server->Leave();
+    if (this->announcements.Restore(effect.withdrawal)) {
       // Posted, because the effects of the current event are still being performed.
       asio::post(this->context, [this] { this->Apply(directory::BackendServerUnavailable{}); });
     }
@@ -437,63 +294,29 @@
 
   void Perform(const calls::DrainFinished& /*effect*/) {
     LogLine("drain-finished").Info();
-    this->After(kFlushTime, StopReason::kDrained);
+    this->timers.StopAfter(kFlushTime, StopReason::kDrained);
   }
 
   void Perform(const calls::QuarantineChanged& effect) { details::LogEffect(effect); }
 
-  void After(utils::Duration time, StopReason reason) {
-    this->drain_timer.expires_after(time);
-    this->drain_timer.async_wait([this, reason](const asio::error_code& error) {
-      if (!error) {
-        this->Stop(reason);
-      }
-    });
-  }
-
-  void Stop(StopReason reason) {
-    if (this->stopped) {
-      return;
-    }
-    this->stopped = true;
-    this->wake_timer.cancel();
-    this->drain_timer.cancel();
-    LogLine("stopped").Add("reason", static_cast<std::uint64_t>(reason)).Info();
-    asio::post(this->context, [done = this->on_stopped, reason] { done(reason); });
-  }
-
   asio::io_context& context;
   const RegisterSettings settings;
   const details::MemoryPlan memory = details::PlanMemory(this->settings);
   Adapter& adapter;
-  const std::function<void(StopReason)> on_stopped;
   const utils::SteadyClock clock;
-  asio::steady_timer wake_timer;
-  asio::steady_timer drain_timer;
-  std::optional<Timestamp> scheduled_wake;
+  details::HostTimers timers;
   std::unique_ptr<node::RegisterNode> node;
-  std::optional<node::Envelope> envelope;
-  details::MessageClasses classes;
   details::DialectGateway gateway;
-  AnnouncementOrder announcements;
-  // One listener for each server, because each answers by its own.
-  details::ControlListener control;
-  details::ControlListener ready;
-  details::ControlListener admin;
+  details::ServerAnnouncements announcements;
   std::unique_ptr<CurlHttpClient> backend_client;
   std::unique_ptr<CurlHttpClient> register_http_client;
   std::unique_ptr<BackendServerLink> backend_server;
   std::unique_ptr<RegisterClient> register_client;
-  std::unique_ptr<RestinioServer> ready_server;
-  std::unique_ptr<RestinioServer> control_server;
-  std::unique_ptr<RestinioServer> admin_server;
-  std::unique_ptr<RestinioServer> data_server;
-  std::unique_ptr<NngTransport> transport;
+  details::RegisterServers servers;
+  std::unique_ptr<details::PeerMessenger> messenger;
   // Random number of this process.
   std::uint64_t boot_id = 0;
-  std::uint64_t announcements_refused = 0;
   bool draining = false;
-  bool stopped = false;
 };
 
 utils::Result<std::unique_ptr<RegisterHost>> RegisterHost::Create(
