Group the sources of the runtime library in folders

Cause: libs/runtime/src held 96 files in one flat folder. Change: src/http, src/transport, src/settings and src/observability; the hosts and what they are composed of stay in src. The build finds sources one folder deeper. Public headers keep their paths.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -27,11 +27,11 @@
 endfunction()
 
 # amaranthlatch_library(<name> DEPENDS <targets...>)
-# Builds libs/<name>/src/*.cc into the target amaranthlatch_<name>, and libs/<name>/tests/*_test.cc
-# into one CppUTest program that CTest runs.
+# Builds libs/<name>/src/*.cc and src/*/*.cc into the target amaranthlatch_<name>, and
+# libs/<name>/tests/*_test.cc into one CppUTest program that CTest runs.
 function(amaranthlatch_library name)
   cmake_parse_arguments(ARG "" "" "DEPENDS;TEST_DEPENDS" ${ARGN})
-  file(GLOB sources CONFIGURE_DEPENDS src/*.cc)
+  file(GLOB sources CONFIGURE_DEPENDS src/*.cc src/*/*.cc)
   add_library(amaranthlatch_${name} STATIC ${sources})
   target_include_directories(amaranthlatch_${name} PUBLIC include PRIVATE src)
   target_link_libraries(amaranthlatch_${name} PUBLIC ${ARG_DEPENDS})
--- a/libs/runtime/src/host.cc
+++ b/libs/runtime/src/host.cc
@@ -25,10 +25,10 @@
 #include "amaranthlatch/runtime/restinio_server.h"
 #include "amaranthlatch/runtime/traffic.h"
 #include "amaranthlatch/runtime/wall_clock.h"
-#include "effect_log.h"
 #include "host_timers.h"
-#include "node_options.h"
+#include "observability/effect_log.h"
 #include "random_number.h"
+#include "settings/node_options.h"
 
 namespace amaranthlatch::runtime {
 
--- a/libs/runtime/src/caller_socket.cc
+++ b/libs/runtime/src/http/caller_socket.cc
@@ -1,6 +1,6 @@
 // Closing a connection with a last answer.
 
-#include "caller_socket.h"
+#include "http/caller_socket.h"
 
 #include <sys/socket.h>
 
--- a/libs/runtime/src/caller_socket.h
+++ b/libs/runtime/src/http/caller_socket.h
@@ -15,8 +15,8 @@
 #include <string_view>
 #include <utility>
 
-#include "buffered_bytes.h"
-#include "request_size.h"
+#include "http/buffered_bytes.h"
+#include "http/request_size.h"
 
 namespace amaranthlatch::runtime::details {
 
--- a/libs/runtime/src/curl_http_client.cc
+++ b/libs/runtime/src/http/curl_http_client.cc
@@ -12,9 +12,9 @@
 #include <vector>
 
 #include "amaranthlatch/runtime/connection_probe.h"
-#include "curl_multi.h"
-#include "curl_transfer.h"
-#include "recent_names.h"
+#include "http/curl_multi.h"
+#include "http/curl_transfer.h"
+#include "http/recent_names.h"
 
 namespace amaranthlatch::runtime {
 
--- a/libs/runtime/src/curl_multi.cc
+++ b/libs/runtime/src/http/curl_multi.cc
@@ -1,6 +1,6 @@
 // The multi handle's sockets and timer on Asio.
 
-#include "curl_multi.h"
+#include "http/curl_multi.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
--- a/libs/runtime/src/curl_transfer.cc
+++ b/libs/runtime/src/http/curl_transfer.cc
@@ -1,6 +1,6 @@
 // Options, callbacks and outcome of one exchange.
 
-#include "curl_transfer.h"
+#include "http/curl_transfer.h"
 
 #include <algorithm>
 #include <utility>
--- a/libs/runtime/src/curl_transfer.h
+++ b/libs/runtime/src/http/curl_transfer.h
@@ -11,8 +11,8 @@
 #include <string_view>
 
 #include "amaranthlatch/runtime/http_client.h"
-#include "response_buffers.h"
-#include "response_head.h"
+#include "http/response_buffers.h"
+#include "http/response_head.h"
 
 namespace amaranthlatch::runtime::details {
 
--- a/libs/runtime/src/raw_answer.cc
+++ b/libs/runtime/src/http/raw_answer.cc
@@ -1,6 +1,6 @@
 // Status lines, fields and texts.
 
-#include "raw_answer.h"
+#include "http/raw_answer.h"
 
 namespace amaranthlatch::runtime::details {
 
--- a/libs/runtime/src/request_size.cc
+++ b/libs/runtime/src/http/request_size.cc
@@ -1,6 +1,6 @@
 // Search for the length in a request's header.
 
-#include "request_size.h"
+#include "http/request_size.h"
 
 #include <charconv>
 
--- a/libs/runtime/src/response_head.cc
+++ b/libs/runtime/src/http/response_head.cc
@@ -1,6 +1,6 @@
 // Checks of header lines and framing.
 
-#include "response_head.h"
+#include "http/response_head.h"
 
 #include <algorithm>
 #include <charconv>
--- a/libs/runtime/src/restinio_server.cc
+++ b/libs/runtime/src/http/restinio_server.cc
@@ -14,9 +14,9 @@
 
 #include "amaranthlatch/runtime/endpoint.h"
 #include "amaranthlatch/runtime/http_headers.h"
-#include "caller_socket.h"
-#include "memory_plan.h"
-#include "raw_answer.h"
+#include "http/caller_socket.h"
+#include "http/raw_answer.h"
+#include "settings/memory_plan.h"
 
 namespace amaranthlatch::runtime {
 
--- a/libs/runtime/src/effect_log.cc
+++ b/libs/runtime/src/observability/effect_log.cc
@@ -1,6 +1,6 @@
 // Texts of the log lines.
 
-#include "effect_log.h"
+#include "observability/effect_log.h"
 
 #include <array>
 #include <cstdint>
--- a/libs/runtime/src/log_line.cc
+++ b/libs/runtime/src/observability/log_line.cc
@@ -12,7 +12,7 @@
 #include <algorithm>
 #include <memory>
 
-#include "log_writer.h"
+#include "observability/log_writer.h"
 
 namespace amaranthlatch::runtime {
 
--- a/libs/runtime/src/log_writer.cc
+++ b/libs/runtime/src/observability/log_writer.cc
@@ -1,6 +1,6 @@
 // The thread that writes.
 
-#include "log_writer.h"
+#include "observability/log_writer.h"
 
 #include <unistd.h>
 
--- a/libs/runtime/src/node_metrics.cc
+++ b/libs/runtime/src/observability/node_metrics.cc
@@ -3,7 +3,7 @@
 #include "amaranthlatch/runtime/node_metrics.h"
 
 #include "amaranthlatch/runtime/log_line.h"
-#include "register_metrics.h"
+#include "observability/register_metrics.h"
 
 namespace amaranthlatch::runtime {
 
--- a/libs/runtime/src/quota_log.cc
+++ b/libs/runtime/src/observability/quota_log.cc
@@ -1,6 +1,6 @@
 // Texts of the log lines of quotas.
 
-#include "quota_log.h"
+#include "observability/quota_log.h"
 
 #include <cstdint>
 
--- a/libs/runtime/src/rollout_log.cc
+++ b/libs/runtime/src/observability/rollout_log.cc
@@ -1,6 +1,6 @@
 // Texts of the log lines of rollouts.
 
-#include "rollout_log.h"
+#include "observability/rollout_log.h"
 
 #include "amaranthlatch/runtime/log_line.h"
 
--- a/libs/runtime/src/register_servers.cc
+++ b/libs/runtime/src/register_servers.cc
@@ -5,7 +5,7 @@
 #include <string>
 #include <utility>
 
-#include "register_options.h"
+#include "settings/register_options.h"
 
 namespace amaranthlatch::runtime::details {
 
--- a/libs/runtime/src/register_servers.h
+++ b/libs/runtime/src/register_servers.h
@@ -9,9 +9,9 @@
 
 #include "amaranthlatch/runtime/register_settings.h"
 #include "amaranthlatch/runtime/restinio_server.h"
-#include "control_listener.h"
 #include "dialect_gateway.h"
-#include "memory_plan.h"
+#include "http/control_listener.h"
+#include "settings/memory_plan.h"
 
 namespace amaranthlatch::runtime::details {
 
--- a/libs/runtime/src/descriptor_plan.cc
+++ b/libs/runtime/src/settings/descriptor_plan.cc
@@ -1,6 +1,6 @@
 // What the other parts of the process need at most.
 
-#include "descriptor_plan.h"
+#include "settings/descriptor_plan.h"
 
 #include <algorithm>
 
--- a/libs/runtime/src/memory_plan.cc
+++ b/libs/runtime/src/settings/memory_plan.cc
@@ -1,6 +1,6 @@
 // Shares and copies.
 
-#include "memory_plan.h"
+#include "settings/memory_plan.h"
 
 #include <unistd.h>
 
--- a/libs/runtime/src/node_options.cc
+++ b/libs/runtime/src/settings/node_options.cc
@@ -1,6 +1,6 @@
 // Mapping of settings.
 
-#include "node_options.h"
+#include "settings/node_options.h"
 
 namespace amaranthlatch::runtime::details {
 
--- a/libs/runtime/src/register_options.cc
+++ b/libs/runtime/src/settings/register_options.cc
@@ -1,12 +1,12 @@
 // Mapping of the settings of register mode.
 
-#include "register_options.h"
+#include "settings/register_options.h"
 
 #include <algorithm>
 
 #include "amaranthlatch/node/envelope.h"
 #include "amaranthlatch/runtime/adapter.h"
-#include "descriptor_plan.h"
+#include "settings/descriptor_plan.h"
 
 namespace amaranthlatch::runtime::details {
 
--- a/libs/runtime/src/register_options.h
+++ b/libs/runtime/src/settings/register_options.h
@@ -7,7 +7,7 @@
 #include "amaranthlatch/node/register_node.h"
 #include "amaranthlatch/runtime/nng_transport.h"
 #include "amaranthlatch/runtime/register_settings.h"
-#include "memory_plan.h"
+#include "settings/memory_plan.h"
 
 namespace amaranthlatch::runtime::details {
 
--- a/libs/runtime/src/register_settings.cc
+++ b/libs/runtime/src/settings/register_settings.cc
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "amaranthlatch/document/json_guard.h"
-#include "settings_reader.h"
+#include "settings/settings_reader.h"
 
 namespace amaranthlatch::runtime {
 
--- a/libs/runtime/src/settings.cc
+++ b/libs/runtime/src/settings/settings.cc
@@ -11,7 +11,7 @@
 
 #include "amaranthlatch/document/json_guard.h"
 #include "amaranthlatch/runtime/endpoint.h"
-#include "settings_reader.h"
+#include "settings/settings_reader.h"
 
 namespace amaranthlatch::runtime {
 
--- a/libs/runtime/src/bulk_channel.cc
+++ b/libs/runtime/src/transport/bulk_channel.cc
@@ -1,13 +1,13 @@
 // When to send again, and what to log.
 
-#include "bulk_channel.h"
+#include "transport/bulk_channel.h"
 
 #include <algorithm>
 #include <optional>
 
 #include "amaranthlatch/runtime/log_line.h"
-#include "fragment.h"
-#include "monotonic_time.h"
+#include "transport/fragment.h"
+#include "transport/monotonic_time.h"
 
 namespace amaranthlatch::runtime::details {
 
--- a/libs/runtime/src/bulk_channel.h
+++ b/libs/runtime/src/transport/bulk_channel.h
@@ -13,9 +13,9 @@
 #include "amaranthlatch/membership/member.h"
 #include "amaranthlatch/runtime/transport.h"
 #include "amaranthlatch/utils/time.h"
-#include "bulk_sender.h"
-#include "congestion_state.h"
-#include "link_proof.h"
+#include "transport/bulk_sender.h"
+#include "transport/congestion_state.h"
+#include "transport/link_proof.h"
 
 namespace amaranthlatch::runtime::details {
 
--- a/libs/runtime/src/bulk_pacer.cc
+++ b/libs/runtime/src/transport/bulk_pacer.cc
@@ -1,11 +1,11 @@
 // Token bucket and fair queueing.
 
-#include "bulk_pacer.h"
+#include "transport/bulk_pacer.h"
 
 #include <algorithm>
 #include <cmath>
 
-#include "fragment.h"
+#include "transport/fragment.h"
 
 namespace amaranthlatch::runtime::details {
 
--- a/libs/runtime/src/bulk_sender.cc
+++ b/libs/runtime/src/transport/bulk_sender.cc
@@ -1,12 +1,12 @@
 // Fragments from messages, and which peers are ready for them.
 
-#include "bulk_sender.h"
+#include "transport/bulk_sender.h"
 
 #include <algorithm>
 #include <string_view>
 #include <utility>
 
-#include "fragment.h"
+#include "transport/fragment.h"
 
 namespace amaranthlatch::runtime::details {
 
--- a/libs/runtime/src/bulk_sender.h
+++ b/libs/runtime/src/transport/bulk_sender.h
@@ -17,8 +17,8 @@
 #include "amaranthlatch/membership/member.h"
 #include "amaranthlatch/runtime/transport.h"
 #include "amaranthlatch/utils/time.h"
-#include "bulk_pacer.h"
-#include "bulk_window.h"
+#include "transport/bulk_pacer.h"
+#include "transport/bulk_window.h"
 
 namespace amaranthlatch::runtime::details {
 
--- a/libs/runtime/src/bulk_window.cc
+++ b/libs/runtime/src/transport/bulk_window.cc
@@ -1,10 +1,10 @@
 // Growth and reduction of the window.
 
-#include "bulk_window.h"
+#include "transport/bulk_window.h"
 
 #include <algorithm>
 
-#include "fragment.h"
+#include "transport/fragment.h"
 
 namespace amaranthlatch::runtime::details {
 
--- a/libs/runtime/src/congestion_state.cc
+++ b/libs/runtime/src/transport/congestion_state.cc
@@ -1,6 +1,6 @@
 // Thresholds of congestion.
 
-#include "congestion_state.h"
+#include "transport/congestion_state.h"
 
 namespace amaranthlatch::runtime::details {
 
--- a/libs/runtime/src/dial_watch.cc
+++ b/libs/runtime/src/transport/dial_watch.cc
@@ -1,6 +1,6 @@
 // A probe soon after the start, and the limit.
 
-#include "dial_watch.h"
+#include "transport/dial_watch.h"
 
 #include <string_view>
 #include <utility>
--- a/libs/runtime/src/fragment.cc
+++ b/libs/runtime/src/transport/fragment.cc
@@ -1,8 +1,8 @@
 // Encoding of fragments.
 
-#include "fragment.h"
+#include "transport/fragment.h"
 
-#include "keep_alive.h"
+#include "transport/keep_alive.h"
 
 namespace amaranthlatch::runtime::details {
 
--- a/libs/runtime/src/keep_alive.cc
+++ b/libs/runtime/src/transport/keep_alive.cc
@@ -1,6 +1,6 @@
 // Encoding: kind (1 byte), nonce (8 bytes, little endian), node id, MAC (32 bytes).
 
-#include "keep_alive.h"
+#include "transport/keep_alive.h"
 
 #include <sodium.h>
 
--- a/libs/runtime/src/link_proof.cc
+++ b/libs/runtime/src/transport/link_proof.cc
@@ -1,6 +1,6 @@
 // Due times and answers of probes.
 
-#include "link_proof.h"
+#include "transport/link_proof.h"
 
 #include <algorithm>
 
--- a/libs/runtime/src/message_class.cc
+++ b/libs/runtime/src/transport/message_class.cc
@@ -1,6 +1,6 @@
 // Streams and classes by kind of message.
 
-#include "message_class.h"
+#include "transport/message_class.h"
 
 #include <algorithm>
 #include <utility>
--- a/libs/runtime/src/nng_link.cc
+++ b/libs/runtime/src/transport/nng_link.cc
@@ -4,7 +4,7 @@
 // asynchronous operation reports each message through one of nng's threads and wakes the io_context
 // once more: 12 context switches in place of 7 to 9 for each call on each of its two nodes.
 
-#include "nng_link.h"
+#include "transport/nng_link.h"
 
 #include <nng/protocol/pipeline0/push.h>
 
--- a/libs/runtime/src/nng_receiver.cc
+++ b/libs/runtime/src/transport/nng_receiver.cc
@@ -1,6 +1,6 @@
 // Receiving with one asynchronous operation at a time.
 
-#include "nng_receiver.h"
+#include "transport/nng_receiver.h"
 
 #include <nng/protocol/pipeline0/pull.h>
 
--- a/libs/runtime/src/nng_transport.cc
+++ b/libs/runtime/src/transport/nng_transport.cc
@@ -13,15 +13,15 @@
 #include <utility>
 #include <vector>
 
-#include "bulk_channel.h"
-#include "dial_watch.h"
-#include "fragment.h"
-#include "keep_alive.h"
-#include "link_proof.h"
-#include "monotonic_time.h"
-#include "nng_link.h"
-#include "nng_receiver.h"
-#include "reassembly.h"
+#include "transport/bulk_channel.h"
+#include "transport/dial_watch.h"
+#include "transport/fragment.h"
+#include "transport/keep_alive.h"
+#include "transport/link_proof.h"
+#include "transport/monotonic_time.h"
+#include "transport/nng_link.h"
+#include "transport/nng_receiver.h"
+#include "transport/reassembly.h"
 
 namespace amaranthlatch::runtime {
 
--- a/libs/runtime/src/peer_messenger.cc
+++ b/libs/runtime/src/transport/peer_messenger.cc
@@ -1,13 +1,13 @@
 // Between the envelope and the transport.
 
-#include "peer_messenger.h"
+#include "transport/peer_messenger.h"
 
 #include <asio/post.hpp>
 #include <utility>
 
 #include "amaranthlatch/runtime/log_line.h"
 #include "amaranthlatch/runtime/traffic.h"
-#include "register_options.h"
+#include "settings/register_options.h"
 
 namespace amaranthlatch::runtime::details {
 
--- a/libs/runtime/src/peer_messenger.h
+++ b/libs/runtime/src/transport/peer_messenger.h
@@ -15,8 +15,8 @@
 #include "amaranthlatch/runtime/nng_transport.h"
 #include "amaranthlatch/runtime/register_settings.h"
 #include "amaranthlatch/utils/result.h"
-#include "memory_plan.h"
-#include "message_class.h"
+#include "settings/memory_plan.h"
+#include "transport/message_class.h"
 
 namespace amaranthlatch::runtime::details {
 
--- a/libs/runtime/src/reassembly.cc
+++ b/libs/runtime/src/transport/reassembly.cc
@@ -1,6 +1,6 @@
 // Bounds and order of the fragments.
 
-#include "reassembly.h"
+#include "transport/reassembly.h"
 
 #include <iterator>
 #include <utility>
--- a/libs/runtime/src/reassembly.h
+++ b/libs/runtime/src/transport/reassembly.h
@@ -14,7 +14,7 @@
 #include <string_view>
 
 #include "amaranthlatch/utils/time.h"
-#include "fragment.h"
+#include "transport/fragment.h"
 
 namespace amaranthlatch::runtime::details {
 
--- a/libs/runtime/tests/bulk_pacer_test.cc
+++ b/libs/runtime/tests/bulk_pacer_test.cc
@@ -1,6 +1,6 @@
 // Tests of the pace, order and window of fragments, on a simulated link.
 
-#include "bulk_pacer.h"
+#include "transport/bulk_pacer.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "bulk_window.h"
+#include "transport/bulk_window.h"
 
 namespace amaranthlatch::runtime::details {
 
--- a/libs/runtime/tests/log_writer_test.cc
+++ b/libs/runtime/tests/log_writer_test.cc
@@ -1,6 +1,6 @@
 // Tests of the thread that writes log lines.
 
-#include "log_writer.h"
+#include "observability/log_writer.h"
 
 #include <CppUTest/TestHarness.h>
 #include <fcntl.h>
--- a/libs/runtime/tests/memory_limit_test.cc
+++ b/libs/runtime/tests/memory_limit_test.cc
@@ -2,8 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
-#include "../src/memory_plan.h"
 #include "amaranthlatch/runtime/restinio_server.h"
+#include "settings/memory_plan.h"
 #include "test_support.h"
 
 namespace amaranthlatch::runtime {
--- a/libs/runtime/tests/reassembly_test.cc
+++ b/libs/runtime/tests/reassembly_test.cc
@@ -1,6 +1,6 @@
 // Tests of fragments, of the proof of a link, and of the properties of messages.
 
-#include "reassembly.h"
+#include "transport/reassembly.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -9,9 +9,9 @@
 #include <utility>
 #include <vector>
 
-#include "congestion_state.h"
-#include "link_proof.h"
-#include "message_class.h"
+#include "transport/congestion_state.h"
+#include "transport/link_proof.h"
+#include "transport/message_class.h"
 
 namespace amaranthlatch::runtime::details {
 
--- a/libs/runtime/tests/register_settings_test.cc
+++ b/libs/runtime/tests/register_settings_test.cc
@@ -8,7 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-#include "register_options.h"
+#include "settings/register_options.h"
 
 namespace amaranthlatch::runtime {
 
--- a/libs/runtime/tests/transport_test.cc
+++ b/libs/runtime/tests/transport_test.cc
@@ -8,8 +8,8 @@
 #include <asio/write.hpp>
 
 #include "amaranthlatch/runtime/nng_transport.h"
-#include "keep_alive.h"
 #include "test_support.h"
+#include "transport/keep_alive.h"
 
 namespace amaranthlatch::runtime {
 
