Refuse a workspace whose keys no message can carry

Cause: a reader put any number of keys in force, but a change that it sends was decoded with at most 10,000 keys of a workspace. With more, all other nodes of the zone kept the earlier version, also its withdrawn keys. Change: one limit, 100,000 keys, for the validation of a version and for the message. Result: KeysOfAValidWorkspaceFitIntoAChange fails without the change (change not decoded) and passes with it.

--- a/libs/directory/include/amaranthlatch/directory/workspace.h
+++ b/libs/directory/include/amaranthlatch/directory/workspace.h
@@ -54,6 +54,9 @@
 };
 
 inline constexpr std::size_t kMaxKeyBytes = 4096;
+// Limit of the keys of one workspace, which is also that of the messages that carry them: a version
+// that one node puts in force can be decoded by all others.
+inline constexpr std::size_t kMaxKeys = 100'000;
 
 // Whether a request can carry the key: it is neither empty nor longer than kMaxKeyBytes.
 bool IsUsableKey(std::string_view key);
--- a/libs/directory/src/workspace.cc
+++ b/libs/directory/src/workspace.cc
@@ -32,6 +32,9 @@
   if (!IsValidName(workspace.name)) {
     return "a workspace has no name, an overlong one or one with control characters";
   }
+  if (workspace.keys.size() > kMaxKeys) {
+    return "workspace " + workspace.name + " has too many keys";
+  }
   if (!IsAmount(workspace.rate) || !IsAmount(workspace.burst)) {
     return "workspace " + workspace.name + " has a negative or infinite rate or burst";
   }
--- a/libs/directory/src/workspace_change.cc
+++ b/libs/directory/src/workspace_change.cc
@@ -13,7 +13,6 @@
 
 constexpr std::size_t kMaxNameBytes = 256;
 constexpr std::size_t kMaxWorkspaces = 1'000'000;
-constexpr std::size_t kMaxKeys = 10'000;
 constexpr std::size_t kWorkspaceFields = 5;
 
 // Calls `visit` for each workspace of `table` that is not the same object in `other`, and for some
--- a/libs/directory/tests/workspace_test.cc
+++ b/libs/directory/tests/workspace_test.cc
@@ -51,6 +51,22 @@
   CHECK_FALSE(is_refused({{"a", {}, {}}, {"b", {"k", "k"}, {}}}));
 }
 
+// Guards against a version that the reader of a zone puts in force, but that no other node can
+// decode.
+TEST(Workspaces, KeysOfAValidWorkspaceFitIntoAChange) {
+  std::vector<std::string> keys;
+  for (std::size_t i = 0; i < kMaxKeys; ++i) {
+    keys.push_back(std::to_string(i));
+  }
+  const auto large = Configuration(4, *Create({{"w1", keys, {}}}));
+  const auto change =
+      details::DecodeChange(details::EncodeChange(details::Difference(nullptr, *large)));
+  CHECK_TRUE(change.has_value());
+  CHECK_TRUE((*details::Apply(nullptr, *change, {}))->FindWorkspaceByKey(keys.back()) != nullptr);
+  keys.emplace_back("one more");
+  CHECK_FALSE(Create({{"w1", keys, {}}}).has_value());
+}
+
 // Guards against a change that, applied to its base, gives other workspaces, keys or public routes,
 // and against unchanged workspaces that are sent or stored again.
 TEST(Workspaces, ChangeLeadsFromBaseToNext) {
