Report the server of a draining node as unavailable to its rollout

Cause: the gate refuses all calls from the start of a drain, but the rollout reducer was not told: the node reported an accepting server with slots for up to the whole drain, and old servers could be retired because of them. Change: a drain reports the server as unavailable; later announcements leave it so. Result: DrainingNodeReportsNoAcceptingServer fails without the change and passes with it.

--- a/libs/node/src/register_node.cc
+++ b/libs/node/src/register_node.cc
@@ -297,6 +297,11 @@
     return;
   }
   this->draining = true;
+  if (this->rollout && this->ready_backend) {
+    // The gate refuses all calls from now on.
+    this->rollout_backend.available = false;
+    this->ToRollout(this->rollout_backend);
+  }
   this->caller_intake_deadline = this->now + this->drain_grace_period;
   this->DispatchToDirectory(directory::DrainStarted{});
 }
@@ -308,7 +313,7 @@
     this->DispatchToDirectory(event);
     return;
   }
-  rollout::BackendServerChanged next = details::ToServerChanged(event, true);
+  rollout::BackendServerChanged next = details::ToServerChanged(event, !this->draining);
   // Announcements are repeated while the server warms up; only a new process is cold for longer.
   rollout::BackendServerChanged repeated = this->rollout_backend;
   repeated.cold_left = next.cold_left;
--- a/libs/node/tests/register_traffic_test.cc
+++ b/libs/node/tests/register_traffic_test.cc
@@ -299,4 +299,26 @@
   CHECK_TRUE(this->Answer()->code == ErrorCode::kDraining);
 }
 
+// Guards against old servers that are retired because of slots of a node that drains: its gate
+// refuses every call from the start of the drain.
+TEST(RegisterTraffic, DrainingNodeReportsNoAcceptingServer) {
+  this->BecomeCanary(10);
+  const auto accepts = [this] {
+    this->TakeEffects<SendMessage>();
+    this->AdvanceTime(Milliseconds(600));
+    bool accepting = false;
+    for (const SendMessage& sent : this->TakeEffects<SendMessage>()) {
+      const auto* const message = std::get_if<rollout::Message>(&sent.message);
+      if (message != nullptr && std::holds_alternative<rollout::Report>(*message)) {
+        accepting = std::get<rollout::Report>(*message).accepting;
+      }
+    }
+    return accepting;
+  };
+  CHECK_TRUE(accepts());
+  this->HandleEvent(DrainRequested{});
+  this->AnnounceCanary(8);
+  CHECK_FALSE(accepts());
+}
+
 }  // namespace amaranthlatch::node
