--- a/libs/node/src/register_modules.cc
+++ b/libs/node/src/register_modules.cc
@@ -155,6 +155,7 @@
     return;
   }
   this->draining = true;
+  this->participant.OnDrainStarted();
   this->caller_intake_deadline = this->now + this->drain_grace_period;
   this->DispatchToDirectory(directory::DrainStarted{});
 }
--- a/libs/node/src/rollout_participant.cc
+++ b/libs/node/src/rollout_participant.cc
@@ -37,7 +37,7 @@
 bool RolloutParticipant::OnServerReady(const directory::BackendServerReady& server) {
   this->announced_state = {server.service, server.slots, true};
   this->ready_server = server;
-  rollout::BackendServerChanged next = ToServerChanged(server, true);
+  rollout::BackendServerChanged next = ToServerChanged(server, !this->draining);
   // Announcements are repeated while the server warms up; only a new process is cold for longer.
   rollout::BackendServerChanged repeated = this->rollout_server;
   repeated.cold_left = next.cold_left;
@@ -63,6 +63,14 @@
   this->announced = false;
 }
 
+void RolloutParticipant::OnDrainStarted() {
+  this->draining = true;
+  if (this->rollout && this->ready_server) {
+    this->rollout_server.available = false;
+    this->Queue(this->rollout_server);
+  }
+}
+
 std::optional<directory::Event> RolloutParticipant::NextAnnouncement() {
   if (this->ready_server && this->Admission().announce) {
     this->announced = true;
--- a/libs/node/src/rollout_participant.h
+++ b/libs/node/src/rollout_participant.h
@@ -34,6 +34,8 @@
   // True if an event was queued for the rollout reducer.
   bool OnServerReady(const directory::BackendServerReady& server);
   void OnServerUnavailable();
+  // From now on the gate refuses all calls.
+  void OnDrainStarted();
 
   // What the directory has to be told now; none if nothing has changed.
   std::optional<directory::Event> NextAnnouncement();
@@ -58,6 +60,7 @@
   std::optional<directory::BackendServerReady> ready_server;
   // The server as the rollout reducer was told last.
   rollout::BackendServerChanged rollout_server;
+  bool draining = false;
   // Whether the directory has been told that the server is ready.
   bool announced = false;
 };
