--- a/libs/calls/tests/load_patterns_test.cc
+++ b/libs/calls/tests/load_patterns_test.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <map>
 #include <string>
@@ -83,15 +84,18 @@
 }
 
 // Patterns with a steady load, and those with a fault, burst or start that ends in this second.
-const std::vector<std::string> kSteady = {"bulk_link_90", "server_speeds", "shared_downstream",
-                                          "zone_waves"};
-const std::map<std::string, std::size_t> kPassing = {
-    {"burst", 8},        {"cold_start_65", 3},    {"cold_start_90", 3},
-    {"lost_servers", 9}, {"random_refusals", 10}, {"slow_servers", 11}};
+constexpr std::array kSteady = {"bulk_link_90", "server_speeds", "shared_downstream", "zone_waves"};
+struct Passing {
+  const char* name;
+  std::size_t end_s;
+};
+constexpr std::array kPassing = {
+    Passing{"burst", 8},        Passing{"cold_start_65", 3},    Passing{"cold_start_90", 3},
+    Passing{"lost_servers", 9}, Passing{"random_refusals", 10}, Passing{"slow_servers", 11}};
 
 std::vector<const Play*> AllPlays() {
   std::vector<const Play*> plays = {&Played("bulk_link_130")};
-  for (const std::string& name : kSteady) {
+  for (const char* name : kSteady) {
     for (const double load : {1.0, 2.0, 5.0}) {
       plays.push_back(&Played(name, load));
     }
@@ -114,7 +118,7 @@
 
 // Guards against work that is spent on calls that are answered late or not at all.
 TEST(LoadPatterns, GoodputHoldsAboveCapacity) {
-  for (const std::string& name : kSteady) {
+  for (const char* name : kSteady) {
     const auto normal = static_cast<double>(Played(name).Sum(2, 6).in_time);
     for (const double load : {2.0, 5.0}) {
       const auto goodput = static_cast<double>(Played(name, load).Sum(2, 6).in_time);
@@ -176,8 +180,7 @@
             served_other * (1.0 - served_other) / static_cast<double>(counts_other.offered) +
             served * (1.0 - served) / static_cast<double>(counts.offered);
         this->Require(served >= served_other - 3.0 * std::sqrt(variance), *play,
-                      urgent + " " + std::to_string(served) + ", " + other + " " +
-                          std::to_string(served_other));
+                      nlohmann::json{{urgent, served}, {other, served_other}}.dump());
       }
     }
   }
