--- a/tools/calls_benchmark/main.cc
+++ b/tools/calls_benchmark/main.cc
@@ -32,6 +32,7 @@
   --seed=N       Seed of random choices [default: 1].
   --seconds=S    Time in which calls are made, in place of that of the pattern.
   --json=FILE    Writes the results there instead of to standard output.
+  --adaptive     Gates adapt their concurrency limit, which register mode disables.
   --svg=FILE     Writes a plot of the goodput by second.
 
 Exit codes: 0 measured, 1 a promise was broken, 2 usage.
@@ -52,6 +53,7 @@
   options.load = std::stod(args.at("--load").asString());
   options.seed = std::stoull(args.at("--seed").asString());
   options.seconds = args.at("--seconds") ? std::stod(args.at("--seconds").asString()) : 0.0;
+  options.adaptive_limit = args.at("--adaptive").asBool();
   const benchmark::PatternResult result = benchmark::PlayPattern(*pattern, options);
   nlohmann::json report = result.ToJson();
   report["pattern"] = args.at("PATTERN").asString();
--- a/tools/calls_benchmark/pattern_player.cc
+++ b/tools/calls_benchmark/pattern_player.cc
@@ -380,7 +380,7 @@
   calls.entry.fence_retry_interval = Milliseconds(80);
   calls.entry.fence_timeout = Milliseconds(200);
   calls.entry.retry_burst = 1.0 + this->pattern.retry_slack / kNodesSharingSlack;
-  calls.gate.adaptive_concurrency_limit = false;
+  calls.gate.adaptive_concurrency_limit = this->options.adaptive_limit;
   calls.gate.transport_may_duplicate = false;
   calls.gate.retention_margin = Seconds(2);
   calls.gate.max_tracked_attempts = 65'536;
@@ -514,6 +514,14 @@
     bytes += reply->answer.response.body.size();
     call = reply->id.call;
   }
+  if (!this->nodes[to].calls) {
+    // No connection can be made, so that the message has not left the sender.
+    if (const auto* request = std::get_if<CallRequest>(&message)) {
+      this->At(2 * this->Latency(from, to),
+               [this, from, id = request->id] { this->Deliver(from, AttemptNotSent{id}); });
+    }
+    return;
+  }
   Duration delay{};
   if (from != to) {
     delay = this->Latency(from, to) + this->OccupyLink(this->nodes[from], bytes);
@@ -524,14 +532,8 @@
     (leaves ? counts.region_bytes : counts.zone_bytes) += bytes;
   }
   this->At(delay, [this, from, to, message = std::move(message)] {
-    const membership::NodeId& sender = this->nodes[from].member.id;
-    if (this->nodes[to].calls) {
-      this->Deliver(to, PeerMessage{sender, message});
-    } else {
-      this->At(this->Latency(to, from), [this, from, to] {
-        this->Deliver(from, PeerUnreachable{this->nodes[to].member.id});
-      });
-    }
+    // Lost if the receiver has been lost meanwhile; the sender learns that from its connection.
+    this->Deliver(to, PeerMessage{this->nodes[from].member.id, message});
   });
 }
 
--- a/tools/calls_benchmark/pattern_player.h
+++ b/tools/calls_benchmark/pattern_player.h
@@ -16,6 +16,8 @@
   std::uint64_t seed = 1;
   // Time in which calls are made; 0 takes that of the pattern.
   double seconds = 0.0;
+  // Adaptive concurrency limit of the gates, which register mode disables.
+  bool adaptive_limit = false;
 };
 
 PatternResult PlayPattern(const LoadPattern& pattern, const PlayOptions& options);
