Bound the retries of a service over any number of nodes

Cause: every node kept 1 + slack / 24 tokens for each service and started with them, so that 75 nodes could retry more than the slack, and restarted nodes again. A part of a token allows a retry with that probability. The mode with its own log keeps its fixed burst.

--- a/libs/calls/include/amaranthlatch/calls/options.h
+++ b/libs/calls/include/amaranthlatch/calls/options.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 #include "amaranthlatch/utils/time.h"
 
@@ -30,8 +31,11 @@
   // Exponential backoff between retries, doubled each time; half of each delay is jitter.
   utils::Duration initial_backoff = utils::Milliseconds(10);
   utils::Duration max_backoff = utils::Milliseconds(250);
-  // Initial and maximum number of retries in the retry budget of a service.
+  // Initial and maximum number of retries in the retry budget of a service at each node; unused if
+  // `retry_slack` is set.
   double retry_burst = 10.0;
+  // Number of retries of a service that all nodes together may keep; each keeps an equal part.
+  std::optional<double> retry_slack;
   bool retry_budget_enabled = true;
   // Maximum number of attempts of a call that reached no backend server and are repeated at another
   // gate without counting as attempts or retries. 0 counts them like all others.
--- a/libs/calls/src/entry.cc
+++ b/libs/calls/src/entry.cc
@@ -66,7 +66,7 @@
     : shared(shared),
       balancer(balancer),
       codec(shared.options.permit_key),
-      budget(shared.options.entry.retry_burst, shared.options.entry.retry_budget_enabled) {}
+      budget(shared.options.entry) {}
 
 OpenCall Entry::MakeCall(const Context& context, const CallReceived& received) const {
   OpenCall call;
@@ -167,7 +167,8 @@
         call.target ? call.match->route->split[*call.target].service : call.budget_service;
   }
   if (call.match) {
-    this->budget.OnCall(call.budget_service, call.match->document->protection.retry_budget_percent);
+    this->budget.OnCall(call.budget_service, call.match->document->protection.retry_budget_percent,
+                        context.members.Size(), context.now);
   }
   this->SendAttempt(context, call);
 }
@@ -243,8 +244,8 @@
   attempt.sent = context.now;
   attempt.overdue_at = context.now + this->AttemptTimeout(context, call);
   ++this->shared.counters.attempts;
-  this->shared.counters.retries += call.is_paid ? 1 : 0;
-  call.is_paid = false;
+  this->shared.counters.retries += call.charge ? 1 : 0;
+  call.charge.reset();
   this->balancer.OnSent(gate->id, PriorityOf(call), context.now);
   context.Send(gate->id, this->MakeRequest(context, call, attempt, *gate));
   call.attempts.push_back(std::move(attempt));
--- a/libs/calls/src/entry.h
+++ b/libs/calls/src/entry.h
@@ -77,8 +77,8 @@
   std::optional<utils::Timestamp> retry_at;
   // Whether the next attempt is a move, which pauses first if it would ask a gate again.
   bool moving = false;
-  // Whether the next attempt has been charged to the retry budget.
-  bool is_paid = false;
+  // What the next attempt has been charged to the retry budget, if it is a retry.
+  std::optional<double> charge;
   // Set once the deadline has passed: open attempts are fenced until this time.
   std::optional<utils::Timestamp> closing_until;
   // The answer if no attempt succeeds.
--- a/libs/calls/src/entry_move.cc
+++ b/libs/calls/src/entry_move.cc
@@ -61,9 +61,9 @@
 }
 
 void Entry::RefundRetry(OpenCall& call) {
-  if (call.is_paid) {
-    this->budget.Refund(call.budget_service);
-    call.is_paid = false;
+  if (call.charge) {
+    this->budget.Refund(call.budget_service, *call.charge);
+    call.charge.reset();
   }
 }
 
@@ -81,7 +81,7 @@
       std::min(options.max_backoff, options.initial_backoff * (1U << doublings));
   const Timestamp at = context.now + longest / 2 + this->shared.random.Jitter(longest / 2);
   // A retry is paid for and may still be answered in time.
-  const bool was_refused = call.failure.code != ErrorCode::kGateUnreachable && !call.is_paid;
+  const bool was_refused = call.failure.code != ErrorCode::kGateUnreachable && !call.charge;
   if (at >= call.deadline || (was_refused && at > call.move_deadline)) {
     return false;
   }
--- a/libs/calls/src/entry_retry.cc
+++ b/libs/calls/src/entry_retry.cc
@@ -245,11 +245,12 @@
   if (context.now + delay >= call.deadline) {
     return false;
   }
-  if (!this->budget.TrySpend(call.budget_service)) {
+  call.charge = this->budget.TrySpend(call.budget_service, context.members.Size(), context.now,
+                                      this->shared.random);
+  if (!call.charge) {
     ++this->shared.counters.retries_over_budget;
     return false;
   }
-  call.is_paid = true;
   call.moving = is_shed;
   call.retry_at = context.now + delay;
   this->Schedule(call);
--- a/libs/runtime/src/register_options.cc
+++ b/libs/runtime/src/register_options.cc
@@ -28,10 +28,6 @@
 constexpr bool kAdaptiveLimit = false;
 // Connections between two nodes repeat no messages, and one that is lost loses those under way.
 constexpr bool kTransportRepeats = false;
-// Nodes among which the slack of the retry budget is shared out; twelve servers of a service and
-// as many of another send to each other.
-constexpr double kNodesSharingSlack = 24.0;
-
 // The announced slots of a backend server decide; this is above all of them.
 constexpr std::uint32_t kMaxSlots = 100'000;
 // Far more than a queue of bounded wait can hold.
@@ -43,7 +39,8 @@
 // slow start all of them would count as cold. The load that gates report shows cold ones soon
 // enough.
 constexpr utils::Duration kSlowStart = utils::Duration(0);
-// Share of the permitted ratio that is spent on retries; repeated calls may call further services.
+// Share of the permitted ratio and slack that is spent on retries; repeated calls may call further
+// services, where they count as well.
 constexpr double kRetryShare = 0.5;
 constexpr double kPercent = 100.0;
 
@@ -104,7 +101,7 @@
   calls.gate.link_bits_per_second = static_cast<std::uint64_t>(settings.link_rate_bits_per_second);
   calls.entry.fence_retry_interval = kFenceInterval;
   calls.entry.fence_timeout = kFenceTimeout;
-  calls.entry.retry_burst = 1.0 + settings.retry_slack / kNodesSharingSlack;
+  calls.entry.retry_slack = settings.retry_slack * kRetryShare;
   calls.gate.adaptive_concurrency_limit = kAdaptiveLimit;
   calls.gate.retention_margin = kMemoryMargin;
   calls.gate.max_tracked_attempts = kMemoryCapacity;
