Reserve a part of the retry budget for nested calls

Cause: while servers refuse at random, retries are scarce and all calls took them alike. A nested call that fails loses the work of its caller, which holds a slot and does not send it again. Change: while calls of class internal came in the last 2 s, a quarter of the tokens is reserved for them, in the mode with a shared slack.

--- a/libs/calls/src/entry.cc
+++ b/libs/calls/src/entry.cc
@@ -167,7 +167,8 @@
         call.target ? call.match->route->split[*call.target].service : call.budget_service;
   }
   if (call.match) {
-    this->budget.OnCall(call.budget_service, call.match->document->protection.retry_budget_percent,
+    this->budget.OnCall(call.budget_service, PriorityOf(call),
+                        call.match->document->protection.retry_budget_percent,
                         context.members.Size(), context.now);
   }
   this->SendAttempt(context, call);
--- a/libs/calls/src/entry_retry.cc
+++ b/libs/calls/src/entry_retry.cc
@@ -245,8 +245,8 @@
   if (context.now + delay >= call.deadline) {
     return false;
   }
-  call.charge = this->budget.TrySpend(call.budget_service, context.members.Size(), context.now,
-                                      this->shared.random);
+  call.charge = this->budget.TrySpend(call.budget_service, PriorityOf(call), context.members.Size(),
+                                      context.now, this->shared.random);
   if (!call.charge) {
     ++this->shared.counters.retries_over_budget;
     return false;
--- a/libs/calls/src/retry_budget.cc
+++ b/libs/calls/src/retry_budget.cc
@@ -14,6 +14,10 @@
 constexpr double kExpiryUs = 5e6;
 // A node that has just started knows only some of the members.
 constexpr std::size_t kMinNodes = 24;
+// Share of the tokens that only nested calls may use while there are any: their callers hold slots,
+// and their work is lost if the nested call fails.
+constexpr double kReservedShare = 0.25;
+constexpr utils::Duration kReserveTime = utils::Seconds(2);
 }  // namespace
 
 double RetryBudget::Kept(std::size_t nodes) const {
@@ -35,13 +39,15 @@
   Bucket& bucket = this->Find(service);
   const auto age = static_cast<double>((now - bucket.updated_at).count());
   const double left = std::exp(-age / kExpiryUs);
-  bucket.tokens = std::min(bucket.tokens, kept) + std::max(0.0, bucket.tokens - kept) * left;
+  for (double* tokens : {&bucket.tokens, &bucket.unspent}) {
+    *tokens = std::min(*tokens, kept) + std::max(0.0, *tokens - kept) * left;
+  }
   bucket.updated_at = now;
   return bucket;
 }
 
-void RetryBudget::OnCall(const std::string& service, std::uint32_t percent, std::size_t nodes,
-                         utils::Timestamp now) {
+void RetryBudget::OnCall(const std::string& service, document::Priority priority,
+                         std::uint32_t percent, std::size_t nodes, utils::Timestamp now) {
   const double earned = percent / kPercent;
   if (!this->options.retry_slack) {
     double& tokens = this->Find(service).tokens;
@@ -50,10 +56,15 @@
   }
   Bucket& bucket = this->Advance(service, this->Kept(nodes), now);
   bucket.tokens += earned;
+  bucket.unspent += earned;
+  if (priority == document::Priority::kInternal) {
+    bucket.reserved_until = now + kReserveTime;
+  }
 }
 
-std::optional<double> RetryBudget::TrySpend(const std::string& service, std::size_t nodes,
-                                            utils::Timestamp now, utils::Random& random) {
+std::optional<double> RetryBudget::TrySpend(const std::string& service, document::Priority priority,
+                                            std::size_t nodes, utils::Timestamp now,
+                                            utils::Random& random) {
   if (!this->options.retry_budget_enabled) {
     return 0.0;
   }
@@ -66,7 +77,10 @@
     return 1.0;
   }
   Bucket& bucket = this->Advance(service, this->Kept(nodes), now);
-  const double cost = std::min(bucket.tokens, 1.0);
+  const bool may_use_all =
+      priority == document::Priority::kInternal || now >= bucket.reserved_until;
+  const double reserved = may_use_all ? 0.0 : kReservedShare * bucket.unspent;
+  const double cost = std::clamp(bucket.tokens - reserved, 0.0, 1.0);
   bucket.tokens -= cost;
   // Taken also if the draw fails, so that the expected number of retries equals the tokens spent.
   return random.Bernoulli(cost) ? std::optional(cost) : std::nullopt;
--- a/libs/calls/src/retry_budget.h
+++ b/libs/calls/src/retry_budget.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 
 #include "amaranthlatch/calls/options.h"
+#include "amaranthlatch/document/service_document.h"
 #include "amaranthlatch/utils/random.h"
 #include "amaranthlatch/utils/time.h"
 
@@ -26,20 +27,24 @@
   explicit RetryBudget(const EntryOptions& options) : options(options) {}
 
   // A call of the service, which earns `percent` hundredths of a token, at one of `nodes` nodes.
-  void OnCall(const std::string& service, std::uint32_t percent, std::size_t nodes,
-              utils::Timestamp now);
+  void OnCall(const std::string& service, document::Priority priority, std::uint32_t percent,
+              std::size_t nodes, utils::Timestamp now);
   // Takes a token for a retry and returns what it cost; nothing if the retry is not allowed. With a
   // shared slack, a part of a token allows a retry with that probability: at an entry that sees few
   // calls of a service, tokens are spent or expire before there is a whole one.
-  std::optional<double> TrySpend(const std::string& service, std::size_t nodes,
-                                 utils::Timestamp now, utils::Random& random);
+  std::optional<double> TrySpend(const std::string& service, document::Priority priority,
+                                 std::size_t nodes, utils::Timestamp now, utils::Random& random);
   // Returns the cost of a retry that was not made.
   void Refund(const std::string& service, double cost);
 
  private:
   struct Bucket {
     double tokens = 0.0;
+    // The tokens if none had been spent.
+    double unspent = 0.0;
     utils::Timestamp updated_at{};
+    // Time until which tokens are reserved for calls of class internal.
+    utils::Timestamp reserved_until{};
   };
 
   Bucket& Find(const std::string& service);
--- a/libs/calls/tests/retry_budget_test.cc
+++ b/libs/calls/tests/retry_budget_test.cc
@@ -1,8 +1,13 @@
 // Tests of the bound of the retries of a service over all nodes, on the simulated mesh.
 
+#include "retry_budget.h"
+
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+#include <array>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "mesh.h"
@@ -110,4 +115,32 @@
   this->CheckWindows();
 }
 
+// Guards against nested calls that fail because others have spent the tokens, and against tokens
+// that are reserved although no nested calls come.
+TEST(RetryBudget, NestedCallsGoFirst) {
+  const auto grant = [](int nested_every) {
+    const Options options = MakeOptions();
+    details::RetryBudget budget(options.entry);
+    utils::Random random(1);
+    utils::Timestamp now(Seconds(1'000));
+    std::array<int, 2> asked{};
+    std::array<int, 2> granted{};
+    for (int i = 1; i <= 5'000; ++i) {
+      const bool is_nested = i % nested_every == 0;
+      const auto priority =
+          is_nested ? document::Priority::kInternal : document::Priority::kInteractive;
+      now += Milliseconds(60);
+      budget.OnCall("fleet", priority, 10, 75, now);
+      if (random.Bernoulli(0.5)) {
+        ++asked.at(is_nested);
+        granted.at(is_nested) += budget.TrySpend("fleet", priority, 75, now, random) ? 1 : 0;
+      }
+    }
+    return std::pair(1.0 * granted[0] / asked[0], 1.0 * granted[1] / std::max(1, asked[1]));
+  };
+  const auto [others, nested] = grant(10);
+  CHECK_TRUE(nested > 0.9 && others > 0.05);
+  CHECK_TRUE(grant(1'000'000).first > 0.18);
+}
+
 }  // namespace amaranthlatch::calls::testing
