Keep the concurrency limit when lowering it does not end refusals

Cause: ConcurrencyLimit lowered the limit by a fifth every 100 ms while the backend server refused calls. A server that refuses half of its requests whatever its load was left with one call at a time within a second. Change: the limit falls in steps that are long enough to compare. If a step neither lowers the share of refused calls nor leaves the rate of answers as it was, the limit returns to the slots at once, and the next decrease waits with backoff.

--- a/libs/calls/src/concurrency_limit.cc
+++ b/libs/calls/src/concurrency_limit.cc
@@ -13,6 +13,16 @@
 constexpr double kDecreaseFactor = 0.8;
 // One overload sheds many calls at about the same time; only the first decreases the limit.
 constexpr Duration kMinShedInterval = utils::Milliseconds(100);
+// A step of the decrease must be long enough to tell a change from noise: of 30 calls that are shed
+// with a probability of a half, a third to two thirds are.
+constexpr std::uint32_t kMinStepCalls = 30;
+constexpr double kMinStepAnswers = 8.0;
+constexpr Duration kMaxStep = utils::Milliseconds(400);
+// Change that a step must make to the share of shed calls, or to the rate of answers, to count.
+// With 0.8 for the share, noise kept the limit of a server with 6 slots low for seconds.
+constexpr double kMaxShareRatio = 0.6;
+constexpr double kMinAnswerRatio = 0.75;
+constexpr Duration kMinShedBackoff = utils::Seconds(2);
 // Latency is elevated if the mean exceeds the lowest recent mean by this ratio and the slack.
 constexpr double kLatencyRiseRatio = 1.5;
 constexpr double kLatencySlackUs = 2'000.0;
@@ -86,6 +96,8 @@
   if (!this->adaptive) {
     return;
   }
+  ++this->step_answered;
+  this->EndShedStep(now);
   ++this->completed;
   this->completed_saturated += saturated ? 1 : 0;
   const Duration length = now - this->period_start;
@@ -148,14 +160,71 @@
 }
 
 bool ConcurrencyLimit::OnShed(Timestamp now) {
-  if (!this->adaptive || this->limit <= 1.0 || now - this->shed_at < kMinShedInterval) {
+  if (!this->adaptive) {
     return false;
   }
   this->shed_at = now;
+  ++this->step_shed;
+  if (this->is_shedding) {
+    return this->EndShedStep(now);
+  }
+  if (this->limit <= 1.0 || now < this->next_shed_decrease) {
+    return false;
+  }
+  this->is_shedding = true;
+  this->shed_share.reset();
+  this->DecreaseForShed(now);
+  return true;
+}
+
+bool ConcurrencyLimit::EndShedStep(Timestamp now) {
+  const Duration length = now - this->step_start;
+  const std::uint32_t calls = this->step_shed + this->step_answered;
+  if (!this->is_shedding || length < kMinShedInterval ||
+      (calls < kMinStepCalls && length < kMaxStep)) {
+    return false;
+  }
+  if (this->step_shed == 0) {
+    // The limit is low enough; another refusal starts anew.
+    this->is_shedding = false;
+    return false;
+  }
+  const double share = static_cast<double>(this->step_shed) / calls;
+  const double seconds = std::chrono::duration<double>(length).count();
+  const double rate = this->step_answered / seconds;
+  // Too few answers for a rate leave the decision to the share at the lowest limit.
+  const bool is_slower =
+      this->answer_rate * seconds >= kMinStepAnswers && rate < this->answer_rate * kMinAnswerRatio;
+  const bool is_first = !this->shed_share.has_value();
+  if (is_first || share < *this->shed_share * kMaxShareRatio) {
+    this->shed_share = share;
+    this->answer_rate = rate;
+    this->shed_backoff = is_first ? this->shed_backoff : Duration::zero();
+  } else if (this->limit <= 1.0 || is_slower) {
+    this->RestoreSlots(now);
+    return false;
+  }
+  const bool is_lower = this->limit > 1.0;
+  this->DecreaseForShed(now);
+  return is_lower;
+}
+
+void ConcurrencyLimit::DecreaseForShed(Timestamp now) {
   this->trial = Trial::kNone;
   this->SetLimit(this->limit * kDecreaseFactor);
   this->StartPeriod(now);
-  return true;
+  this->step_start = now;
+  this->step_shed = 0;
+  this->step_answered = 0;
+}
+
+void ConcurrencyLimit::RestoreSlots(Timestamp now) {
+  this->is_shedding = false;
+  this->trial = Trial::kNone;
+  this->SetLimit(this->slots);
+  this->StartPeriod(now);
+  this->shed_backoff = std::clamp(this->shed_backoff * 2, kMinShedBackoff, kMaxDecreaseBackoff);
+  this->next_shed_decrease = now + this->shed_backoff;
 }
 
 utils::Duration ConcurrencyLimit::MeanLatency() const {
--- a/libs/calls/src/concurrency_limit.h
+++ b/libs/calls/src/concurrency_limit.h
@@ -3,15 +3,18 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "amaranthlatch/utils/time.h"
 
 namespace amaranthlatch::calls::details {
 
 // Additive increase and multiplicative decrease between 1 and the number of slots. A shed call
-// decreases the limit immediately. Elevated latency only starts a trial of a lower limit, because
-// calls of unequal duration raise the latency too: the lower limit is kept only if throughput stays
-// about the same. A trial of a higher limit is kept only if throughput rises.
+// decreases the limit immediately, and further ones do as long as that lowers the share of shed
+// calls, or costs no answers; otherwise the backend server sheds for another reason than its load,
+// and the limit returns to the slots. Elevated latency only starts a trial of a lower limit,
+// because calls of unequal duration raise the latency too: the lower limit is kept only if
+// throughput stays about the same. A trial of a higher limit is kept only if throughput rises.
 class ConcurrencyLimit {
  public:
   explicit ConcurrencyLimit(bool adaptive) : adaptive(adaptive) {}
@@ -23,7 +26,7 @@
 
   // Records a completed call. `saturated` tells whether all slots of the limit were in use.
   void OnCompleted(utils::Duration latency, bool saturated, utils::Timestamp now);
-  // Records that the backend server shed a call. Returns true if the limit was decreased.
+  // Records that the backend server shed a call. Returns true if the limit was decreased for it.
   bool OnShed(utils::Timestamp now);
 
   // Returns the moving average of the call latency at the backend server; 0 before the first call.
@@ -41,6 +44,11 @@
   bool EvaluateTrial(double rate, utils::Timestamp now);
   void StartTrial(double rate, utils::Timestamp now);
   void StartPeriod(utils::Timestamp now);
+  // Ends a step of the decrease if it was long enough, and decides on the next one. Returns true if
+  // the limit was decreased.
+  bool EndShedStep(utils::Timestamp now);
+  void DecreaseForShed(utils::Timestamp now);
+  void RestoreSlots(utils::Timestamp now);
   void SetLimit(double value);
 
   bool adaptive;
@@ -68,6 +76,19 @@
   utils::Timestamp next_decrease_trial{};
   utils::Timestamp next_increase_trial{};
   utils::Timestamp shed_at{};
+
+  // The decrease for shed calls in progress.
+  bool is_shedding = false;
+  utils::Timestamp step_start{};
+  std::uint32_t step_shed = 0;
+  std::uint32_t step_answered = 0;
+  // What further steps are compared with: share of shed calls and answers per second; unset in the
+  // first step.
+  std::optional<double> shed_share;
+  double answer_rate = 0.0;
+  // Delay before the next decrease, doubled by each one that had no effect.
+  utils::Duration shed_backoff{};
+  utils::Timestamp next_shed_decrease{};
 };
 
 }  // namespace amaranthlatch::calls::details
--- a/libs/calls/tests/call_components_test.cc
+++ b/libs/calls/tests/call_components_test.cc
@@ -4,12 +4,14 @@
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
 
+#include <map>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
 #include "amaranthlatch/calls/calls.h"
 #include "amaranthlatch/calls/message_codec.h"
+#include "amaranthlatch/utils/random.h"
 #include "attempt_memory.h"
 #include "concurrency_limit.h"
 #include "permit_ledger.h"
@@ -273,6 +275,46 @@
   CHECK_TRUE(overloaded >= 4 && overloaded <= 9);
 }
 
+namespace {
+// Answers of a server with 6 slots in 8.5 s that sheds 55% of its calls at random within 1 ms and
+// answers the others after 120 ms; all slots of the limit are in use.
+int AnswersOfSheddingServer(bool adaptive, std::uint64_t seed) {
+  details::ConcurrencyLimit limit(adaptive);
+  limit.SetSlots(6);
+  utils::Random random(seed);
+  std::multimap<Timestamp, bool> runs;
+  int answers = 0;
+  for (Timestamp now{Seconds(1)}; now < Timestamp{Milliseconds(9'500)}; now += Milliseconds(1)) {
+    for (; !runs.empty() && runs.begin()->first <= now; runs.erase(runs.begin())) {
+      if (runs.begin()->second) {
+        limit.OnShed(now);
+      } else {
+        ++answers;
+        limit.OnCompleted(Milliseconds(120), true, now);
+      }
+    }
+    while (runs.size() < limit.Get()) {
+      const bool is_shed = random.Bernoulli(0.55);
+      runs.emplace(now + Milliseconds(is_shed ? 1 : 120), is_shed);
+    }
+  }
+  return answers;
+}
+}  // namespace
+
+// Guards against a limit that falls to one call at a time because of refusals that do not depend on
+// the number of calls in flight.
+TEST(CallComponents, LimitIgnoresRefusalsAtRandom) {
+  int adaptive = 0;
+  int fixed = 0;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    adaptive += AnswersOfSheddingServer(true, seed);
+    fixed += AnswersOfSheddingServer(false, seed);
+  }
+  // The limit is low only while it is tried whether that helps; it used to be 0.2.
+  CHECK_TRUE(adaptive >= 0.7 * fixed);
+}
+
 // Guards against retained answers that exceed the memory limit, and against a full ledger that
 // issues permits it cannot track.
 TEST(CallComponents, LedgerIsBounded) {
