Check a configuration before it is published

Cause: operators learned only from callers that a valid configuration had a route that nothing matches or limits that contradict each other, and what a new version changes for callers. Change: amaranthlatch check, for service documents and the platform's tables, with errors, warnings (codes 6101 to 6108) and differences from a file or from a node's version. Errors of the decoder carry the pointer of the row at fault.

--- a/apps/amaranthlatch/src/command_line.cc
+++ b/apps/amaranthlatch/src/command_line.cc
@@ -21,6 +21,7 @@
 
 Usage:
   amaranthlatch validate [--log=ADDRESS] [--json] FILE...
+  amaranthlatch check [--against=EARLIER | --in-force=ADDRESS] [--json] FILE
   amaranthlatch publish --log=ADDRESS --author=NAME [--base=VERSION] [--publish-id=ID]
                         [--node=ADDRESS]... [--wait=MS] [--json] FILE
   amaranthlatch remove --log=ADDRESS --author=NAME --base=VERSION [--publish-id=ID]
@@ -33,6 +34,8 @@
 Options:
   --log=ADDRESS     Address of the platform's log, for example 127.0.0.1:7000.
   --node=ADDRESS    Admin address of a node; may be given several times.
+  --against=EARLIER  File with the version that the differences are shown from.
+  --in-force=ADDRESS  Admin address of a node that has the version in force.
   --author=NAME     Who publishes; kept in the audit history.
   --base=VERSION    Version in force that the change is based on; absent for a new service.
   --publish-id=ID   Repeats an earlier attempt whose outcome is unknown.
@@ -42,6 +45,7 @@
 
 Exit codes:
   0 ok, 1 refused, 2 usage, 3 unreachable, 4 unknown outcome, 5 lagging nodes.
+  Of check: 0 clean, 1 warnings, 2 errors or usage, 3 unreachable.
 )";
 
 // A day: longer waits are mistakes in the unit.
@@ -76,9 +80,10 @@
 
 Command ReadCommand(const Arguments& arguments) {
   static constexpr std::pair<const char*, Command> kCommands[] = {
-      {"validate", Command::kValidate}, {"publish", Command::kPublish},
-      {"remove", Command::kRemove},     {"status", Command::kStatus},
-      {"history", Command::kHistory},   {"drain", Command::kDrain},
+      {"validate", Command::kValidate}, {"check", Command::kCheck},
+      {"publish", Command::kPublish},   {"remove", Command::kRemove},
+      {"status", Command::kStatus},     {"history", Command::kHistory},
+      {"drain", Command::kDrain},
   };
   for (const auto& [name, command] : kCommands) {
     if (arguments.at(name).asBool()) {
@@ -95,6 +100,8 @@
   options.service = ReadText(arguments, "SERVICE");
   options.log = ReadText(arguments, "--log");
   options.nodes = ReadList(arguments, "--node");
+  options.against = ReadText(arguments, "--against");
+  options.in_force = ReadText(arguments, "--in-force");
   options.publish_id = ReadText(arguments, "--publish-id");
   options.author = ReadText(arguments, "--author");
   options.json = arguments.at("--json").asBool();
--- a/apps/amaranthlatch/src/command_line.h
+++ b/apps/amaranthlatch/src/command_line.h
@@ -16,6 +16,7 @@
 enum class Command : std::uint8_t {
   kHelp,
   kValidate,
+  kCheck,
   kPublish,
   kRemove,
   kStatus,
@@ -39,6 +40,10 @@
   // Time to wait for the nodes; zero does not wait.
   utils::Duration wait{};
   bool json = false;
+  // Earlier version that `check` compares with: a file, or the admin address of a node; both empty
+  // for no comparison.
+  std::string against;
+  std::string in_force;
 
   bool operator==(const Options&) const = default;
 };
--- a/apps/amaranthlatch/src/commands.h
+++ b/apps/amaranthlatch/src/commands.h
@@ -21,6 +21,9 @@
 
 // Parses the files; with --log also checks them, in the order given, against what is in force.
 CommandResult Validate(const Options& options, const Context& context);
+// Reports errors and warnings of a service document or of a mesh's table, and its differences from
+// an earlier version.
+CommandResult Check(const Options& options, const Context& context);
 CommandResult Publish(const Options& options, const Context& context);
 CommandResult Remove(const Options& options, const Context& context);
 // What is in force on each node, and which nodes are behind the log or the most advanced node.
--- a/apps/amaranthlatch/src/exit_code.h
+++ b/apps/amaranthlatch/src/exit_code.h
@@ -13,4 +13,8 @@
 inline constexpr int kExitUnknown = 4;
 inline constexpr int kExitLagging = 5;
 
+// Of the command `check`.
+inline constexpr int kExitWarnings = 1;
+inline constexpr int kExitErrors = 2;
+
 }  // namespace amaranthlatch::cli
--- a/apps/amaranthlatch/src/host.h
+++ b/apps/amaranthlatch/src/host.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <cstddef>
 #include <string>
 
 #include "amaranthlatch/utils/result.h"
@@ -19,9 +20,10 @@
   virtual std::string WallTime() const = 0;
   // Different on every call, on every machine.
   virtual std::string NewPublishId() = 0;
-  // Fails with kDocumentNotJson where the file cannot be read. The text of a file above the size
-  // limit of documents is cut off above the limit.
-  virtual utils::Result<std::string> ReadFile(const std::string& path) const = 0;
+  // Fails with kDocumentNotJson where the file cannot be read. The text of a file of more than
+  // `max_bytes` is cut off after one byte more.
+  virtual utils::Result<std::string> ReadFile(const std::string& path,
+                                              std::size_t max_bytes) const = 0;
 };
 
 }  // namespace amaranthlatch::cli
--- a/apps/amaranthlatch/src/node_client.cc
+++ b/apps/amaranthlatch/src/node_client.cc
@@ -112,6 +112,24 @@
   return history;
 }
 
+utils::Result<json> NodeClient::Document(const std::string& address, const std::string& service) {
+  const auto status = this->Status(address);
+  if (!status) {
+    return tl::unexpected(status.error());
+  }
+  if (!status->services.contains(service)) {
+    return json();
+  }
+  auto body = this->Fetch("GET", address, "/documents/" + service);
+  if (!body) {
+    return tl::unexpected(body.error());
+  }
+  if (!body->is_object() || !body->contains("document")) {
+    return utils::Fail(ErrorCode::kHttpFailed, "node " + address + " gave no document");
+  }
+  return body->at("document");
+}
+
 utils::Result<json> NodeClient::Drain(const std::string& address) {
   return this->Fetch("POST", address, "/drain");
 }
--- a/apps/amaranthlatch/src/node_client.h
+++ b/apps/amaranthlatch/src/node_client.h
@@ -42,6 +42,8 @@
   // Newest last.
   utils::Result<std::vector<acceptance::Verdict>> Audit(const std::string& address,
                                                         const std::string& service);
+  // The document in force for the service; null if there is none.
+  utils::Result<nlohmann::json> Document(const std::string& address, const std::string& service);
   // The node's answer.
   utils::Result<nlohmann::json> Drain(const std::string& address);
 
--- a/apps/amaranthlatch/src/publish_command.cc
+++ b/apps/amaranthlatch/src/publish_command.cc
@@ -4,6 +4,7 @@
 
 #include "amaranthlatch/acceptance/publish_record.h"
 #include "amaranthlatch/acceptance/verdict_json.h"
+#include "amaranthlatch/document/document_limits.h"
 #include "amaranthlatch/document/document_parser.h"
 #include "commands.h"
 #include "confirmation.h"
@@ -130,7 +131,7 @@
 }  // namespace
 
 CommandResult Publish(const Options& options, const Context& context) {
-  const auto text = context.host.ReadFile(options.files.front());
+  const auto text = context.host.ReadFile(options.files.front(), document::kMaxDocumentBytes);
   if (!text) {
     return FailedResult(kExitRefused, text.error());
   }
--- a/apps/amaranthlatch/src/run.cc
+++ b/apps/amaranthlatch/src/run.cc
@@ -13,6 +13,8 @@
   switch (options.command) {
     case Command::kValidate:
       return Validate(options, context);
+    case Command::kCheck:
+      return Check(options, context);
     case Command::kPublish:
       return Publish(options, context);
     case Command::kRemove:
--- a/apps/amaranthlatch/src/system_host.cc
+++ b/apps/amaranthlatch/src/system_host.cc
@@ -4,19 +4,19 @@
 
 #include <sodium.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <ctime>
 #include <fstream>
 #include <thread>
 
-#include "amaranthlatch/document/document_limits.h"
-
 namespace amaranthlatch::cli {
 
 namespace {
 // 128 bits: no two publishers draw the same one.
 constexpr std::size_t kPublishIdBytes = 16;
+constexpr std::size_t kReadBytes = 65536;
 constexpr std::size_t kTimeTextBytes = sizeof("2026-01-01T00:00:00Z");
 }  // namespace
 
@@ -39,18 +39,23 @@
   return text.data();
 }
 
-utils::Result<std::string> SystemHost::ReadFile(const std::string& path) const {
+utils::Result<std::string> SystemHost::ReadFile(const std::string& path,
+                                                std::size_t max_bytes) const {
   std::ifstream file(path, std::ios::binary);
   if (!file) {
     return utils::Fail(utils::ErrorCode::kDocumentNotJson, "the file cannot be read");
   }
+  std::string text;
+  std::array<char, kReadBytes> part{};
   // One byte above the limit shows that the file is too large.
-  std::string text(document::kMaxDocumentBytes + 1, '\0');
-  file.read(text.data(), static_cast<std::streamsize>(text.size()));
+  while (file && text.size() <= max_bytes) {
+    file.read(part.data(),
+              static_cast<std::streamsize>(std::min(part.size(), max_bytes + 1 - text.size())));
+    text.append(part.data(), static_cast<std::size_t>(file.gcount()));
+  }
   if (file.bad()) {
     return utils::Fail(utils::ErrorCode::kDocumentNotJson, "the file cannot be read");
   }
-  text.resize(static_cast<std::size_t>(file.gcount()));
   return text;
 }
 
--- a/apps/amaranthlatch/src/system_host.h
+++ b/apps/amaranthlatch/src/system_host.h
@@ -13,7 +13,8 @@
   void Sleep(utils::Duration duration) override;
   std::string WallTime() const override;
   std::string NewPublishId() override;
-  utils::Result<std::string> ReadFile(const std::string& path) const override;
+  utils::Result<std::string> ReadFile(const std::string& path,
+                                      std::size_t max_bytes) const override;
 
  private:
   utils::SteadyClock clock;
--- a/apps/amaranthlatch/src/validate_command.cc
+++ b/apps/amaranthlatch/src/validate_command.cc
@@ -2,6 +2,7 @@
 
 #include "amaranthlatch/acceptance/publish_record.h"
 #include "amaranthlatch/acceptance/state.h"
+#include "amaranthlatch/document/document_limits.h"
 #include "amaranthlatch/document/document_parser.h"
 #include "amaranthlatch/document/json_guard.h"
 #include "commands.h"
@@ -21,7 +22,7 @@
 };
 
 utils::Result<ParsedFile> ParseFile(const std::string& path, const Host& host) {
-  const auto text = host.ReadFile(path);
+  const auto text = host.ReadFile(path, document::kMaxDocumentBytes);
   if (!text) {
     return tl::unexpected(text.error());
   }
--- a/apps/amaranthlatch/tests/command_line_test.cc
+++ b/apps/amaranthlatch/tests/command_line_test.cc
@@ -16,7 +16,7 @@
   CHECK_TRUE(options.has_value());
   const Options expected{
       Command::kPublish,         {"doc.json"}, "", "l:1", {"a:1", "b:2"}, 7, "x", "ann",
-      utils::Milliseconds(1500), true};
+      utils::Milliseconds(1500), true, "", ""};
   CHECK_TRUE(*options == expected);
 }
 
@@ -26,6 +26,7 @@
     return ParseCommandLine(arguments)->command;
   };
   CHECK_TRUE(command({"validate", "a", "b"}) == Command::kValidate);
+  CHECK_TRUE(command({"check", "--against=a", "b"}) == Command::kCheck);
   CHECK_TRUE(command({"remove", "--log=l", "--author=x", "--base=1", "svc"}) == Command::kRemove);
   CHECK_TRUE(command({"status", "--node=a"}) == Command::kStatus);
   CHECK_TRUE(command({"history", "--log=l", "svc"}) == Command::kHistory);
--- a/apps/amaranthlatch/tests/examples_test.cc
+++ b/apps/amaranthlatch/tests/examples_test.cc
@@ -10,6 +10,7 @@
 
 #include "amaranthlatch/acceptance/publish_record.h"
 #include "amaranthlatch/acceptance/state.h"
+#include "amaranthlatch/document/document_limits.h"
 #include "amaranthlatch/document/document_parser.h"
 #include "system_host.h"
 
@@ -25,7 +26,7 @@
   Sources sources;
   const std::string folder = std::string("examples/") + deployment + "/documents";
   for (const auto& file : std::filesystem::directory_iterator(folder)) {
-    const auto text = host.ReadFile(file.path());
+    const auto text = host.ReadFile(file.path(), document::kMaxDocumentBytes);
     const auto document = document::ParseDocument(text.value_or(""));
     CHECK_TRUE_TEXT(document.has_value(), file.path().c_str());
     sources[document->service] = nlohmann::json::parse(*text);
--- a/apps/amaranthlatch/tests/fake_world.cc
+++ b/apps/amaranthlatch/tests/fake_world.cc
@@ -107,6 +107,11 @@
     }
     return {200, json{{"service", "s"}, {"verdicts", verdicts}}.dump()};
   }
+  if (path.starts_with("/documents/")) {
+    const std::string service = path.substr(path.rfind('/') + 1);
+    const auto* const accepted = state.FindAccepted(service);
+    return {200, json{{"service", service}, {"document", *accepted->source}}.dump()};
+  }
   json services = json::object();
   for (const std::string& service : state.Services()) {
     services[service] = state.FindAccepted(service)->version;
@@ -132,12 +137,13 @@
 
 std::string FakeWorld::NewPublishId() { return "new-" + std::to_string(++this->publish_ids); }
 
-utils::Result<std::string> FakeWorld::ReadFile(const std::string& path) const {
+utils::Result<std::string> FakeWorld::ReadFile(const std::string& path,
+                                               std::size_t max_bytes) const {
   const auto found = this->files.find(path);
   if (found == this->files.end()) {
     return utils::Fail(utils::ErrorCode::kDocumentNotJson, "the file cannot be read");
   }
-  return found->second;
+  return found->second.substr(0, max_bytes + 1);
 }
 
 acceptance::State FakeWorld::Fold(Offset head) const {
--- a/apps/amaranthlatch/tests/fake_world.h
+++ b/apps/amaranthlatch/tests/fake_world.h
@@ -43,7 +43,8 @@
   void Sleep(utils::Duration duration) override;
   std::string WallTime() const override { return "2026-01-01T00:00:00Z"; }
   std::string NewPublishId() override;
-  utils::Result<std::string> ReadFile(const std::string& path) const override;
+  utils::Result<std::string> ReadFile(const std::string& path,
+                                      std::size_t max_bytes) const override;
 
   // The state after the first `head` config records.
   acceptance::State Fold(acceptance::Offset head) const;
--- a/libs/directory/include/amaranthlatch/directory/mesh_configuration.h
+++ b/libs/directory/include/amaranthlatch/directory/mesh_configuration.h
@@ -60,8 +60,8 @@
 
   // Fails with kConfigurationMalformed if a path prefix does not start and end with a slash, a
   // route has no target with a weight above 0, a target names a service that is not in `services`,
-  // or two routes have the same host and prefix. `workspaces` is null for a configuration without a
-  // table of workspaces, in which calls need no keys.
+  // or two routes have the same host and prefix; the error's pointer is `/routes/N`. `workspaces`
+  // is null for a configuration without a table of workspaces, in which calls need no keys.
   static utils::Result<Pointer> Create(document::Version version, HostRoutes routes,
                                        std::vector<MeshService> services,
                                        const ServiceDefaults& defaults,
--- a/libs/directory/src/mesh_configuration.cc
+++ b/libs/directory/src/mesh_configuration.cc
@@ -69,9 +69,12 @@
 utils::Result<void> MeshConfiguration::IndexRoutes() {
   // Most routes have one of a few hosts, so that each host is normalized once.
   std::unordered_map<std::string_view, RoutesByPrefix*> indexes;
-  for (const HostRoutePointer& host_route : this->routes) {
+  for (std::size_t i = 0; i < this->routes.size(); ++i) {
+    const HostRoutePointer& host_route = this->routes[i];
     const document::Route& route = host_route->route;
+    const auto pointer = [i] { return "/routes/" + std::to_string(i); };
     if (auto checked = this->CheckRoute(route); !checked) {
+      checked.error().pointer = pointer();
       return checked;
     }
     RoutesByPrefix*& index = indexes[host_route->host];
@@ -80,7 +83,8 @@
     }
     if (!index->emplace(route.path_prefix, &host_route).second) {
       return Fail(ErrorCode::kConfigurationMalformed,
-                  "route " + route.name + " has the same host and path prefix as another route");
+                  "route " + route.name + " has the same host and path prefix as another route",
+                  pointer());
     }
     if (this->HasWorkspaces() && !route.is_public &&
         route.priority == document::Priority::kInternal) {
--- a/libs/document/include/amaranthlatch/document/json_guard.h
+++ b/libs/document/include/amaranthlatch/document/json_guard.h
@@ -15,6 +15,9 @@
 // Fails with kDocumentNotJson (syntax, nesting depth) or kDocumentDuplicateName (duplicate key).
 utils::Result<nlohmann::json> ParseJsonText(std::string_view text);
 
+// The checks of ParseJsonText, without building the value.
+utils::Result<void> CheckJsonText(std::string_view text);
+
 // Fails with the code `malformed` for any invalid input.
 utils::Result<nlohmann::json> ParseCbor(std::string_view bytes, utils::ErrorCode malformed);
 
--- a/libs/document/src/json_guard.cc
+++ b/libs/document/src/json_guard.cc
@@ -138,11 +138,18 @@
 
 }  // namespace
 
-utils::Result<json> ParseJsonText(std::string_view text) {
+utils::Result<void> CheckJsonText(std::string_view text) {
   StructureValidator check;
   if (!json::sax_parse(text, &check)) {
     return tl::unexpected(check.error);
   }
+  return {};
+}
+
+utils::Result<json> ParseJsonText(std::string_view text) {
+  if (const auto checked = CheckJsonText(text); !checked) {
+    return tl::unexpected(checked.error());
+  }
   return json::parse(text);
 }
 
--- a/libs/utils/include/amaranthlatch/utils/error_code.h
+++ b/libs/utils/include/amaranthlatch/utils/error_code.h
@@ -91,6 +91,16 @@
   kSettingsOutOfRange = 6005,
   kUsage = 6006,
 
+  // 61xx: findings in a configuration that is valid.
+  kEntryNeverMatches = 6101,
+  kTargetWithoutShare = 6102,
+  kTargetWithoutServers = 6103,
+  kTimeoutBelowTarget = 6104,
+  kAttemptsExceedTimeout = 6105,
+  kQuotaBelowBurst = 6106,
+  kNestedCallOutlivesCaller = 6107,
+  kBodyLimitAboveMemory = 6108,
+
   // 7xxx: messages and transport.
   kMessageMalformed = 7001,
   kMessageNotAuthentic = 7002,
