Let faults of load patterns overlap, and name what a pattern lacks

Cause: a second loss of the same server ended the player, and the message about an invalid pattern did not name priorities and faults.

Change: a loss concerns servers that are there, a return those that are lost.

--- a/tools/calls_benchmark/load_pattern.cc
+++ b/tools/calls_benchmark/load_pattern.cc
@@ -92,8 +92,8 @@
   if (!IsValid(pattern)) {
     return Fail(ErrorCode::kSettingsOutOfRange,
                 path +
-                    ": needs zones, seconds, servers, slots and speeds above 0, and call types "
-                    "whose services and nested types exist");
+                    ": needs zones, seconds, servers, slots and speeds above 0, known services, "
+                    "priorities and nested types, and faults that end after they begin");
   }
   return pattern;
 }
--- a/tools/calls_benchmark/pattern_player.cc
+++ b/tools/calls_benchmark/pattern_player.cc
@@ -249,14 +249,14 @@
     this->At(FromSeconds(fault.from_s), [this, index, &fault] {
       this->nodes[index].slowdown = fault.slowdown;
       this->nodes[index].refuse = fault.refuse;
-      if (fault.kill) {
+      if (fault.kill && this->nodes[index].calls) {
         this->KillNode(index);
       }
     });
     this->At(FromSeconds(fault.until_s), [this, index, &fault] {
       this->nodes[index].slowdown = 1.0;
       this->nodes[index].refuse = 0.0;
-      if (fault.kill) {
+      if (fault.kill && !this->nodes[index].calls) {
         this->StartNode(index);
       }
     });
