Use returned credit again within the same event

Cause: credit that came back while returned credit was handed out stayed until the next event. Calls that waited behind a refused one were decided one event later each, or refused after 140 ms. Change: credit is returned until none is left. Each round ends a call that waited, so that the loop ends. Result: ReturnedCreditServesAllCallsThatWait fails without the change (2 of 3 calls answered) and passes with it.

--- a/libs/node/src/register_node.cc
+++ b/libs/node/src/register_node.cc
@@ -621,8 +621,11 @@
     modules.UpdateCalls();
   }
   modules.UpdateLimits();
-  for (const quota::CallNotRun& unused : std::exchange(modules.unused_credit, {})) {
-    modules.DispatchToQuota(unused);
+  // A call that is admitted with returned credit may return it again.
+  while (!modules.unused_credit.empty()) {
+    for (const quota::CallNotRun& unused : std::exchange(modules.unused_credit, {})) {
+      modules.DispatchToQuota(unused);
+    }
   }
   modules.CloseCallerIntakeIfDue();
   modules.CheckInvariants();
--- a/libs/node/tests/register_traffic_test.cc
+++ b/libs/node/tests/register_traffic_test.cc
@@ -321,4 +321,32 @@
   CHECK_FALSE(accepts());
 }
 
+// Guards against calls that wait although the calls before them returned their credit: each of them
+// is refused as soon as it is known that no gate can run it.
+TEST(RegisterTraffic, ReturnedCreditServesAllCallsThatWait) {
+  this->Start(false, true);
+  this->AddPeer();
+  membership::Member gone = *this->node->Members().Find(kPeer);
+  this->Configure(3, {{"w1", {"k1"}, {}, 10.0, 10.0}});
+  gone.state = membership::MemberState::kDraining;
+  this->HandleEvent(directory::StreamReadSucceeded{Stream::kMembers, 2, nullptr, {gone}, {}});
+  for (int i = 0; i < 3; ++i) {
+    this->SendCall("k1");
+  }
+  this->AdvanceTime(Milliseconds(2));
+  quota::CreditGrant grant;
+  for (const SendMessage& sent : this->TakeEffects<SendMessage>()) {
+    const auto* const message = std::get_if<quota::Message>(&sent.message);
+    if (message != nullptr && std::holds_alternative<quota::CreditRequest>(*message)) {
+      const auto& request = std::get<quota::CreditRequest>(*message);
+      grant.request = request.sent;
+    }
+  }
+  grant.sent = {9, this->now};
+  grant.member_count = 2;
+  grant.grants = {{"w1", 1, 0, 0}};
+  this->HandleEvent(MessageReceived{kPeer, quota::Message(grant)});
+  LONGS_EQUAL(3, this->TakeEffects<calls::AnswerCaller>().size());
+}
+
 }  // namespace amaranthlatch::node
