Lose the node at each step of a rollout's protocol in a test

Cause: the tests lost the coordinator in each phase and at random times, but not at each read and write of the register. Change: the simulated register reports each operation; the node is killed or paused at each of the first five reads, two claims or refreshes and the verdict, whose record may be stored or not, with good and bad versions (64 losses).

--- a/libs/rollout/tests/failures_test.cc
+++ b/libs/rollout/tests/failures_test.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "rollout_mesh.h"
 
@@ -68,6 +69,47 @@
   }
 }
 
+// Guards against two verdicts, a verdict that is lost, or a bad version that goes on, when the node
+// that reads or writes the register is lost at that step: before its claim, between claim and
+// directives, at a confirmation or refresh, or at the verdict, which may be stored or not.
+TEST(RolloutFailures, NodeIsLostAtEachStepOfTheProtocol) {
+  enum class Step : std::uint8_t { kRead, kWrite, kVerdict };
+  std::size_t losses = 0;
+  for (const auto& [step, last] :
+       {std::pair{Step::kRead, 5}, {Step::kWrite, 2}, {Step::kVerdict, 1}}) {
+    for (int variant = 0; variant < 8 * last; ++variant) {
+      const Loss loss = variant % 2 == 0 ? Loss::kKilled : Loss::kPaused;
+      const bool is_good = variant / 2 % 2 == 0;
+      const bool is_stored = variant / 4 % 2 == 0;
+      int left = 1 + variant / 8;
+      Mesh mesh(Lasting(Seconds(30)));
+      mesh.setup.bad_version.failure_share = is_good ? 0.0 : 0.5;
+      mesh.on_status = [&, step = step](std::size_t node, const StatusRecord* written) {
+        const bool is_verdict = written != nullptr && written->state != State::kRunning;
+        const bool is_step = step == Step::kRead    ? written == nullptr
+                             : step == Step::kWrite ? written != nullptr && !is_verdict
+                                                    : is_verdict;
+        if (!is_step || --left != 0) {
+          return true;
+        }
+        ++losses;
+        if (loss == Loss::kKilled) {
+          mesh.KillNode(node);
+        } else {
+          mesh.Pause(node, Seconds(4));
+        }
+        return is_stored;
+      };
+      mesh.Finish();
+      const std::string text =
+          "step " + std::to_string(static_cast<int>(step)) + " variant " + std::to_string(variant);
+      Expect(is_good ? mesh.CheckGood() : mesh.CheckBad(), text);
+      CHECK_TRUE_TEXT(left <= 0, text.c_str());
+    }
+  }
+  CHECK_EQUAL(64U, losses);
+}
+
 // Guards against a canary without a claim, a rollout that stands still while the register is away,
 // a stop that waits for it, and a claim or verdict that is written twice because an answer was
 // lost.
--- a/libs/rollout/tests/rollout_mesh.cc
+++ b/libs/rollout/tests/rollout_mesh.cc
@@ -273,7 +273,8 @@
   // Another service writes to the stream from time to time.
   this->status.end += this->random.Bernoulli(0.05) ? 1 : 0;
   this->At(this->random.Jitter(Milliseconds(40)), [this, index] {
-    if (!this->status.available || !this->nodes[index].reaches_register) {
+    if (!this->status.available || !this->nodes[index].reaches_register ||
+        !this->on_status(index, nullptr)) {
       this->DeliverLater(index, Milliseconds(100), StatusReadFailed{kService});
       return;
     }
@@ -288,7 +289,8 @@
 void Mesh::Write(std::size_t index, const WriteStatus& write) {
   this->At(this->random.Jitter(Milliseconds(40)), [this, index, write] {
     StatusWritten result{kService, WriteOutcome::kUnknown, this->status.end};
-    const bool is_reached = this->status.available && this->nodes[index].reaches_register;
+    const bool is_reached = this->status.available && this->nodes[index].reaches_register &&
+                            this->on_status(index, &write.record);
     if (is_reached && write.expected_end != this->status.end) {
       result.outcome = WriteOutcome::kConflict;
     } else if (is_reached) {
--- a/libs/rollout/tests/rollout_mesh.h
+++ b/libs/rollout/tests/rollout_mesh.h
@@ -157,6 +157,10 @@
   std::vector<Node> nodes;
   Network network;
   Register status;
+  // Called when a read (without a record) or a write of a node reaches the register. Returns
+  // whether it takes effect there.
+  std::function<bool(std::size_t node, const StatusRecord* written)> on_status =
+      [](std::size_t, const StatusRecord*) { return true; };
   std::vector<Order> orders;
   utils::Timestamp ordered_at{};
   // By version, since the start.
