Test that a lowered limit voids the credit received from other holders

Cause: with the guard in Bucket::SetLimit taken out, quota_test passed (trial on a copy). Change: a bucket with received credit gets a lower limit and holds at most its share of that. Result: passes.

--- a/libs/quota/tests/component_test.cc
+++ b/libs/quota/tests/component_test.cc
@@ -310,6 +310,11 @@
   claims.Advance(now, 2);
   bucket.Refill(claims, now);
   DOUBLES_EQUAL(capacity, bucket.Available(), 1e-9);
+  // What was received under a higher limit is void.
+  bucket.Receive(capacity, now + Milliseconds(100));
+  const Limit lower{100.0, 10.0};
+  bucket.SetLimit(lower, claims);
+  DOUBLES_EQUAL(details::MaxCredit(lower, options) / 2.0, bucket.Available(), 1e-9);
 }
 
 // Guards against credit of transfers that come late, twice, from another holder, or for another
