Report the end of a run to the rollout reducer after the event again

Cause: the order was changed so that a run that ends makes no room for another one. Change: the order is as it was; the bound of the runs by the allowance stays.

--- a/libs/node/src/register_node.cc
+++ b/libs/node/src/register_node.cc
@@ -70,7 +70,6 @@
   // Queues an event for the rollout reducer, if there is one.
   void ToRollout(rollout::Event event);
   void DispatchToRollout();
-  void EndRun(const rollout::RunEnded& ended);
   // Ends a lease that expired in a pause of the process before its wake-up is handled.
   void EndExpiredLease();
   // Announces the backend server, or withdraws it, as the rollout allows.
@@ -341,24 +340,15 @@
 }
 
 void RegisterNode::Impl::Handle(const calls::BackendServerAnswered& event) {
-  this->EndRun(details::ToRunEnded(event));
+  this->ToRollout(details::ToRunEnded(event));
   this->DispatchToCalls(event);
 }
 
 void RegisterNode::Impl::Handle(const calls::BackendServerFailed& event) {
-  this->EndRun(details::ToRunEnded(event));
+  this->ToRollout(details::ToRunEnded(event));
   this->DispatchToCalls(event);
 }
 
-void RegisterNode::Impl::EndRun(const rollout::RunEnded& ended) {
-  if (this->rollout) {
-    // Before the calls reducer, which may start another run in place of this one.
-    this->ToRollout(ended);
-    this->DispatchToRollout();
-    this->UpdateCalls();
-  }
-}
-
 void RegisterNode::Impl::ToRollout(rollout::Event event) {
   if (this->rollout) {
     this->rollout_events.push_back(std::move(event));
