--- a/libs/node/tests/register_node_test.cc
+++ b/libs/node/tests/register_node_test.cc
@@ -1,14 +1,12 @@
 // Tests of a node in register mode. The test acts as the register, transport and backend server.
 
-#include "amaranthlatch/node/register_node.h"
-
-#include <CppUTest/TestHarness.h>
-
 #include <optional>
 #include <utility>
 #include <variant>
 #include <vector>
 
+#include "register_node_fixture.h"
+
 namespace amaranthlatch::node {
 
 using calls::ResultKind;
@@ -59,79 +57,47 @@
 
 }  // namespace
 
-TEST_GROUP(RegisterNode) {
-  std::unique_ptr<RegisterNode> node = *RegisterNode::Create(MakeOptions());
-  utils::Timestamp now{Seconds(50)};
-  std::vector<RegisterEffect> effects;
-  std::uint64_t last_call = 0;
-
-  void HandleEvent(const RegisterEvent& event) {
-    for (RegisterEffect& effect : this->node->Reduce(event, this->now)) {
-      CHECK_FALSE(std::holds_alternative<InvariantViolated>(effect));
-      this->effects.push_back(std::move(effect));
-    }
-  }
-  void AdvanceTime(utils::Duration time) {
-    const utils::Timestamp end = this->now + time;
-    while (this->node->NextWake() && *this->node->NextWake() <= end) {
-      this->now = std::max(this->now, *this->node->NextWake());
-      this->HandleEvent(WakeUp{});
-    }
-    this->now = end;
-  }
-  template <typename T>
-  std::vector<T> TakeEffects() {
-    std::vector<T> found;
-    std::erase_if(this->effects, [&found](const RegisterEffect& effect) {
-      if (const T* value = std::get_if<T>(&effect)) {
-        found.push_back(*value);
-        return true;
-      }
-      return false;
-    });
-    return found;
-  }
-  void Configure(document::Version version,
-                 const std::optional<std::vector<std::string>>& keys = {}) {
-    this->HandleEvent(WakeUp{});
-    this->HandleEvent(directory::StreamReadSucceeded{Stream::kMembers, 0, nullptr, {}, {}});
-    this->HandleEvent(directory::StreamReadSucceeded{
-        Stream::kConfiguration, version, MakeConfiguration(version, keys), {}, {}});
-  }
-  void AddPeer() {
-    membership::Member peer;
-    peer.id = "10.0.0.2:1";
-    peer.region = "north";
-    peer.zone = "ondangwa";
-    peer.service = "fleet";
-    peer.slots = 4;
-    peer.incarnation = 1;
-    peer.boot_id = 9;
-    peer.state = membership::MemberState::kReady;
-    this->HandleEvent(directory::StreamReadSucceeded{Stream::kMembers, 1, nullptr, {peer}, {}});
-  }
-  void SendCallWithKey(const std::string& key) {
-    calls::CallReceived call;
-    call.call = ++this->last_call;
-    call.request = {"POST", "/x", "fleet.example", {}, "body"};
-    call.credentials = {{"credential", key}};
-    call.key = key;
-    this->HandleEvent(call);
-  }
-  // The request sent last, as a gate gets it.
-  calls::CallRequest LastRequest() {
-    const SendMessage sent = this->TakeEffects<SendMessage>().back();
-    return std::get<calls::CallRequest>(std::get<calls::Message>(sent.message));
-  }
-  void SendCall() {
-    calls::HttpRequest request{"POST", "/x", "fleet.example", {}, "body"};
-    this->HandleEvent(calls::CallReceived{++this->last_call, request, Seconds(1), {}});
-  }
-  std::optional<calls::Answer> Answer() {
-    const auto answers = this->TakeEffects<calls::AnswerCaller>();
-    return answers.empty() ? std::nullopt : std::optional(answers.back().answer);
-  }
-};
+TEST_GROUP_BASE(RegisterNode, RegisterNodeFixture){
+    void setup() override{this->node = *RegisterNode::Create(MakeOptions());
+}  // namespace amaranthlatch::node
+void Configure(document::Version version,
+               const std::optional<std::vector<std::string>>& keys = {}) {
+  this->HandleEvent(WakeUp{});
+  this->HandleEvent(directory::StreamReadSucceeded{Stream::kMembers, 0, nullptr, {}, {}});
+  this->HandleEvent(directory::StreamReadSucceeded{
+      Stream::kConfiguration, version, MakeConfiguration(version, keys), {}, {}});
+}
+void AddPeer() {
+  membership::Member peer;
+  peer.id = "10.0.0.2:1";
+  peer.region = "north";
+  peer.zone = "ondangwa";
+  peer.service = "fleet";
+  peer.slots = 4;
+  peer.incarnation = 1;
+  peer.boot_id = 9;
+  peer.state = membership::MemberState::kReady;
+  this->HandleEvent(directory::StreamReadSucceeded{Stream::kMembers, 1, nullptr, {peer}, {}});
+}
+void SendCallWithKey(const std::string& key) {
+  calls::CallReceived call;
+  call.call = ++this->last_call;
+  call.request = {"POST", "/x", "fleet.example", {}, "body"};
+  call.credentials = {{"credential", key}};
+  call.key = key;
+  this->HandleEvent(call);
+}
+// The request sent last, as a gate gets it.
+calls::CallRequest LastRequest() {
+  const SendMessage sent = this->TakeEffects<SendMessage>().back();
+  return std::get<calls::CallRequest>(std::get<calls::Message>(sent.message));
+}
+void SendCall() {
+  calls::HttpRequest request{"POST", "/x", "fleet.example", {}, "body"};
+  this->HandleEvent(calls::CallReceived{++this->last_call, request, Seconds(1), {}});
+}
+}
+;
 
 // Guards against a node that keeps an old configuration although calls carry a newer version.
 TEST(RegisterNode, CallWithNewerVersionReplacesLostRead) {
--- a/libs/node/tests/register_traffic_test.cc
+++ b/libs/node/tests/register_traffic_test.cc
@@ -9,7 +9,7 @@
 #include <variant>
 #include <vector>
 
-#include "amaranthlatch/node/register_node.h"
+#include "register_node_fixture.h"
 
 namespace amaranthlatch::node {
 
@@ -74,11 +74,7 @@
 
 }  // namespace
 
-TEST_GROUP(RegisterTraffic) {
-  std::unique_ptr<RegisterNode> node;
-  utils::Timestamp now{Seconds(50)};
-  std::vector<RegisterEffect> effects;
-  std::uint64_t last_call = 0;
+TEST_GROUP_BASE(RegisterTraffic, RegisterNodeFixture) {
   std::uint64_t last_directive = 0;
 
   void Start(bool has_rollouts, bool has_quotas) {
@@ -86,32 +82,6 @@
     this->HandleEvent(WakeUp{});
     this->HandleEvent(directory::StreamReadSucceeded{Stream::kMembers, 0, nullptr, {}, {}});
   }
-  void HandleEvent(const RegisterEvent& event) {
-    for (RegisterEffect& effect : this->node->Reduce(event, this->now)) {
-      CHECK_FALSE(std::holds_alternative<InvariantViolated>(effect));
-      this->effects.push_back(std::move(effect));
-    }
-  }
-  void AdvanceTime(utils::Duration time) {
-    const utils::Timestamp end = this->now + time;
-    while (this->node->NextWake() && *this->node->NextWake() <= end) {
-      this->now = std::max(this->now, *this->node->NextWake());
-      this->HandleEvent(WakeUp{});
-    }
-    this->now = end;
-  }
-  template <typename T>
-  std::vector<T> TakeEffects() {
-    std::vector<T> found;
-    std::erase_if(this->effects, [&found](const RegisterEffect& effect) {
-      if (const T* value = std::get_if<T>(&effect)) {
-        found.push_back(*value);
-        return true;
-      }
-      return false;
-    });
-    return found;
-  }
   void Configure(document::Version version, std::vector<directory::Workspace> workspaces,
                  std::vector<directory::RolloutOrder> orders = {}) {
     this->HandleEvent(
@@ -185,26 +155,14 @@
   void AdvanceWithoutCredit(utils::Duration time) {
     const utils::Timestamp end = this->now + time;
     while (this->now < end) {
-      for (const SendMessage& sent : this->TakeEffects<SendMessage>()) {
-        const auto* const message = std::get_if<quota::Message>(&sent.message);
-        if (message != nullptr && std::holds_alternative<quota::CreditRequest>(*message)) {
-          const quota::Stamp stamp{9, this->now};
-          this->HandleEvent(MessageReceived{
-              kPeer, quota::Message(quota::CreditGrant{
-                         std::get<quota::CreditRequest>(*message).sent, 0, stamp, 2, {}})});
-        }
+      for (const auto& request : this->TakeSent<quota::Message, quota::CreditRequest>()) {
+        const quota::CreditGrant grant{request.sent, 0, {9, this->now}, 2, {}};
+        this->HandleEvent(MessageReceived{kPeer, quota::Message(grant)});
       }
       this->AdvanceTime(std::min<utils::Duration>(Milliseconds(10), end - this->now));
     }
   }
-  std::size_t SentCalls() {
-    std::size_t count = 0;
-    for (const SendMessage& sent : this->TakeEffects<SendMessage>()) {
-      const auto* const message = std::get_if<calls::Message>(&sent.message);
-      count += message != nullptr && std::holds_alternative<calls::CallRequest>(*message) ? 1 : 0;
-    }
-    return count;
-  }
+  std::size_t SentCalls() { return this->TakeSent<calls::Message, calls::CallRequest>().size(); }
   std::size_t Runs() { return this->TakeEffects<calls::RunOnBackendServer>().size(); }
   void SendCall(const std::string& key, std::optional<utils::Duration> remaining = {}) {
     calls::CallReceived call;
@@ -214,10 +172,6 @@
     call.remaining = remaining;
     this->HandleEvent(call);
   }
-  std::optional<calls::Answer> Answer() {
-    const auto answers = this->TakeEffects<calls::AnswerCaller>();
-    return answers.empty() ? std::nullopt : std::optional(answers.back().answer);
-  }
 };
 
 // Guards against a run that is started after a pause of the process, because the call arrives
@@ -303,14 +257,7 @@
   const auto accepts = [this] {
     this->TakeEffects<SendMessage>();
     this->AdvanceTime(Milliseconds(600));
-    bool accepting = false;
-    for (const SendMessage& sent : this->TakeEffects<SendMessage>()) {
-      const auto* const message = std::get_if<rollout::Message>(&sent.message);
-      if (message != nullptr && std::holds_alternative<rollout::Report>(*message)) {
-        accepting = std::get<rollout::Report>(*message).accepting;
-      }
-    }
-    return accepting;
+    return this->TakeSent<rollout::Message, rollout::Report>().back().accepting;
   };
   CHECK_TRUE(accepts());
   this->HandleEvent(DrainRequested{});
@@ -331,17 +278,8 @@
     this->SendCall("k1");
   }
   this->AdvanceTime(Milliseconds(2));
-  quota::CreditGrant grant;
-  for (const SendMessage& sent : this->TakeEffects<SendMessage>()) {
-    const auto* const message = std::get_if<quota::Message>(&sent.message);
-    if (message != nullptr && std::holds_alternative<quota::CreditRequest>(*message)) {
-      const auto& request = std::get<quota::CreditRequest>(*message);
-      grant.request = request.sent;
-    }
-  }
-  grant.sent = {9, this->now};
-  grant.member_count = 2;
-  grant.grants = {{"w1", 1, 0, 0}};
+  const auto request = this->TakeSent<quota::Message, quota::CreditRequest>().back();
+  const quota::CreditGrant grant{request.sent, 0, {9, this->now}, 2, {{"w1", 1, 0, 0}}};
   this->HandleEvent(MessageReceived{kPeer, quota::Message(grant)});
   LONGS_EQUAL(3, this->TakeEffects<calls::AnswerCaller>().size());
 }
