--- a/libs/node/src/call_admission.h
+++ b/libs/node/src/call_admission.h
@@ -59,6 +59,7 @@
 
   // Tells the quota reducer the limits of the configuration in force.
   Outputs UpdateLimits(const Context& context);
+  bool HasUnusedCredit() const { return !this->unused_credit.empty(); }
   // Returns the credit of calls that have ended without having run.
   Outputs ReturnCredit(const Context& context);
 
--- a/libs/node/src/register_modules.cc
+++ b/libs/node/src/register_modules.cc
@@ -42,7 +42,10 @@
     this->UpdateCalls();
   }
   this->HandleOutputs(this->admission.UpdateLimits(this->AdmissionContext()));
-  this->HandleOutputs(this->admission.ReturnCredit(this->AdmissionContext()));
+  // A call that is admitted with returned credit may return it again.
+  while (this->admission.HasUnusedCredit()) {
+    this->HandleOutputs(this->admission.ReturnCredit(this->AdmissionContext()));
+  }
   this->CloseCallerIntakeIfDue();
   this->CheckInvariants();
   return std::exchange(this->effects, {});
@@ -173,24 +176,15 @@
 }
 
 void RegisterModules::Handle(const calls::BackendServerAnswered& event) {
-  this->EndRun(details::ToRunEnded(event));
+  this->participant.Queue(details::ToRunEnded(event));
   this->DispatchToCalls(event);
 }
 
 void RegisterModules::Handle(const calls::BackendServerFailed& event) {
-  this->EndRun(details::ToRunEnded(event));
+  this->participant.Queue(details::ToRunEnded(event));
   this->DispatchToCalls(event);
 }
 
-void RegisterModules::EndRun(const rollout::RunEnded& ended) {
-  if (this->participant.GetRollout() != nullptr) {
-    // Before the calls reducer, which may start another run in place of this one.
-    this->participant.Queue(ended);
-    this->DispatchToRollout();
-    this->UpdateCalls();
-  }
-}
-
 void RegisterModules::DispatchToRollout() {
   while (this->participant.HasQueued()) {
     for (rollout::Effect& effect :
