Count the target latency of each request from its arrival again

Cause: with the time that a caller lacks taken off its target, a repeated request found no queue. Change: CallerDeadlines is removed.

--- a/libs/calls/src/entry.cc
+++ b/libs/calls/src/entry.cc
@@ -72,7 +72,7 @@
       codec(shared.options.permit_key),
       budget(shared.options.entry) {}
 
-OpenCall Entry::MakeCall(const Context& context, const CallReceived& received) {
+OpenCall Entry::MakeCall(const Context& context, const CallReceived& received) const {
   OpenCall call;
   call.call = received.call;
   call.request = received.request;
@@ -101,11 +101,7 @@
     // may wait until its deadline.
     if (call.match->route->target_latency.count() > 0 &&
         PriorityOf(call) != document::Priority::kInternal) {
-      // The target counts from the caller's first request.
-      const Duration age = received.remaining ? this->caller_deadlines.RecordAge(
-                                                    RouteKeyOf(call), *received.remaining)
-                                              : Duration{};
-      call.latency_deadline = context.now + call.match->route->target_latency - age;
+      call.latency_deadline = context.now + call.match->route->target_latency;
     }
   }
   if (received.remaining) {
--- a/libs/calls/src/entry.h
+++ b/libs/calls/src/entry.h
@@ -12,7 +12,6 @@
 #include <vector>
 
 #include "balancer.h"
-#include "caller_deadlines.h"
 #include "context.h"
 #include "permit_codec.h"
 #include "retry_budget.h"
@@ -125,7 +124,7 @@
  private:
   // Returns kOk, or the reason why the call is refused.
   utils::ErrorCode CheckAdmission(const CallReceived& received, const OpenCall& call) const;
-  OpenCall MakeCall(const Context& context, const CallReceived& received);
+  OpenCall MakeCall(const Context& context, const CallReceived& received) const;
 
   // Returns the gate for the next attempt; null if there is none.
   const membership::Member* ChooseGate(const Context& context, OpenCall& call);
@@ -182,7 +181,6 @@
   SharedState& shared;
   Balancer& balancer;
   PermitCodec codec;
-  CallerDeadlines caller_deadlines;
   RetryBudget budget;
   bool open = false;
   bool draining = false;
