--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -30,7 +30,7 @@
 # Builds libs/<name>/src/*.cc and src/*/*.cc into the target amaranthlatch_<name>, and
 # libs/<name>/tests/*_test.cc into one CppUTest program that CTest runs.
 function(amaranthlatch_library name)
-  cmake_parse_arguments(ARG "" "" "DEPENDS;TEST_DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "" "" "DEPENDS;TEST_DEPENDS;TEST_ARGUMENTS" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS src/*.cc src/*/*.cc)
   add_library(amaranthlatch_${name} STATIC ${sources})
   target_include_directories(amaranthlatch_${name} PUBLIC include PRIVATE src)
@@ -39,7 +39,7 @@
   file(GLOB test_sources CONFIGURE_DEPENDS tests/*.cc)
   if(test_sources AND AMARANTHLATCH_TESTS)
     amaranthlatch_test(${name}_test SOURCES ${test_sources} DEPENDS amaranthlatch_${name}
-                       ${ARG_TEST_DEPENDS})
+                       ${ARG_TEST_DEPENDS} ARGUMENTS ${ARG_TEST_ARGUMENTS})
     target_include_directories(${name}_test PRIVATE src tests ${CMAKE_SOURCE_DIR}/cmake)
   endif()
 endfunction()
