Choose servers of a zone by their expected completion

Cause: the cost of a candidate left out how fast its server is. One of half the speed, or one that had become five times slower, got as many calls as a fast one as long as it had a free slot.

Change: a gate learns how fast its server is (one factor over all routes, ten calls of memory, a jump after three outliers in a row) and reports the time of the route in CallReply (1 to 5 bytes). The entry takes its ratio to the mean of the service; the ratio loses its weight within 8 s, so that a slow server is tried again. Within a distance group candidates are ranked and drawn by wait and service time; ratios within 1.25 count as equal, and faster ones are only drawn more often. Between groups speed does not count, except that a slow server whose answer would miss the target counts as late.

--- a/libs/calls/include/amaranthlatch/calls/balance_policy.h
+++ b/libs/calls/include/amaranthlatch/calls/balance_policy.h
@@ -22,6 +22,10 @@
   return distance <= Distance::kZone ? 0 : static_cast<std::size_t>(distance) - 1;
 }
 
+// Ratio to the mean time up to which the speed of a server counts as average. The ratios of equal
+// servers vary by a tenth, and calls must not leave the own instance for that.
+inline constexpr double kSpeedTolerance = 1.25;
+
 // A backend server with the state that this node has observed or received about it.
 struct Candidate {
   const membership::Member* member = nullptr;
@@ -31,6 +35,8 @@
   // Moving average of the time at the backend server alone, for calls of the same route, in
   // microseconds; 0 if it is not known.
   double service_time_us = 0.0;
+  // Time of its calls relative to the mean of the service; 1 if it is not known.
+  double speed_factor = 1.0;
   // Number of recent refusals and failures, with exponential decay.
   double failure_score = 0.0;
   // Whether the last of them was an attempt that did not reach the gate.
@@ -63,6 +69,8 @@
   double kilobytes = 0.0;
   // Weight of the costs per kilobyte, in (0, 1].
   double byte_weight = 1.0;
+  // Mean time of such calls at the servers of the service, in microseconds; 0 if it is not known.
+  double service_time_us = 0.0;
   // Time in which the answer is due.
   utils::Duration budget = utils::Duration::max();
 };
--- a/libs/calls/include/amaranthlatch/calls/candidate_ranking.h
+++ b/libs/calls/include/amaranthlatch/calls/candidate_ranking.h
@@ -1,4 +1,7 @@
 // The best few candidates of each distance group.
+//
+// Within a group the expected completion decides. Between groups the speed of servers does not
+// count: slow servers are no reason to leave the zone.
 
 #pragma once
 
@@ -21,6 +24,8 @@
   // Its parts for crossing and for failures.
   double crossing_us = 0.0;
   double failure_us = 0.0;
+  // Time by which the server is slower than the mean of the service; negative if it is faster.
+  double speed_us = 0.0;
   // Time that each further call adds to the wait.
   double step_us = 0.0;
   bool is_own_instance = false;
@@ -38,8 +43,8 @@
   void Add(std::size_t group, const RankedCandidate& candidate);
 
   bool IsEmpty(std::size_t group) const { return this->groups.at(group).count == 0; }
-  // The first of a group that is not empty.
-  const RankedCandidate& Best(std::size_t group) const { return this->groups.at(group).best[0]; }
+  // The candidate of lowest cost of a group that is not empty.
+  const RankedCandidate& Best(std::size_t group) const { return this->groups.at(group).lowest; }
   // The group with the best candidate of all; there must be one.
   std::size_t BestGroup() const;
   // Whether the best candidate of the left group is better; neither may be empty.
@@ -57,6 +62,7 @@
   struct Group {
     std::size_t count = 0;
     std::array<RankedCandidate, kKept> best{};
+    RankedCandidate lowest;
   };
 
   std::array<Group, kDistanceGroups> groups{};
--- a/libs/calls/include/amaranthlatch/calls/message.h
+++ b/libs/calls/include/amaranthlatch/calls/message.h
@@ -87,6 +87,9 @@
   // Number of queued calls that precede a further call of this priority and workspace. Unset if the
   // gate does not tell workspaces apart there.
   std::optional<std::uint32_t> workspace_ahead = std::nullopt;
+  // Time in microseconds that calls of this route now take at the backend server; 0 if the gate
+  // does not know it.
+  std::uint32_t run_time_us = 0;
   bool operator==(const CallReply&) const = default;
 };
 
--- a/libs/calls/src/balance_policy.cc
+++ b/libs/calls/src/balance_policy.cc
@@ -23,6 +23,20 @@
 
 constexpr std::size_t kDistances = 4;
 
+// Without a jump at the tolerance, where servers of nearly the same speed would change places.
+double BeyondTolerance(double factor) {
+  return factor > kSpeedTolerance         ? factor / kSpeedTolerance
+         : factor * kSpeedTolerance < 1.0 ? factor * kSpeedTolerance
+                                          : 1.0;
+}
+
+// Whether a server is so much slower than others that it would answer late, even at once.
+bool IsTooSlow(const Candidate& candidate, double wait_us, const CallProfile& profile) {
+  const auto budget_us = static_cast<double>(profile.budget.count());
+  return candidate.speed_factor > kSpeedTolerance && profile.service_time_us <= budget_us &&
+         wait_us + profile.service_time_us * candidate.speed_factor > budget_us;
+}
+
 double RelativeCost(const Candidate& candidate) {
   const double latency = candidate.latency_us > 0.0 ? candidate.latency_us : kDefaultLatencyUs;
   const double load = std::max(candidate.in_flight, candidate.reported_load) + 1.0;
@@ -129,9 +143,12 @@
     ranked.failure_us = candidate.failure_score * failure_cost_us;
     ranked.cost_us = static_cast<double>(wait.count()) + ranked.crossing_us + ranked.failure_us;
     ranked.step_us =
-        candidate.service_time_us / std::max<std::uint32_t>(1, candidate.member->slots);
+        (profile.service_time_us > 0.0 ? profile.service_time_us : candidate.service_time_us) /
+        std::max<std::uint32_t>(1, candidate.member->slots);
     ranked.is_own_instance = candidate.distance == Distance::kInstance;
-    ranked.is_late = IsLate(candidate, wait, profile.budget);
+    ranked.speed_us = profile.service_time_us * (BeyondTolerance(candidate.speed_factor) - 1.0);
+    ranked.is_late = IsLate(candidate, wait, profile.budget) ||
+                     IsTooSlow(candidate, static_cast<double>(wait.count()), profile);
     ranked.is_unreachable = candidate.is_unreachable;
     ranked.has_free_slot = candidate.calls_ahead < candidate.member->slots;
     ranked.has_report = candidate.has_report;
--- a/libs/calls/src/balancer.cc
+++ b/libs/calls/src/balancer.cc
@@ -22,6 +22,9 @@
 // Recent failures above which a gate that was not reached counts as absent. One alone may be a
 // message that was lost.
 constexpr double kUnreachableFailureScore = 1.0;
+// Age at which a report on the speed of a server has lost its weight. A server five times slower
+// than others is tried again after three quarters of it.
+constexpr utils::Duration kSpeedMemory = utils::Seconds(8);
 constexpr double kPercent = 100.0;
 constexpr double kBytesPerKilobyte = 1'000.0;
 // Target latency from which on bytes weigh in full, and the least weights.
@@ -81,6 +84,17 @@
   return std::exp2(-static_cast<double>(age.count()) / static_cast<double>(half_life.count()));
 }
 
+// The factor returns to the average with its age, so that a server which was slow is tried again. A
+// square in place of an exponential keeps the choice among 300 candidates cheap.
+double SpeedFactorAt(double factor, utils::Duration age) {
+  if (age >= kSpeedMemory) {
+    return 1.0;
+  }
+  const double left = 1.0 - static_cast<double>(age.count()) / kSpeedMemory.count();
+  const double now = 1.0 + (factor - 1.0) * left * left;
+  return now < kSpeedTolerance && now * kSpeedTolerance > 1.0 ? 1.0 : now;
+}
+
 double Utilization(const std::vector<Candidate>& level) {
   double used = 0.0;
   double slots = 0.0;
@@ -194,10 +208,11 @@
   // Policies that account for distance expect all levels in one.
   const std::vector<Candidate>& candidates = this->levels[0];
   CallProfile profile;
-  profile.kilobytes = (static_cast<double>(demand.request_bytes) +
-                       this->FindAverages(service, demand.route).answer_bytes) /
-                      kBytesPerKilobyte;
+  const RouteAveragesOfService averages = this->FindAverages(service, demand.route);
+  profile.kilobytes =
+      (static_cast<double>(demand.request_bytes) + averages.answer_bytes) / kBytesPerKilobyte;
   profile.byte_weight = ByteWeight(demand.priority, demand.target_latency);
+  profile.service_time_us = averages.service_time_us;
   profile.budget = demand.budget;
   const CandidateRanking ranking = this->policy->Rank(candidates, profile, this->shared.random);
   const CrossingDecision::Stake stake{this->home, this->LossOf(route, demand), demand.is_repeated};
@@ -302,8 +317,13 @@
   // A server that has not answered yet counts as an average one. Without this, the first calls all
   // went to servers whose time was taken for shorter than that of known ones.
   const auto service_time = peer.service_times.Find(demand.route);
-  candidate.service_time_us =
-      service_time ? static_cast<double>(service_time->count()) : averages.service_time_us;
+  if (peer.speed_factor > 0.0) {
+    candidate.speed_factor = SpeedFactorAt(peer.speed_factor, now - peer.speed_at);
+    candidate.service_time_us = averages.service_time_us * candidate.speed_factor;
+  } else {
+    candidate.service_time_us =
+        service_time ? static_cast<double>(service_time->count()) : averages.service_time_us;
+  }
   if (candidate.service_time_us == 0.0 || !this->policy->WeighsDistance()) {
     // The latency decays, so that a backend server that was slow is eventually tried again.
     candidate.latency_us = static_cast<double>(peer.latencies.Mean(demand.route).count()) *
@@ -473,6 +493,16 @@
   this->statistics.Record(service, route, time, answer_bytes);
 }
 
+void Balancer::OnRunTime(const NodeId& gate, const std::string& service, RouteKey route,
+                         std::uint32_t run_time_us, utils::Timestamp now) {
+  if (run_time_us == 0) {
+    return;
+  }
+  Peer& peer = this->GetPeer(gate);
+  peer.speed_factor = this->statistics.RecordRunTime(service, route, run_time_us);
+  peer.speed_at = now;
+}
+
 void Balancer::OnLoadReport(const NodeId& gate, const GateLoad& load, utils::Timestamp now) {
   Peer& peer = this->GetPeer(gate);
   peer.load = load;
--- a/libs/calls/src/balancer.h
+++ b/libs/calls/src/balancer.h
@@ -97,6 +97,9 @@
   // it, if it is known.
   void OnAnswer(const membership::NodeId& gate, const std::string& service, RouteKey route,
                 std::optional<utils::Duration> time, std::uint64_t answer_bytes);
+  // The gate reports that calls of the route take this long at its server; 0 if it does not know.
+  void OnRunTime(const membership::NodeId& gate, const std::string& service, RouteKey route,
+                 std::uint32_t run_time_us, utils::Timestamp now);
   void OnLoadReport(const membership::NodeId& gate, const GateLoad& load, utils::Timestamp now);
   // What the last load report says of one workspace; unset if it does not tell it apart.
   void OnWorkspaceLoad(const membership::NodeId& gate, const Demand& demand,
@@ -114,6 +117,10 @@
     ServiceTimes latencies{kLatencySmoothing};
     // Times at the backend server alone.
     ServiceTimes service_times{kLatencySmoothing};
+    // Time of its calls relative to the mean of the service, as last reported; 0 if it is not
+    // known.
+    double speed_factor = 0.0;
+    utils::Timestamp speed_at{};
     utils::Timestamp latency_at{};
     double failure_score = 0.0;
     utils::Timestamp failure_score_at{};
--- a/libs/calls/src/entry.cc
+++ b/libs/calls/src/entry.cc
@@ -293,6 +293,10 @@
   this->balancer.OnLoadReport(attempt->gate, reply.load, context.now);
   this->balancer.OnWorkspaceLoad(attempt->gate, DemandOf(*call), reply.workspace_ahead,
                                  context.now);
+  if (call->match) {
+    this->balancer.OnRunTime(attempt->gate, TargetServiceOf(*call), RouteKeyOf(*call),
+                             reply.run_time_us, context.now);
+  }
   if (answer.code == ErrorCode::kGateUnreachable) {
     this->balancer.OnProcessReplaced(attempt->gate, attempt->gate_boot_id);
   }
--- a/libs/calls/src/gate.cc
+++ b/libs/calls/src/gate.cc
@@ -356,6 +356,7 @@
   if (response.status != kStatusUnavailable) {
     this->limit.OnCompleted(context.now - run->started, run->saturated, context.now);
     this->service_times.Record(run->route, context.now - run->started);
+    this->speed.Record(run->route, context.now - run->started);
   } else if (this->limit.OnShed(context.now)) {
     ++this->shared.counters.limit_decreases;
   }
--- a/libs/calls/src/gate.h
+++ b/libs/calls/src/gate.h
@@ -19,6 +19,7 @@
 #include "permit_ledger.h"
 #include "priority_queue.h"
 #include "quarantine.h"
+#include "server_speed.h"
 #include "service_times.h"
 #include "slot_use.h"
 
@@ -53,11 +54,12 @@
   void FillGauges(Gauges& gauges) const;
 
  private:
-  // What decides the place of a call in the queue, beside its latency deadline.
+  // What decides the place of a call in the queue, beside its latency deadline, and its run time.
   struct Share {
     document::Priority priority = document::Priority::kNormal;
     std::string workspace;
     double weight = 1.0;
+    RouteKey route = 0;
   };
   struct Run {
     AttemptId id;
@@ -151,6 +153,7 @@
   PriorityQueue queue;
   ConcurrencyLimit limit;
   ServiceTimes service_times{kServiceTimeSmoothing};
+  ServerSpeed speed;
   SlotUse slot_use;
   LinkBudget link;
   Quarantine quarantine;
--- a/libs/calls/src/gate_shares.cc
+++ b/libs/calls/src/gate_shares.cc
@@ -1,5 +1,8 @@
 // Shares of the workspaces in the queue of the gate.
 
+#include <algorithm>
+#include <limits>
+
 #include "gate.h"
 
 namespace amaranthlatch::calls::details {
@@ -15,7 +18,7 @@
 }  // namespace
 
 Gate::Share Gate::ShareOf(const AdmittedCall& call) {
-  return {call.request.priority, call.request.workspace, call.weight};
+  return {call.request.priority, call.request.workspace, call.weight, call.route};
 }
 
 bool Gate::MakeRoom(const Context& context, const AdmittedCall& call, bool has_slot) {
@@ -57,6 +60,9 @@
   if (share == nullptr) {
     return;
   }
+  constexpr utils::Duration::rep kMaxReported = std::numeric_limits<std::uint32_t>::max();
+  reply.run_time_us = static_cast<std::uint32_t>(
+      std::min(this->speed.ExpectedTime(share->route).count(), kMaxReported));
   // Calls without a workspace are told apart only where workspaces have calls queued: otherwise the
   // length of the queue says the same.
   const FairQueue& queued = this->queue.ClassQueue(share->priority);
--- a/libs/calls/src/message_codec.cc
+++ b/libs/calls/src/message_codec.cc
@@ -246,7 +246,7 @@
 }
 
 std::string Encode(const CallReply& m) {
-  constexpr std::size_t kFields = kIdFields + 10 + 4 * document::kPriorityCount;
+  constexpr std::size_t kFields = kIdFields + 11 + 4 * document::kPriorityCount;
   Writer out(
       MessageType::kCallReply, kFields,
       kReservedBytes + EncodedSize(m.answer.response.headers) + m.answer.response.body.size());
@@ -270,7 +270,7 @@
   // 0 if it is unset.
   const std::uint64_t workspace_ahead =
       m.workspace_ahead ? std::uint64_t{*m.workspace_ahead} + 1 : 0;
-  return out.Text(m.redirect).Number(workspace_ahead).Take();
+  return out.Text(m.redirect).Number(workspace_ahead).Number(m.run_time_us).Take();
 }
 
 std::string Encode(const CallCancel& m) {
@@ -361,6 +361,7 @@
   if (const std::uint64_t ahead = in.Number(std::uint64_t{UINT32_MAX} + 1); ahead > 0) {
     m.workspace_ahead = static_cast<std::uint32_t>(ahead - 1);
   }
+  m.run_time_us = in.Number32();
   return m;
 }
 
--- a/libs/calls/src/service_statistics.h
+++ b/libs/calls/src/service_statistics.h
@@ -22,6 +22,8 @@
     // Times at the backend servers alone.
     ServiceTimes service_times{kSmoothing};
     RouteAverages answer_bytes{kSmoothing};
+    // Times that the gates report of their servers, in microseconds.
+    RouteAverages run_times{kSmoothing};
   };
 
   // `time` is empty if the answer does not tell it.
@@ -34,6 +36,14 @@
     averages.answer_bytes.Record(route, static_cast<double>(answer_bytes));
   }
 
+  // Adds the time that a gate reports for calls of the route; returns its ratio to the mean of the
+  // service.
+  double RecordRunTime(const std::string& service, RouteKey route, double time_us) {
+    RouteAverages& run_times = this->services[service].run_times;
+    run_times.Record(route, time_us);
+    return time_us / run_times.Find(route).value_or(time_us);
+  }
+
   // Averages of the service; null before its first answer.
   const Averages* Find(const std::string& service) const {
     const auto found = this->services.find(service);
--- a/libs/calls/tests/balancer_test.cc
+++ b/libs/calls/tests/balancer_test.cc
@@ -350,4 +350,64 @@
   STRCMP_EQUAL("far", choose(bulk, {}).c_str());
 }
 
+// Guards against slow servers that get as many calls as fast ones while those have free slots, that
+// never get another call, or that drive calls out of the zone; against all calls at the fastest
+// one; and against an own instance that is preferred although it is slow.
+TEST(Balancer, FastServersOfTheZoneComeFirst) {
+  details::Balancer balancer{this->shared,
+                             std::make_unique<ExpectedTimePolicy>(ExpectedTimePolicy::Costs{})};
+  const document::Route& route = *FindRoute(this->document, "read");
+  for (const char* id : {"fast", "usual", "other", "slow"}) {
+    this->Add(id, "r1", "z1");
+  }
+  this->Add("region", "r1", "z2");
+  const auto report = [&](const std::string& id, std::uint32_t time_ms) {
+    balancer.OnAnswer(id, "fleet", details::RouteKeyOf(route), Milliseconds(100), 100);
+    balancer.OnRunTime(id, "fleet", details::RouteKeyOf(route), time_ms * 1'000, this->now);
+    balancer.OnLoadReport(id, GateLoad{}, this->now);
+  };
+  const auto draw = [&](utils::Duration max_wait = Seconds(5)) {
+    const details::Context context{this->now, this->members, this->routes, this->effects,
+                                   this->loopback};
+    std::map<std::string, int> drawn;
+    for (int i = 0; i < 1'000; ++i) {
+      std::optional<std::size_t> target;
+      ++drawn[balancer.Choose(context, route, {}, target, max_wait)->id];
+    }
+    return drawn;
+  };
+  // The mean of the service settles at 100 ms.
+  for (int i = 0; i < 200; ++i) {
+    report(i % 2 == 0 ? "usual" : "other", 100);
+  }
+  report("region", 100);
+  report("slow", 500);
+  report("usual", 100);
+  report("fast", 50);
+  auto drawn = draw();
+  CHECK_TRUE(drawn["fast"] > drawn["usual"] && drawn["usual"] > 100 && drawn["other"] > 100);
+  CHECK_TRUE(drawn["slow"] < 20);
+  CHECK_EQUAL(0, drawn["region"]);
+  // Long queues at the others make the slow one worth its time, but no call leaves.
+  GateLoad queues{8, {}, {}, {}, {}};
+  queues.wait_ms.fill(1'000);
+  for (const char* id : {"fast", "usual", "other", "region"}) {
+    balancer.OnLoadReport(id, queues, this->now);
+  }
+  CHECK_EQUAL(1'000, draw()["slow"]);
+  // A target that the slow one does not meet lets calls leave for one that does.
+  balancer.OnLoadReport("region", GateLoad{}, this->now);
+  CHECK_EQUAL(1'000, draw(Milliseconds(300))["region"]);
+  // Without reports it is tried again after some seconds.
+  this->now += Seconds(7);
+  CHECK_TRUE(draw()["slow"] > 100);
+  // The own instance.
+  this->Add("self", "r1", "z1");
+  report("self", 100);
+  report("usual", 100);
+  CHECK_EQUAL(1'000, draw()["self"]);
+  report("self", 200);
+  CHECK_TRUE(draw()["self"] < 100);
+}
+
 }  // namespace amaranthlatch::calls::testing
--- a/libs/calls/tests/service_times_test.cc
+++ b/libs/calls/tests/service_times_test.cc
@@ -9,6 +9,7 @@
 
 #include "mesh.h"
 #include "priority_queue.h"
+#include "server_speed.h"
 
 namespace amaranthlatch::calls::testing {
 
@@ -130,4 +131,32 @@
   STRCMP_EQUAL("", mesh.FirstError().c_str());
 }
 
+// Guards against a server that became slow, or fast again, and is reported so only after many
+// calls, against single long calls that count as a change, and against routes that learn it one by
+// one.
+TEST(ServiceTimes, SpeedFollowsLargeChangesWithinAFewCalls) {
+  details::ServerSpeed speed;
+  const auto run = [&speed](int calls, details::RouteKey route, int time_ms) {
+    for (int i = 0; i < calls; ++i) {
+      speed.Record(route, Milliseconds(time_ms / 2 + time_ms * (i % 3) / 2));
+    }
+    return utils::ToMilliseconds(speed.ExpectedTime(route));
+  };
+  CHECK_EQUAL(0, utils::ToMilliseconds(speed.ExpectedTime(1)));
+  run(60, 1, 100);
+  run(60, 2, 20);
+  speed.Record(1, Milliseconds(2'000));
+  CHECK_TRUE(run(30, 1, 100) < 150);
+  const auto before = utils::ToMilliseconds(speed.ExpectedTime(2));
+  for (int i = 0; i < 3; ++i) {
+    speed.Record(1, Milliseconds(500));
+  }
+  const auto slow = utils::ToMilliseconds(speed.ExpectedTime(2));
+  CHECK_TRUE(slow >= 3 * before && slow <= 7 * before);
+  for (int i = 0; i < 4; ++i) {
+    speed.Record(2, Milliseconds(20));
+  }
+  CHECK_TRUE(utils::ToMilliseconds(speed.ExpectedTime(1)) < 200);
+}
+
 }  // namespace amaranthlatch::calls::testing
