Count by service where calls were answered and what crossing cost

Cause: an operator who sets the crossing costs could not see where the calls of a service go, how many bytes that takes, or which calls are refused for the price.

Change: counters by service: answered calls and bytes of requests and answers by place (instance, zone, region, elsewhere), and calls refused because crossing cost more than they are worth. Metrics calls_answered_at_total, calls_answered_at_bytes_total and calls_refused_crossing_total, named on the page even without samples.

--- a/libs/calls/include/amaranthlatch/calls/counters.h
+++ b/libs/calls/include/amaranthlatch/calls/counters.h
@@ -2,10 +2,31 @@
 
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
+#include <map>
+#include <string>
 
 namespace amaranthlatch::calls {
 
+// Number of places that calls are told apart by; see ServiceCounters.
+inline constexpr std::size_t kPlaces = 4;
+
+// Calls of one service that this entry node has sent.
+struct ServiceCounters {
+  // Answered calls by place of the server: this instance, elsewhere in its zone, elsewhere in its
+  // region, another region.
+  std::array<std::uint64_t, kPlaces> answered{};
+  // Bytes of their requests and answers.
+  std::array<std::uint64_t, kPlaces> bytes{};
+  // Calls refused although a farther server had time for them: crossing cost more than the call is
+  // worth.
+  std::uint64_t refused_crossing = 0;
+
+  bool operator==(const ServiceCounters&) const = default;
+};
+
 struct Counters {
   // Entry side.
   std::uint64_t calls = 0;
@@ -22,6 +43,8 @@
   std::uint64_t fences_unanswered = 0;
   std::uint64_t ignored_replies = 0;
   std::uint64_t permits_asked = 0;
+  // Bounded by the services that calls are routed to.
+  std::map<std::string, ServiceCounters> services;
 
   // Gate side.
   std::uint64_t admitted = 0;
--- a/libs/calls/src/balancer.cc
+++ b/libs/calls/src/balancer.cc
@@ -135,6 +135,9 @@
       return member;
     }
   }
+  if (this->crossing_too_expensive) {
+    ++this->shared.counters.services[route.split[*target].service].refused_crossing;
+  }
   return nullptr;
 }
 
@@ -493,6 +496,18 @@
   this->statistics.Record(service, route, time, answer_bytes);
 }
 
+void Balancer::CountAnswer(const Context& context, const NodeId& gate, const std::string& service,
+                           std::uint64_t bytes) {
+  const Member* const member = context.members.Find(gate);
+  if (member == nullptr) {
+    return;
+  }
+  const auto place = static_cast<std::size_t>(DistanceOf(context.members.Self(), *member));
+  ServiceCounters& counters = this->shared.counters.services[service];
+  ++counters.answered.at(place);
+  counters.bytes.at(place) += bytes;
+}
+
 void Balancer::OnRunTime(const NodeId& gate, const std::string& service, RouteKey route,
                          std::uint32_t run_time_us, utils::Timestamp now) {
   if (run_time_us == 0) {
--- a/libs/calls/src/balancer.h
+++ b/libs/calls/src/balancer.h
@@ -71,9 +71,6 @@
                                    std::optional<std::size_t>& target);
   // Whether the last Choose() rejected a member because of `max_wait`.
   bool WasOverloaded() const { return this->overloaded; }
-  // Whether it did so although a farther member would have answered in time: crossing costs more
-  // than the call is worth.
-  bool WasCrossingTooExpensive() const { return this->crossing_too_expensive; }
   // Expected wait at the best member that the last Choose() found, rejected or not.
   utils::Duration LastExpectedWait() const { return this->expected_wait; }
   // Expected wait of a call of the route at this gate; zero if it is not known.
@@ -97,6 +94,9 @@
   // it, if it is known.
   void OnAnswer(const membership::NodeId& gate, const std::string& service, RouteKey route,
                 std::optional<utils::Duration> time, std::uint64_t answer_bytes);
+  // Counts an answered call of the service; `bytes` of its request and answer.
+  void CountAnswer(const Context& context, const membership::NodeId& gate,
+                   const std::string& service, std::uint64_t bytes);
   // The gate reports that calls of the route take this long at its server; 0 if it does not know.
   void OnRunTime(const membership::NodeId& gate, const std::string& service, RouteKey route,
                  std::uint32_t run_time_us, utils::Timestamp now);
@@ -199,6 +199,7 @@
   // Cleared when peers are removed, to which it points.
   std::unordered_map<std::string, ServicePeers> peers_by_service;
   bool overloaded = false;
+  // Whether crossing cost more than the call refused was worth.
   bool crossing_too_expensive = false;
   utils::Duration expected_wait{};
 };
--- a/libs/calls/src/entry.cc
+++ b/libs/calls/src/entry.cc
@@ -306,6 +306,8 @@
     if (call->match) {
       this->balancer.OnAnswer(attempt->gate, TargetServiceOf(*call), RouteKeyOf(*call),
                               BackendTimeOf(answer.response), answer.response.body.size());
+      this->balancer.CountAnswer(context, attempt->gate, TargetServiceOf(*call),
+                                 call->request_bytes + answer.response.body.size());
     }
     attempt->stage = AttemptStage::kUnknown;
     this->Finish(context, *call, answer);
--- a/libs/calls/tests/balancer_test.cc
+++ b/libs/calls/tests/balancer_test.cc
@@ -332,8 +332,14 @@
   };
   STRCMP_EQUAL("far", choose(small, {}).c_str());
   STRCMP_EQUAL("", choose(bulk, {}).c_str());
-  CHECK_TRUE(priced.WasOverloaded() && priced.WasCrossingTooExpensive());
+  CHECK_TRUE(priced.WasOverloaded());
   STRCMP_EQUAL("", choose(bulk, {"near"}).c_str());
+  ServiceCounters& counters = this->shared.counters.services["fleet"];
+  CHECK_EQUAL(2, counters.refused_crossing);
+  priced.CountAnswer(context, "near", "fleet", 300);
+  priced.CountAnswer(context, "far", "fleet", 500);
+  CHECK_TRUE((counters.answered == std::array<std::uint64_t, kPlaces>{0, 1, 0, 1}));
+  CHECK_TRUE((counters.bytes == std::array<std::uint64_t, kPlaces>{0, 300, 0, 500}));
   bulk.priority = document::Priority::kInternal;
   STRCMP_EQUAL("far", choose(bulk, {}).c_str());
   bulk.priority = document::Priority::kInteractive;
--- a/libs/calls/tests/entry_test.cc
+++ b/libs/calls/tests/entry_test.cc
@@ -55,6 +55,7 @@
 TEST(Entry, LostReplyOfAReadIsRetriedElsewhere) {
   this->DropFirst<CallReply>(1);
   CHECK_TRUE(this->CallAndWait("/read", "a").kind == ResultKind::kAnswered);
+  CHECK_EQUAL(1, this->EntryCounters().services.at("fleet").answered[1]);
 }
 
 // Guards against callers that wait indefinitely if the gate never answers the fence.
--- a/libs/runtime/include/amaranthlatch/runtime/metrics.h
+++ b/libs/runtime/include/amaranthlatch/runtime/metrics.h
@@ -36,6 +36,8 @@
 // Builds one page. Names get the prefix "amaranthlatch_"; labels are given as `a="b",c="d"`.
 class MetricsText {
  public:
+  // Names a counter whose samples appear later.
+  void DeclareCounter(std::string_view name) { this->Type(name, "counter"); }
   void Counter(std::string_view name, std::uint64_t value, std::string_view labels = {});
   void Gauge(std::string_view name, double value, std::string_view labels = {});
   void Histogram(std::string_view name, const DurationHistogram& histogram);
--- a/libs/runtime/src/node_metrics.cc
+++ b/libs/runtime/src/node_metrics.cc
@@ -2,6 +2,11 @@
 
 #include "amaranthlatch/runtime/node_metrics.h"
 
+#include <array>
+#include <map>
+#include <string>
+#include <string_view>
+
 #include "amaranthlatch/runtime/log_line.h"
 #include "register_metrics.h"
 
@@ -9,6 +14,28 @@
 
 namespace {
 
+void AppendServices(MetricsText& text, const std::map<std::string, calls::ServiceCounters>& all) {
+  constexpr std::array<std::string_view, calls::kPlaces> kPlaceNames = {"instance", "zone",
+                                                                        "region", "elsewhere"};
+  const auto append = [&](std::string_view name, const auto& values) {
+    text.DeclareCounter(name);
+    for (const auto& [service, counters] : all) {
+      for (std::size_t i = 0; i < calls::kPlaces; ++i) {
+        text.Counter(name, (counters.*values).at(i),
+                     "service=\"" + LabelValue(service) + "\",place=\"" +
+                         std::string(kPlaceNames.at(i)) + "\"");
+      }
+    }
+  };
+  append("calls_answered_at_total", &calls::ServiceCounters::answered);
+  append("calls_answered_at_bytes_total", &calls::ServiceCounters::bytes);
+  text.DeclareCounter("calls_refused_crossing_total");
+  for (const auto& [service, counters] : all) {
+    text.Counter("calls_refused_crossing_total", counters.refused_crossing,
+                 "service=\"" + LabelValue(service) + "\"");
+  }
+}
+
 void AppendCalls(MetricsText& text, const calls::Counters& calls, const calls::Gauges& gauges) {
   text.Counter("calls_total", calls.answered, R"(result="answered")");
   text.Counter("calls_total", calls.not_run, R"(result="not-run")");
@@ -45,6 +72,7 @@
   text.Gauge("gate_queue_length", gauges.queued);
   text.Gauge("gate_concurrency_limit", gauges.concurrency_limit);
   text.Gauge("suspects", gauges.suspects);
+  AppendServices(text, calls.services);
 }
 
 void AppendMembership(MetricsText& text, const membership::Counters& membership) {
