Take the reported run time of the same route as it is

Cause: the time of a call at a gate was the mean of the service times the factor of the server. After a start, when all servers are cold, the mean follows some seconds late, and so did the expected waits.

Change: for the route of its last report, a gate counts with the reported time while the report is fresh; other routes use the factor.

--- a/libs/calls/src/balancer.cc
+++ b/libs/calls/src/balancer.cc
@@ -322,7 +322,11 @@
   const auto service_time = peer.service_times.Find(demand.route);
   if (peer.speed_factor > 0.0) {
     candidate.speed_factor = SpeedFactorAt(peer.speed_factor, now - peer.speed_at);
-    candidate.service_time_us = averages.service_time_us * candidate.speed_factor;
+    // The gate follows its server sooner than the mean of the service does.
+    const bool is_told =
+        peer.run_time_route == demand.route && now - peer.speed_at < options.load_report_lifetime;
+    candidate.service_time_us =
+        is_told ? peer.run_time_us : averages.service_time_us * candidate.speed_factor;
   } else {
     candidate.service_time_us =
         service_time ? static_cast<double>(service_time->count()) : averages.service_time_us;
@@ -516,6 +520,8 @@
   Peer& peer = this->GetPeer(gate);
   peer.speed_factor = this->statistics.RecordRunTime(service, route, run_time_us);
   peer.speed_at = now;
+  peer.run_time_us = run_time_us;
+  peer.run_time_route = route;
 }
 
 void Balancer::OnLoadReport(const NodeId& gate, const GateLoad& load, utils::Timestamp now) {
--- a/libs/calls/src/balancer.h
+++ b/libs/calls/src/balancer.h
@@ -121,6 +121,9 @@
     // known.
     double speed_factor = 0.0;
     utils::Timestamp speed_at{};
+    // The last report and its route.
+    double run_time_us = 0.0;
+    RouteKey run_time_route = 0;
     utils::Timestamp latency_at{};
     double failure_score = 0.0;
     utils::Timestamp failure_score_at{};
