--- a/libs/calls/src/entry.cc
+++ b/libs/calls/src/entry.cc
@@ -316,6 +316,10 @@
   this->balancer.OnLoadReport(attempt->gate, reply.load, context.now);
   this->balancer.OnWorkspaceLoad(attempt->gate, DemandOf(*call), reply.workspace_ahead,
                                  context.now);
+  if (call->match) {
+    this->balancer.OnRunTime(attempt->gate, TargetServiceOf(*call), RouteKeyOf(*call),
+                             reply.run_time_us, context.now);
+  }
   if (answer.code == ErrorCode::kGateUnreachable) {
     this->balancer.OnProcessReplaced(attempt->gate, attempt->gate_boot_id);
   }
@@ -325,6 +329,8 @@
     if (call->match) {
       this->balancer.OnAnswer(attempt->gate, TargetServiceOf(*call), RouteKeyOf(*call),
                               BackendTimeOf(answer.response), answer.response.body.size());
+      this->balancer.CountAnswer(context, attempt->gate, TargetServiceOf(*call),
+                                 call->request_bytes + answer.response.body.size());
     }
     attempt->stage = AttemptStage::kUnknown;
     this->Finish(context, *call, answer);
