--- a/libs/node/tests/register_node_fixture.h
+++ b/libs/node/tests/register_node_fixture.h
@@ -15,6 +15,21 @@
 
 namespace amaranthlatch::node {
 
+constexpr const char* kPeer = "10.0.0.2:1";
+
+// A node in the zone "z2", in which its peer ranks first as the holder of credit.
+inline RegisterNodeOptions MakeRegisterNodeOptions() {
+  RegisterNodeOptions options;
+  options.secret = "0123456789abcdef";
+  options.directory.id = "10.0.0.1:1";
+  options.directory.region = "north";
+  options.directory.zone = "z2";
+  options.directory.boot_id = 7;
+  options.directory.share_reads = false;
+  options.calls.gate.adaptive_concurrency_limit = false;
+  return options;
+}
+
 struct RegisterNodeFixture : Utest {
   std::unique_ptr<RegisterNode> node;
   utils::Timestamp now{utils::Seconds(50)};
@@ -47,6 +62,20 @@
     });
     return found;
   }
+  void AddPeer() {
+    membership::Member peer;
+    peer.id = kPeer;
+    peer.region = "north";
+    peer.zone = "z2";
+    peer.service = "fleet";
+    peer.slots = 20;
+    peer.labels[membership::kVersionLabel] = "1";
+    peer.incarnation = 1;
+    peer.boot_id = 9;
+    peer.state = membership::MemberState::kReady;
+    this->HandleEvent(
+        directory::StreamReadSucceeded{directory::Stream::kMembers, 1, nullptr, {peer}, {}});
+  }
   // The messages sent of one kind.
   template <typename Module, typename T>
   std::vector<T> TakeSent() {
--- a/libs/node/tests/register_node_test.cc
+++ b/libs/node/tests/register_node_test.cc
@@ -43,22 +43,10 @@
                                                {{"fleet", "/", 1}}, defaults, workspaces);
 }
 
-RegisterNodeOptions MakeOptions() {
-  RegisterNodeOptions options;
-  options.secret = "0123456789abcdef";
-  options.directory.id = "10.0.0.1:1";
-  options.directory.region = "north";
-  options.directory.zone = "ondangwa";
-  options.directory.boot_id = 7;
-  options.directory.share_reads = false;
-  options.calls.gate.adaptive_concurrency_limit = false;
-  return options;
-}
-
 }  // namespace
 
 TEST_GROUP_BASE(RegisterNode, RegisterNodeFixture){
-    void setup() override{this->node = *RegisterNode::Create(MakeOptions());
+    void setup() override{this->node = *RegisterNode::Create(MakeRegisterNodeOptions());
 }  // namespace amaranthlatch::node
 void Configure(document::Version version,
                const std::optional<std::vector<std::string>>& keys = {}) {
@@ -67,18 +55,6 @@
   this->HandleEvent(directory::StreamReadSucceeded{
       Stream::kConfiguration, version, MakeConfiguration(version, keys), {}, {}});
 }
-void AddPeer() {
-  membership::Member peer;
-  peer.id = "10.0.0.2:1";
-  peer.region = "north";
-  peer.zone = "ondangwa";
-  peer.service = "fleet";
-  peer.slots = 4;
-  peer.incarnation = 1;
-  peer.boot_id = 9;
-  peer.state = membership::MemberState::kReady;
-  this->HandleEvent(directory::StreamReadSucceeded{Stream::kMembers, 1, nullptr, {peer}, {}});
-}
 void SendCallWithKey(const std::string& key) {
   calls::CallReceived call;
   call.call = ++this->last_call;
--- a/libs/node/tests/register_traffic_test.cc
+++ b/libs/node/tests/register_traffic_test.cc
@@ -2,12 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
-#include <memory>
-#include <optional>
 #include <string>
-#include <utility>
-#include <variant>
-#include <vector>
 
 #include "register_node_fixture.h"
 
@@ -21,18 +16,8 @@
 
 namespace {
 
-constexpr const char* kPeer = "10.0.0.2:1";
-
 RegisterNodeOptions MakeOptions(bool has_rollouts, bool has_quotas) {
-  RegisterNodeOptions options;
-  options.secret = "0123456789abcdef";
-  options.directory.id = "10.0.0.1:1";
-  options.directory.region = "north";
-  options.directory.zone = "z2";
-  options.directory.boot_id = 7;
-  options.directory.share_reads = false;
-  options.calls.gate.adaptive_concurrency_limit = false;
-  options.calls.gate.transport_may_duplicate = false;
+  RegisterNodeOptions options = MakeRegisterNodeOptions();
   if (has_rollouts) {
     options.rollout.emplace();
     options.rollout->id = options.directory.id;
@@ -91,19 +76,6 @@
                                        {},
                                        std::move(orders)});
   }
-  void AddPeer() {
-    membership::Member peer;
-    peer.id = kPeer;
-    peer.region = "north";
-    peer.zone = "z2";
-    peer.service = "fleet";
-    peer.slots = 20;
-    peer.labels[membership::kVersionLabel] = "1";
-    peer.incarnation = 1;
-    peer.boot_id = 9;
-    peer.state = membership::MemberState::kReady;
-    this->HandleEvent(directory::StreamReadSucceeded{Stream::kMembers, 1, nullptr, {peer}, {}});
-  }
   // A server of the version that an order moves the service to, which may run `allowance` calls.
   void BecomeCanary(std::uint64_t allowance, std::uint32_t slots = 8) {
     this->Start(true, false);
