--- a/libs/calls/tests/overload_test.cc
+++ b/libs/calls/tests/overload_test.cc
@@ -254,4 +254,76 @@
   CHECK_EQUAL(1, gauges().queued);
 }
 
+// Guards against an idempotent call that waits for a slow run until a second one can only be late,
+// and against second runs that take the last slots of a busy service.
+TEST(Overload, SecondAttemptIsInTimeAndNeedsAFreeSlot) {
+  std::uint32_t in_flight = 0;
+  bool is_silent = false;
+  this->answer = [&](const CallRequest& request) -> std::optional<CallReply> {
+    if (is_silent) {
+      return std::nullopt;
+    }
+    CallReply reply;
+    reply.id = request.id;
+    reply.answer.kind = ResultKind::kAnswered;
+    reply.answer.response = {200, {{kBackendTimeField, "60000"}}, "x"};
+    reply.load.in_flight = in_flight;
+    return reply;
+  };
+  const auto attempts = [this, &is_silent] {
+    is_silent = true;
+    this->requests.clear();
+    this->mesh->Call(0, "/read", "x", {}, Milliseconds(900));
+    this->mesh->RunFor(Milliseconds(450));
+    return this->requests.size();
+  };
+  const auto report = [this, &in_flight, &is_silent](std::uint32_t load) {
+    is_silent = false;
+    in_flight = load;
+    for (int i = 0; i < 20; ++i) {
+      this->mesh->Call(0, "/read", "x");
+      this->mesh->RunFor(Milliseconds(2));
+    }
+  };
+  report(0);
+  CHECK_EQUAL(2, attempts());
+  const utils::Duration delay = this->requests[1].first - this->requests[0].first;
+  // 300 ms less the time for one run, but later than a usual run has ended.
+  CHECK_TRUE(delay >= Milliseconds(90) && delay <= Milliseconds(300 - 60));
+  // Without a free slot the second run would wait, although it could still be in time.
+  document::ServiceDocument document = FleetDocument();
+  FindRoute(document, "read")->target_latency = Milliseconds(800);
+  this->mesh->routes.Set(document);
+  this->mesh->RunFor(Seconds(30));
+  report(0);
+  CHECK_EQUAL(2, attempts());
+  this->mesh->RunFor(Seconds(30));
+  report(4);
+  CHECK_EQUAL(1, attempts());
+}
+
+// Guards against queues in which each call is in time only if its run takes no longer than the
+// mean: half of their calls were late.
+TEST(Overload, QueuedCallsHaveTimeForALongRun) {
+  this->mesh->nodes[1].backend.mode = BackendMode::kSilent;
+  const auto gauges = [this] { return this->mesh->nodes[1].calls->GetGauges(); };
+  // Learns a run time of 100 ms.
+  for (std::uint64_t i = 1; i <= 4; ++i) {
+    this->SendToGate(document::Priority::kNormal, Milliseconds(300));
+  }
+  this->mesh->RunFor(Milliseconds(100));
+  for (std::uint64_t i = 1; i <= 4; ++i) {
+    this->mesh->nodes[1].backend.running.erase(i);
+    this->mesh->Deliver(1, BackendServerAnswered{i, {200, {}, "x"}});
+  }
+  for (int i = 0; i < 4; ++i) {
+    this->SendToGate(document::Priority::kNormal, Milliseconds(300));
+  }
+  // A queued call waits for 37 ms by the gate's estimate.
+  this->SendToGate(document::Priority::kNormal, Milliseconds(200));
+  CHECK_EQUAL(0, gauges().queued);
+  this->SendToGate(document::Priority::kNormal, Milliseconds(300));
+  CHECK_EQUAL(1, gauges().queued);
+}
+
 }  // namespace amaranthlatch::calls::testing
