--- a/libs/calls/include/amaranthlatch/calls/balance_policy.h
+++ b/libs/calls/include/amaranthlatch/calls/balance_policy.h
@@ -17,6 +17,8 @@
 // Locality of a backend server relative to this node.
 enum class Distance : std::uint8_t { kInstance, kZone, kRegion, kOtherRegion };
 
+Distance DistanceOf(const membership::Member& self, const membership::Member& member);
+
 // The distance group of CandidateRanking.
 inline std::size_t GroupOf(Distance distance) {
   return distance <= Distance::kZone ? 0 : static_cast<std::size_t>(distance) - 1;
--- a/libs/calls/src/balance_policy.cc
+++ b/libs/calls/src/balance_policy.cc
@@ -49,6 +49,16 @@
 }
 }  // namespace
 
+Distance DistanceOf(const membership::Member& self, const membership::Member& member) {
+  if (member.region != self.region) {
+    return Distance::kOtherRegion;
+  }
+  if (member.zone != self.zone) {
+    return Distance::kRegion;
+  }
+  return member.id == self.id ? Distance::kInstance : Distance::kZone;
+}
+
 bool IsLate(const Candidate& candidate, utils::Duration wait, utils::Duration budget) {
   const bool is_full = candidate.calls_ahead >= candidate.member->slots;
   const utils::Duration service_time(static_cast<utils::Duration::rep>(
--- a/libs/calls/src/crossing_decision.cc
+++ b/libs/calls/src/crossing_decision.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "amaranthlatch/utils/hash.h"
+
 namespace amaranthlatch::calls::details {
 
 namespace {
@@ -46,6 +48,10 @@
 }
 }  // namespace
 
+CrossingDecision::Key CrossingDecision::KeyOf(std::string_view service, RouteKey route) {
+  return utils::CombineHash(utils::Hash64(service), route);
+}
+
 std::optional<std::size_t> CrossingDecision::FindRescue(const CandidateRanking& ranking,
                                                         std::size_t home, double home_crossing_us,
                                                         double loss_us) {
--- a/libs/calls/src/crossing_decision.h
+++ b/libs/calls/src/crossing_decision.h
@@ -14,11 +14,13 @@
 #include <cstdint>
 #include <limits>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 
 #include "amaranthlatch/calls/candidate_ranking.h"
 #include "amaranthlatch/utils/random.h"
 #include "amaranthlatch/utils/time.h"
+#include "route_averages.h"
 
 namespace amaranthlatch::calls::details {
 
@@ -26,6 +28,7 @@
  public:
   // Identifies a service and a route.
   using Key = std::uint64_t;
+  static Key KeyOf(std::string_view service, RouteKey route);
 
   // What one call has at stake.
   struct Stake {
