--- a/libs/calls/src/gate_admission.cc
+++ b/libs/calls/src/gate_admission.cc
@@ -24,7 +24,6 @@
 constexpr std::uint32_t kMinSlotsToReserve = 4;
 constexpr std::uint32_t kSlotsPerReserved = 8;
 constexpr Duration kReserveTime = utils::Seconds(2);
-// Queued calls are looked through at most this often.
 // Waits vary around the estimate, as more urgent calls come unevenly. Without this factor, a sixth
 // of the calls admitted at twice the capacity were answered late, with it a hundredth.
 constexpr double kWaitMargin = 1.5;
@@ -35,6 +34,7 @@
 constexpr double kLeastShareOfTurns = 0.5;
 // Longest burst whose queue may be as long as the target latency allows.
 constexpr Duration kStandingTime = utils::Milliseconds(500);
+// Queued calls are looked through at most this often.
 constexpr Duration kReviewInterval = utils::Milliseconds(5);
 }  // namespace
 
