--- a/review/7/run.py
+++ b/review/7/run.py
@@ -14,9 +14,23 @@
 STORE_DOWN_S = 4.0  # troubles of owr-mesh: platform_down, 4.5 s
 BEAT_LATE_S = 2.6
 RESTART_S = 0.5
+UNHEARD_S = 8.0  # without an acknowledgement it exits anyway
 SERVES_ON_S = 14.0  # "at times many seconds"
 
 
+async def depart_until_acknowledged(server, end):
+    """Returns the time of the acknowledgement, or None."""
+    record = server.mesh.record
+    while record.now() < end:
+        try:
+            await m.depart(server)
+            return record.now()
+        except (m.CannotRun, OSError, asyncio.TimeoutError) as error:
+            record.line("server %s: no acknowledgement: %s" % (server.id, error))
+        await asyncio.sleep(0.5)
+    return None
+
+
 async def play(record, trouble):
     mesh = m.Mesh(record, [("a", "zone-a", "north", "ledger"), ("b", "zone-a", "north", "ledger"),
                            ("c", "zone-b", "north", "ledger")])
@@ -43,22 +57,25 @@
         server.beats.cancel()
         record.line("server %s: heartbeat %d is on its way" % (server.id, server.seq))
         await asyncio.sleep(0.2)
-        await m.depart(server)
-        left = record.now()
+        first = record.now()
+        departure = asyncio.create_task(depart_until_acknowledged(server, first + UNHEARD_S))
         if trouble:
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(0.5 - (record.now() - first))
             node.signal(signal.SIGKILL)
             await node.process.wait()
             await asyncio.sleep(RESTART_S)
             await node.start()
-        await asyncio.sleep(max(0.0, left - 0.2 + BEAT_LATE_S - record.now()))
+        await asyncio.sleep(max(0.0, first - 0.2 + BEAT_LATE_S - record.now()))
         status = await server.send_beat(late_beat)
         record.line("server %s: heartbeat %d arrives, answered with %d" % (
             server.id, server.seq, status))
-        await asyncio.sleep(left + SERVES_ON_S - record.now())
+        left = await departure
+        await asyncio.sleep(first + SERVES_ON_S - record.now())
         record.line("server %s: exits" % server.id)
         await server.close()
         await asyncio.gather(*clients)
+        if left is None:
+            return []
         # All machines are in touch again, and `drain` after the acknowledgement has passed.
         bound = max(left + DRAIN_S, begun + 1.0 + STORE_DOWN_S + STABLE_WINDOW_S + 0.5)
         served = sum(len(each.runs) for each in mesh.servers.values())
