--- a/review/lib2/mesh.py
+++ b/review/lib2/mesh.py
@@ -18,6 +18,7 @@
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 GRACE_S = 6.0
+TIME_LIMIT_S = 118
 LIMITS = {"cpuShare": 0.2, "cores": 1, "memoryMb": 260, "maxFds": 4100, "linkMbps": 1000.0,
           "diskMb": 0}
 BOUNDS = {"seedLag": "3s", "reuseAfter": "2s", "stableWindow": "3000ms", "ack": "4000ms",
@@ -160,7 +161,7 @@
         super().__init__()
         self.record = record
         self.logs = {}  # topic -> list of contents
-        self.grown = asyncio.Condition()
+        self.readers = set()  # futures of reads that wait for a record
         self.is_down = False
         self.ip = None
         self.port = None
@@ -176,8 +177,12 @@
     async def append(self, topic, key, value):
         name = key.encode()
         self.log(topic).append(bytes([len(name)]) + name + value)
-        async with self.grown:
-            self.grown.notify_all()
+        self._wake_readers()
+
+    def _wake_readers(self):
+        for record in self.readers:
+            if not record.done():
+                record.set_result(None)
 
     def newest(self, topic):
         found = {}
@@ -210,18 +215,18 @@
                 size = struct.unpack(">I", body[:4])[0]
                 log.append(body[4:4 + size])
                 body = body[4 + size:]
-            async with self.grown:
-                self.grown.notify_all()
+            self._wake_readers()
             return 200, json_type, json.dumps({"offset": first, "endOffset": len(log)}).encode()
         if method == "GET" and path == "/api/log-read":
             start = int(values["from"])
             end = time.monotonic() + int(values.get("waitMs", "0")) / 1000.0
             while len(log) <= start and time.monotonic() < end and not self.is_down:
+                record = asyncio.get_running_loop().create_future()
+                self.readers.add(record)
                 try:
-                    async with self.grown:
-                        await asyncio.wait_for(self.grown.wait(), min(0.5, end - time.monotonic()))
-                except asyncio.TimeoutError:
-                    pass
+                    await asyncio.wait([record], timeout=min(0.5, end - time.monotonic()))
+                finally:
+                    self.readers.discard(record)
             content = b"".join(struct.pack(">I", len(entry)) + entry for entry in log[start:])
             return 200, [], struct.pack(">QQ", len(log), 0) + content
         if method == "GET" and path == "/api/log-newest":
@@ -521,8 +526,17 @@
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.line("disruption: %s" % ("on" if trouble else "off"))
+
+    def give_up(_number, _frame):
+        # Nodes end with this process, see end_with_parent().
+        record.line("cannot run: still running after %d s" % TIME_LIMIT_S)
+        print("cannot run: still running after %d s" % TIME_LIMIT_S, flush=True)
+        os._exit(2)
+
+    signal.signal(signal.SIGALRM, give_up)
+    signal.alarm(TIME_LIMIT_S)
     try:
-        violations = asyncio.run(asyncio.wait_for(play(record, trouble), 115.0))
+        violations = asyncio.run(asyncio.wait_for(play(record, trouble), TIME_LIMIT_S - 5.0))
     except (CannotRun, asyncio.TimeoutError, OSError) as error:
         record.line("cannot run: %s" % (error or type(error).__name__))
         print("cannot run: %s" % (error or type(error).__name__))
