Withdraw calls from queues of other nodes before the process ends

Cause: a drain only refused new calls. Open ones kept their own deadlines, and neither the entry node nor the gates knew that an answer would find no process.

Change: ShutdownScheduled gives the calls reducer the time that is left. The entry node tells the gate of each attempt that may outlast the process by when it needs the answer, until the gate confirms. The gate drops a queued call that cannot be answered by then, at once if the queue is too long, and says "not run". Running calls go on. What has no outcome 0.1 s before the end is answered as unknown. Further attempts carry the limit.

--- a/libs/calls/include/amaranthlatch/calls/counters.h
+++ b/libs/calls/include/amaranthlatch/calls/counters.h
@@ -42,6 +42,8 @@
   std::uint64_t fences_not_run = 0;
   std::uint64_t fences_unanswered = 0;
   std::uint64_t ignored_replies = 0;
+  // Calls without a known outcome when this process had to end.
+  std::uint64_t cut_by_shutdown = 0;
   std::uint64_t permits_asked = 0;
   // Bounded by the services that calls are routed to.
   std::map<std::string, ServiceCounters> services;
@@ -54,6 +56,8 @@
   // Part of `refused`.
   std::uint64_t refused_link_busy = 0;
   std::uint64_t dropped_from_queue = 0;
+  // Part of `dropped_from_queue`: calls whose entry nodes end before the answer.
+  std::uint64_t withdrawn = 0;
   std::uint64_t cancelled_runs = 0;
   std::uint64_t duplicates = 0;
   std::uint64_t fenced = 0;
--- a/libs/calls/include/amaranthlatch/calls/event.h
+++ b/libs/calls/include/amaranthlatch/calls/event.h
@@ -116,9 +116,16 @@
   bool operator==(const DrainStarted&) const = default;
 };
 
+// This process ends after `time_left`, by which every caller gets an answer. Calls are admitted
+// until DrainStarted. Only the first such event counts.
+struct ShutdownScheduled {
+  utils::Duration time_left{};
+  bool operator==(const ShutdownScheduled&) const = default;
+};
+
 using Event =
     std::variant<WakeUp, CallReceived, CallerGone, PermitAsked, PeerMessage, AttemptNotSent,
                  PeerUnreachable, BackendServerAnswered, BackendServerFailed, BackendServerChanged,
-                 AdmissionChanged, DrainStarted>;
+                 AdmissionChanged, DrainStarted, ShutdownScheduled>;
 
 }  // namespace amaranthlatch::calls
--- a/libs/calls/include/amaranthlatch/calls/message.h
+++ b/libs/calls/include/amaranthlatch/calls/message.h
@@ -101,6 +101,10 @@
   // Only the process that may have received the attempt knows whether it ran.
   std::uint64_t gate_boot_id = 0;
   bool abort = false;
+  // Time after which the entry node can no longer take the answer; unset for the deadline of the
+  // call. A queued attempt that is not expected to end in time is dropped, a running one goes on.
+  // Nodes of earlier releases reject a message with this field.
+  std::optional<utils::Duration> answer_within = std::nullopt;
   bool operator==(const CallCancel&) const = default;
 };
 
--- a/libs/calls/src/calls.cc
+++ b/libs/calls/src/calls.cc
@@ -128,6 +128,9 @@
             this->entry.SetDraining();
             this->gate.SetDraining();
           },
+          [&](const ShutdownScheduled& shutdown) {
+            this->entry.OnShutdownScheduled(context, shutdown.time_left);
+          },
       },
       event);
 }
--- a/libs/calls/src/entry.cc
+++ b/libs/calls/src/entry.cc
@@ -200,8 +200,8 @@
   for (const Attempt& attempt : call.attempts) {
     tried.push_back(attempt.gate);
   }
-  const Duration latency_budget =
-      std::max(std::min(call.latency_deadline, call.deadline) - context.now, kMinLatencyBudget);
+  const Timestamp limit = std::min({call.latency_deadline, call.deadline, this->AnswerLimit(call)});
+  const Duration latency_budget = std::max(limit - context.now, kMinLatencyBudget);
   Balancer::Demand demand = DemandOf(call);
   demand.target_latency = call.match->route->target_latency;
   demand.budget = call.moving ? MoveBudget(call, latency_budget) : latency_budget;
@@ -234,7 +234,9 @@
 
 void Entry::SendAttempt(const Context& context, OpenCall& call) {
   call.retry_at.reset();
-  const bool is_allowed = call.attempts.empty() || this->AuthorizeAgain(context, call);
+  const bool has_time = this->HasTimeForAttempt(context, call);
+  const bool is_allowed =
+      has_time && (call.attempts.empty() || this->AuthorizeAgain(context, call));
   const membership::Member* gate = is_allowed ? this->ChooseGate(context, call) : nullptr;
   if (gate != nullptr && this->WouldBeRefusedAgain(context, call)) {
     gate = nullptr;
@@ -248,7 +250,9 @@
   call.moving = false;
   if (gate == nullptr) {
     this->RefundRetry(call);
-    if (!call.permit && call.attempts.empty()) {
+    if (!has_time) {
+      call.failure = NotRunAnswer(ErrorCode::kDraining);
+    } else if (!call.permit && call.attempts.empty()) {
       call.failure = NotRunAnswer(this->balancer.WasOverloaded() ? ErrorCode::kQueueFull
                                                                  : ErrorCode::kNoBackendServer);
     }
@@ -265,6 +269,10 @@
   attempt.gate_boot_id = gate->boot_id;
   attempt.sent = context.now;
   attempt.overdue_at = context.now + this->AttemptTimeout(context, call);
+  if (this->OutlastsProcess(call)) {
+    // The request itself does not tell the gate when this process ends.
+    attempt.next_fence_at = context.now + this->shared.options.entry.fence_retry_interval;
+  }
   ++this->shared.counters.attempts;
   this->shared.counters.retries += call.charge ? 1 : 0;
   call.charge.reset();
@@ -284,9 +292,10 @@
   request.service = gate.service;
   request.request = call.request;
   request.remaining = call.deadline - context.now;
-  if (call.latency_deadline != Timestamp::max()) {
+  const Timestamp limit = std::min(call.latency_deadline, this->AnswerLimit(call));
+  if (limit != Timestamp::max()) {
     // A call past its target latency may still use a free slot.
-    request.latency_budget = std::max(call.latency_deadline - context.now, kMinLatencyBudget);
+    request.latency_budget = std::max(limit - context.now, kMinLatencyBudget);
   }
   request.permit = call.permit_token;
   request.workspace = call.workspace;
@@ -447,6 +456,16 @@
   return id.entry == self.id && id.entry_boot_id == self.boot_id;
 }
 
+std::vector<std::uint64_t> Entry::OpenCallNumbers() const {
+  std::vector<std::uint64_t> numbers;
+  numbers.reserve(this->calls.size());
+  for (const auto& [number, call] : this->calls) {
+    numbers.push_back(number);
+  }
+  std::sort(numbers.begin(), numbers.end());
+  return numbers;
+}
+
 OpenCall* Entry::Find(std::uint64_t call) {
   const auto found = this->calls.find(call);
   return found == this->calls.end() ? nullptr : found->second.get();
@@ -469,7 +488,7 @@
   if (this->timers.empty()) {
     return std::nullopt;
   }
-  return this->timers.begin()->first;
+  return std::min(this->timers.begin()->first, this->answer_limit.value_or(Timestamp::max()));
 }
 
 }  // namespace amaranthlatch::calls::details
--- a/libs/calls/src/entry.h
+++ b/libs/calls/src/entry.h
@@ -113,6 +113,8 @@
   void OnPeerUnreachable(const Context& context, const membership::NodeId& id);
   void SetAdmission(bool open) { this->open = open; }
   void SetDraining() { this->draining = true; }
+  // See ShutdownScheduled.
+  void OnShutdownScheduled(const Context& context, utils::Duration time_left);
 
   // Handles all timers that are due.
   void Advance(const Context& context);
@@ -139,6 +141,16 @@
   utils::Duration HedgeDelay(const Context& context, const OpenCall& call) const;
   utils::Duration AttemptTimeout(const Context& context, const OpenCall& call) const;
 
+  // Whether the call may be open when this process ends.
+  bool OutlastsProcess(const OpenCall& call) const;
+  // Time by which a gate has to answer the call, because this process ends; max() if the call ends
+  // before.
+  utils::Timestamp AnswerLimit(const OpenCall& call) const;
+  // Whether an attempt that starts to run now is expected to end before this process.
+  bool HasTimeForAttempt(const Context& context, const OpenCall& call) const;
+  // Answers all callers because the process ends.
+  void EndAllCalls(const Context& context);
+
   // Sends a fence for the attempt and schedules the next one.
   void Fence(const Context& context, const OpenCall& call, Attempt& attempt, bool abort);
   void OnOverdue(const Context& context, OpenCall& call, Attempt& attempt);
@@ -171,6 +183,8 @@
   void Fail(const Context& context, OpenCall& call);
   void Finish(const Context& context, OpenCall& call, Answer answer);
 
+  // In ascending order: effects must not depend on the order of an unordered map.
+  std::vector<std::uint64_t> OpenCallNumbers() const;
   OpenCall* Find(std::uint64_t call);
   // Returns the open attempt with this number; null if it has ended or does not exist.
   static Attempt* FindOpen(OpenCall& call, std::uint32_t number);
@@ -186,6 +200,8 @@
   RetryBudget budget;
   bool open = false;
   bool draining = false;
+  // Time by which all callers have an answer, because the process ends then.
+  std::optional<utils::Timestamp> answer_limit;
   std::unordered_map<std::uint64_t, std::unique_ptr<OpenCall>> calls;
   // Total size in bytes of the requests in `calls`.
   std::uint64_t open_bytes = 0;
--- a/libs/calls/src/entry_retry.cc
+++ b/libs/calls/src/entry_retry.cc
@@ -55,18 +55,16 @@
   const membership::Member& self = context.members.Self();
   const AttemptId id{self.id, self.boot_id, call.call, attempt.number};
   ++this->shared.counters.fences;
-  context.Send(attempt.gate, CallCancel{id, attempt.gate_boot_id, abort});
+  CallCancel cancel{id, attempt.gate_boot_id, abort};
+  if (!abort && this->OutlastsProcess(call)) {
+    cancel.answer_within = std::max(this->AnswerLimit(call) - context.now, Duration{});
+  }
+  context.Send(attempt.gate, std::move(cancel));
   attempt.next_fence_at = context.now + this->shared.options.entry.fence_retry_interval;
 }
 
 void Entry::OnPeerUnreachable(const Context& context, const membership::NodeId& id) {
-  std::vector<std::uint64_t> affected;
-  for (const auto& [number, call] : this->calls) {
-    affected.push_back(number);
-  }
-  // Effects must not depend on the iteration order of an unordered map.
-  std::sort(affected.begin(), affected.end());
-  for (const std::uint64_t number : affected) {
+  for (const std::uint64_t number : this->OpenCallNumbers()) {
     OpenCall& call = *this->calls.at(number);
     bool changed = false;
     for (Attempt& attempt : call.attempts) {
@@ -162,6 +160,10 @@
 }
 
 void Entry::Advance(const Context& context) {
+  if (this->answer_limit && *this->answer_limit <= context.now) {
+    this->EndAllCalls(context);
+    return;
+  }
   while (!this->timers.empty() && this->timers.begin()->first <= context.now) {
     this->AdvanceCall(context, *this->calls.at(this->timers.begin()->second));
   }
--- a/libs/calls/src/fair_queue.h
+++ b/libs/calls/src/fair_queue.h
@@ -37,9 +37,11 @@
   utils::Timestamp deadline;
   // Time by which an answer meets the target latency of the route; max() if the route has none.
   utils::Timestamp latency_deadline = utils::Timestamp::max();
+  // Time by which its entry node needs the answer, because the process of that node ends then.
+  utils::Timestamp answer_by = utils::Timestamp::max();
   // Time at which the call leaves the queue without having run: the earliest of its deadline, the
   // end of its queue time and the last time at which it could be answered before
-  // `latency_deadline`.
+  // `latency_deadline` and `answer_by`.
   utils::Timestamp expiry;
   // Whether the answer uses the link of this instance.
   bool uses_link = false;
@@ -70,6 +72,10 @@
   AdmittedCall Pop();
   // The call must be queued.
   AdmittedCall Remove(const std::string& workspace, const QueueOrder& order);
+  // The call must be queued. Its workspace and its body must stay as they are.
+  AdmittedCall& At(const std::string& workspace, const QueueOrder& order) {
+    return this->flows.at(workspace).calls.at(order);
+  }
 
   std::size_t Size() const { return this->size; }
   // Arrival number of the call that Pop returns. The queue must not be empty.
--- a/libs/calls/src/gate.cc
+++ b/libs/calls/src/gate.cc
@@ -184,6 +184,7 @@
 void Gate::Drop(const Context& context, const AdmittedCall& call, ErrorCode code,
                 membership::NodeId redirect) {
   ++this->shared.counters.dropped_from_queue;
+  this->shared.counters.withdrawn += call.answer_by != Timestamp::max() ? 1 : 0;
   const std::optional<AttemptState> state = this->memory.Find(call.key);
   this->shared.Require(state == AttemptState::kQueued, "P5: dropped call was not queued");
   this->memory.Finish(call.key, false, context.now);
@@ -315,7 +316,11 @@
   } else if (*state == AttemptState::kQueued && cancel.abort) {
     this->Drop(context, *this->queue.Remove(key), ErrorCode::kDeadlineExceeded);
   } else if (*state == AttemptState::kQueued) {
-    // The call stays queued: without `abort` the entry node only asks whether the request arrived.
+    // The call stays queued: without `abort` the entry node only asks whether the request arrived,
+    // or until when it can take the answer.
+    if (cancel.answer_within) {
+      this->LimitQueued(key, context.now + *cancel.answer_within);
+    }
     reply.ran = true;
     reply.running = true;
   } else if (*state == AttemptState::kRunning) {
@@ -423,6 +428,9 @@
     UpdateEarliest(next, this->run_deadlines.begin()->first);
   }
   UpdateEarliest(next, this->quarantine.NextExpiry());
+  if (this->review_due) {
+    UpdateEarliest(next, this->next_review);
+  }
   return next;
 }
 
--- a/libs/calls/src/gate.h
+++ b/libs/calls/src/gate.h
@@ -108,7 +108,10 @@
   // Time until a slot is free for a call of this class with this work ahead of it.
   utils::Duration WaitBehind(utils::Duration work, document::Priority priority,
                              utils::Timestamp now) const;
-  // Refuses queued calls that would be answered late, as long as a refusal is not late itself.
+  // Makes a queued call leave the queue in time for an answer at `answer_by`.
+  void LimitQueued(std::uint64_t key, utils::Timestamp answer_by);
+  // Refuses queued calls that would be answered late, as long as a refusal is not late itself, and
+  // those that would be answered after their entry nodes have ended.
   void RefuseLateCalls(const Context& context);
   // Returns kOk, or the reason why the call would not be answered in time.
   void NoteEmptyQueues(utils::Timestamp now);
@@ -169,6 +172,8 @@
   bool open = false;
   bool draining = false;
   utils::Timestamp next_review{};
+  // Whether calls were limited after the last review of the queue.
+  bool review_due = false;
   // When the last call of class internal came.
   std::optional<utils::Timestamp> internal_at;
   // When no call of a class or of more urgent ones was queued last.
--- a/libs/calls/src/gate_admission.cc
+++ b/libs/calls/src/gate_admission.cc
@@ -34,6 +34,9 @@
 constexpr double kLeastShareOfTurns = 0.5;
 // Longest burst whose queue may be as long as the target latency allows.
 constexpr Duration kStandingTime = utils::Milliseconds(500);
+// A call is not begun unless its entry node is expected to be there for a run this much longer than
+// the mean: once begun, it can no longer be refused as not run.
+constexpr double kCompletionMargin = 1.5;
 // Queued calls are looked through at most this often.
 constexpr Duration kReviewInterval = utils::Milliseconds(5);
 }  // namespace
@@ -142,11 +145,25 @@
                           context.now);
 }
 
+void Gate::LimitQueued(std::uint64_t key, Timestamp answer_by) {
+  const AdmittedCall* const call = this->queue.Find(key);
+  this->shared.Require(call != nullptr, "gate: a queued attempt is not in the queue");
+  if (call != nullptr) {
+    const auto run = static_cast<double>(this->ExpectedRunTime(*call).count()) * kCompletionMargin;
+    this->queue.Limit(key, answer_by, answer_by - Duration(static_cast<Duration::rep>(run)));
+    this->review_due = true;
+  }
+}
+
 void Gate::RefuseLateCalls(const Context& context) {
+  if (context.now < this->next_review) {
+    return;
+  }
+  this->review_due = false;
   // Between workspaces the order of the queue changes with each call, so that what is late shows
   // only when a call expires.
-  if (this->queue.Size() == 0 || context.now < this->next_review ||
-      !this->shared.options.gate.bound_queue_by_deadline || this->queue.HasWorkspaces()) {
+  if (this->queue.Size() == 0 || !this->shared.options.gate.bound_queue_by_deadline ||
+      this->queue.HasWorkspaces()) {
     return;
   }
   this->next_review = context.now + kReviewInterval;
@@ -154,10 +171,14 @@
   Duration work = this->service_times.Mean();
   this->queue.ForEachUpTo(document::Priority::kBatch, [&](const AdmittedCall& call) {
     const Duration run = this->ExpectedRunTime(call);
-    const Timestamp end =
-        context.now + this->WaitBehind(work, call.request.priority, context.now) + run;
-    if (end > std::min(call.deadline, call.latency_deadline) &&
-        context.now <= call.refusable_until) {
+    const Duration wait = this->WaitBehind(work, call.request.priority, context.now);
+    const bool is_late =
+        context.now + wait + run > std::min(call.deadline, call.latency_deadline) &&
+        context.now <= call.refusable_until;
+    // A call that may still be answered is worth more than an early refusal by a node that ends.
+    const Duration likely_wait(
+        static_cast<Duration::rep>(static_cast<double>(wait.count()) / kWaitMargin));
+    if (is_late || context.now + likely_wait + run > call.answer_by) {
       late.push_back(call.key);
     } else {
       work += run;
--- a/libs/calls/src/message_codec.cc
+++ b/libs/calls/src/message_codec.cc
@@ -26,6 +26,8 @@
   kCrashReport = 7,
   kCrashCleared = 8,
   kCrashConfirmed = 9,
+  // A CallCancel with a time limit. Earlier releases reject it and read all other ones.
+  kLimitedCallCancel = 10,
 };
 
 // Size limits; a message that exceeds one is rejected.
@@ -274,8 +276,14 @@
 }
 
 std::string Encode(const CallCancel& m) {
-  Writer out(MessageType::kCallCancel, kIdFields + 2, kReservedBytes);
-  return out.Id(m.id).Number(m.gate_boot_id).Flag(m.abort).Take();
+  const MessageType type =
+      m.answer_within ? MessageType::kLimitedCallCancel : MessageType::kCallCancel;
+  Writer out(type, kIdFields + (m.answer_within ? 3 : 2), kReservedBytes);
+  out.Id(m.id).Number(m.gate_boot_id).Flag(m.abort);
+  if (m.answer_within) {
+    out.Time(*m.answer_within);
+  }
+  return out.Take();
 }
 
 std::string Encode(const CallCancelReply& m) {
@@ -365,11 +373,14 @@
   return m;
 }
 
-Message DecodeCallCancel(Reader& in) {
+Message DecodeCallCancel(Reader& in, bool has_limit) {
   CallCancel m;
   m.id = in.Id();
   m.gate_boot_id = in.Number();
   m.abort = in.Flag();
+  if (has_limit) {
+    m.answer_within = utils::Duration(static_cast<std::int64_t>(in.Number(kMaxRemainingUs)));
+  }
   return m;
 }
 
@@ -430,7 +441,9 @@
     case MessageType::kCallReply:
       return DecodeCallReply(in);
     case MessageType::kCallCancel:
-      return DecodeCallCancel(in);
+      return DecodeCallCancel(in, false);
+    case MessageType::kLimitedCallCancel:
+      return DecodeCallCancel(in, true);
     case MessageType::kCallCancelReply:
       return DecodeCallCancelReply(in);
     case MessageType::kPermitRequest:
--- a/libs/calls/src/priority_queue.cc
+++ b/libs/calls/src/priority_queue.cc
@@ -62,6 +62,21 @@
   return call;
 }
 
+const AdmittedCall* PriorityQueue::Find(std::uint64_t key) {
+  const auto found = this->positions.find(key);
+  return found == this->positions.end() ? nullptr : &this->At(found->second);
+}
+
+void PriorityQueue::Limit(std::uint64_t key, utils::Timestamp answer_by, utils::Timestamp expiry) {
+  AdmittedCall& call = this->At(this->positions.at(key));
+  call.answer_by = std::min(call.answer_by, answer_by);
+  if (expiry < call.expiry) {
+    this->expiries.erase({call.expiry, key});
+    call.expiry = expiry;
+    this->expiries.emplace(expiry, key);
+  }
+}
+
 std::optional<AdmittedCall> PriorityQueue::PopExpired(utils::Timestamp now) {
   if (this->expiries.empty() || this->expiries.begin()->first > now) {
     return std::nullopt;
--- a/libs/calls/src/priority_queue.h
+++ b/libs/calls/src/priority_queue.h
@@ -35,6 +35,11 @@
   void Push(AdmittedCall call);
   std::optional<AdmittedCall> Pop();
   std::optional<AdmittedCall> Remove(std::uint64_t key);
+  // Null if the call is not queued.
+  const AdmittedCall* Find(std::uint64_t key);
+  // Sets both times where they are earlier than those of the call, which keeps its place and must
+  // be queued.
+  void Limit(std::uint64_t key, utils::Timestamp answer_by, utils::Timestamp expiry);
   // Removes a call whose expiry is at or before `now`; nullopt if there is none.
   std::optional<AdmittedCall> PopExpired(utils::Timestamp now);
 
@@ -82,6 +87,9 @@
     QueueOrder order;
   };
 
+  AdmittedCall& At(const Position& position) {
+    return this->classes.at(position.priority).At(position.workspace, position.order);
+  }
   // Updates the indexes for a call that has left its class.
   void Forget(const AdmittedCall& call);
   // Returns the class to dequeue from. The queue must not be empty.
--- a/libs/calls/tests/call_components_test.cc
+++ b/libs/calls/tests/call_components_test.cc
@@ -87,6 +87,9 @@
       return m;
     }
     case 2:
+      if (*rc::gen::arbitrary<bool>()) {
+        return CallCancel{AnyId(), 7, false, Milliseconds(*rc::gen::inRange(0, 10'000))};
+      }
       return CallCancel{AnyId(), 7, *rc::gen::arbitrary<bool>()};
     case 3:
       return CallCancelReply{AnyId(), true, *rc::gen::arbitrary<bool>()};
--- a/libs/calls/tests/gate_test.cc
+++ b/libs/calls/tests/gate_test.cc
@@ -232,6 +232,39 @@
   CHECK_EQUAL(0, this->RunCount(expiring) + this->RunCount(abandoned));
 }
 
+// Guards against running a call whose entry node has ended by the time of the answer, and against a
+// time limit that drops a running call or moves a queued one behind later ones.
+TEST(Gate, QueuedWorkOfAnEndingEntryNodeIsDroppedInTime) {
+  this->SetProtection(1, 50, Seconds(50));
+  this->SendNew();
+  this->mesh.RunFor(Milliseconds(400));
+  this->Respond(1, {200, {}, "x"});
+  const CallRequest running = this->SendNew();
+  const CallRequest first = this->SendNew();
+  const CallRequest second = this->SendNew();
+  const auto limit = [this](const CallRequest& request, utils::Duration time) {
+    this->Send(CallCancel{request.id, request.gate_boot_id, false, time});
+    CHECK_TRUE(this->cancel_replies.back().ran && this->cancel_replies.back().running);
+  };
+  limit(running, Milliseconds(10));
+  limit(first, Seconds(2));
+  // A run of 400 ms begun at 1.4 s would end in time, but not one that takes half as long again.
+  this->mesh.RunFor(Milliseconds(1'390));
+  CHECK_EQUAL(2, this->CurrentGauges().queued);
+  limit(second, Milliseconds(10));
+  this->mesh.RunFor(Milliseconds(20));
+  CHECK_EQUAL(0, this->CurrentGauges().queued);
+  CHECK_TRUE(this->LastAnswer().kind == ResultKind::kNotRun);
+  CHECK_EQUAL(1, this->CurrentGauges().in_flight);
+  const CallRequest kept = this->SendNew();
+  this->SendNew();
+  limit(kept, Seconds(5));
+  this->Respond(2, {200, {}, "x"});
+  CHECK_EQUAL(1, this->RunCount(kept));
+  CHECK_EQUAL(0, this->RunCount(first) + this->RunCount(second));
+  CHECK_EQUAL(2, this->mesh.nodes[kGate].calls->GetCounters().withdrawn);
+}
+
 // Guards against runs that continue after their caller disconnected or their deadline passed.
 TEST(Gate, RunningWorkIsCancelled) {
   const CallRequest cancelled = this->SendNew();
--- a/libs/calls/tests/random_faults_test.cc
+++ b/libs/calls/tests/random_faults_test.cc
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdio>
 #include <cstdlib>
+#include <set>
 #include <string>
 
 #include "mesh.h"
@@ -35,6 +36,7 @@
   kPartition,
   kAdmissionClosed,
   kDrain,
+  kShutdown,
   kCount,
 };
 
@@ -175,12 +177,42 @@
         this->mesh.Deliver(node, DrainStarted{});
         this->RestartWhenDrained(node);
         break;
+      case FaultKind::kShutdown:
+        this->ShutDown(node);
+        break;
       case FaultKind::kCount:
         break;
     }
     this->mesh.At(duration, [this] { this->RestoreNetwork(); });
   }
 
+  // Ends the process of the node at its limit, which may come before its drain has begun, and
+  // checks that every caller has an answer by then.
+  void ShutDown(std::size_t node) {
+    const std::uint64_t boot = this->mesh.nodes[node].boot;
+    if (!this->mesh.nodes[node].calls || !this->shutting_down.insert(boot).second) {
+      return;
+    }
+    const utils::Duration time_left = this->random.Jitter(Seconds(2));
+    this->mesh.Publish(node, membership::MemberState::kDraining, false);
+    this->mesh.Deliver(node, ShutdownScheduled{time_left});
+    this->mesh.At(this->random.Jitter(Seconds(1)), [this, node, boot] {
+      if (this->mesh.nodes[node].boot == boot) {
+        this->mesh.Deliver(node, DrainStarted{});
+      }
+    });
+    this->mesh.At(time_left + Milliseconds(1), [this, node, boot] {
+      if (this->mesh.nodes[node].boot != boot || !this->mesh.nodes[node].calls) {
+        return;
+      }
+      if (this->mesh.nodes[node].calls->GetGauges().open_calls != 0) {
+        this->drain_violation = "a caller has no answer at the end of a shutdown";
+      }
+      this->mesh.KillNode(node);
+      this->mesh.StartNode(node);
+    });
+  }
+
   // Restarts the node after its drain and checks that it has no open calls, runs or queued calls.
   void RestartWhenDrained(std::size_t node) {
     if (!this->mesh.drained.contains(node)) {
@@ -245,6 +277,8 @@
   Mesh mesh;
   utils::Duration service_time{};
   std::string drain_violation;
+  // Boot numbers of processes that have a time limit.
+  std::set<std::uint64_t> shutting_down;
   int requests = 0;
 };
 }  // namespace
--- a/libs/node/include/amaranthlatch/node/register_node.h
+++ b/libs/node/include/amaranthlatch/node/register_node.h
@@ -36,6 +36,8 @@
   // Time after the start of a drain during which callers are still served, because they detect the
   // drain only through their own readiness checks.
   utils::Duration drain_grace_period = utils::Milliseconds(2600);
+  // Time after the start of a drain by which all callers get an answer, because the process ends.
+  utils::Duration shutdown_time = utils::Milliseconds(5600);
 };
 
 // Calls by the first judgement of their keys. Only calls of configurations with workspaces count.
--- a/libs/node/src/register_modules.cc
+++ b/libs/node/src/register_modules.cc
@@ -159,7 +159,8 @@
   }
   this->draining = true;
   this->participant.OnDrainStarted();
-  this->caller_intake_deadline = this->now + this->drain_grace_period;
+  this->caller_intake_deadline = this->now + this->drain_times.grace_period;
+  this->DispatchToCalls(calls::ShutdownScheduled{this->drain_times.shutdown_time});
   this->DispatchToDirectory(directory::DrainStarted{});
 }
 
--- a/libs/node/src/register_modules.h
+++ b/libs/node/src/register_modules.h
@@ -17,12 +17,18 @@
 
 namespace amaranthlatch::node::details {
 
+// See RegisterNodeOptions.
+struct DrainTimes {
+  utils::Duration grace_period{};
+  utils::Duration shutdown_time{};
+  bool operator==(const DrainTimes&) const = default;
+};
+
 class RegisterModules {
  public:
-  RegisterModules(utils::Duration drain_grace_period, directory::Directory directory,
-                  calls::Calls calls, std::optional<rollout::Rollout> rollout,
-                  std::optional<quota::Quota> quota)
-      : drain_grace_period(drain_grace_period),
+  RegisterModules(const DrainTimes& drain_times, directory::Directory directory, calls::Calls calls,
+                  std::optional<rollout::Rollout> rollout, std::optional<quota::Quota> quota)
+      : drain_times(drain_times),
         directory(std::move(directory)),
         calls(std::move(calls)),
         participant(std::move(rollout)),
@@ -105,7 +111,7 @@
   }
   void CheckInvariants();
 
-  const utils::Duration drain_grace_period;
+  const DrainTimes drain_times;
   directory::Directory directory;
   calls::Calls calls;
   RolloutParticipant participant;
--- a/libs/node/src/register_node.cc
+++ b/libs/node/src/register_node.cc
@@ -54,8 +54,8 @@
     return tl::unexpected(quota.error());
   }
   return std::unique_ptr<RegisterNode>(new RegisterNode(std::make_unique<details::RegisterModules>(
-      options.drain_grace_period, *std::move(directory), *std::move(calls), *std::move(rollout),
-      *std::move(quota))));
+      details::DrainTimes{options.drain_grace_period, options.shutdown_time}, *std::move(directory),
+      *std::move(calls), *std::move(rollout), *std::move(quota))));
 }
 
 RegisterNode::RegisterNode(std::unique_ptr<details::RegisterModules> modules)
--- a/libs/node/tests/register_node_test.cc
+++ b/libs/node/tests/register_node_test.cc
@@ -19,7 +19,8 @@
 
 // With `keys`, the configuration has the workspace "w1" with these keys.
 directory::MeshConfiguration::Pointer MakeConfiguration(
-    document::Version version, const std::optional<std::vector<std::string>>& keys = {}) {
+    document::Version version, const std::optional<std::vector<std::string>>& keys = {},
+    utils::Duration deadline = Seconds(2)) {
   directory::HostRoute entry;
   entry.host = "fleet.example";
   entry.route.name = "write";
@@ -27,7 +28,7 @@
   entry.route.split = {{"fleet", "", 1}};
   entry.route.strict_split = true;
   entry.route.max_attempts = 2;
-  entry.route.deadline = Seconds(2);
+  entry.route.deadline = deadline;
   entry.route.max_request_bytes = 1000;
   entry.route.max_response_bytes = 1000;
   directory::ServiceDefaults defaults;
@@ -190,6 +191,37 @@
   CHECK_EQUAL(1, this->TakeEffects<calls::DrainFinished>().size());
 }
 
+// Guards against a process that ends while a caller waits for a call in the queue of a peer: its
+// connection was closed without an answer, and the call ran later (review case 12).
+TEST(RegisterNode, CallsAtPeersAreAnsweredBeforeTheProcessEnds) {
+  this->Configure(3);
+  this->AddPeer();
+  this->HandleEvent(directory::StreamReadSucceeded{
+      Stream::kConfiguration, 4, MakeConfiguration(4, {}, Seconds(25)), {}, {}});
+  const calls::HttpRequest content{"POST", "/x", "fleet.example", {}, "body"};
+  this->HandleEvent(calls::CallReceived{++this->last_call, content, Seconds(25), {}});
+  const calls::CallRequest waiting = this->LastRequest();
+  this->HandleEvent(calls::CallReceived{++this->last_call, content, Seconds(25), {}});
+  const std::uint64_t silent = this->last_call;
+  this->HandleEvent(DrainRequested{});
+  this->AdvanceTime(Seconds(3));
+  CHECK_FALSE(this->Answer().has_value());
+  // The peer drops the first call from its queue, twice, and does not answer for the other one.
+  const auto drop = [this](const calls::AttemptId& id) {
+    this->HandleEvent(
+        MessageReceived{kPeer, calls::Message(calls::CallCancelReply{id, false, false})});
+  };
+  drop(waiting.id);
+  this->AdvanceTime(Milliseconds(300));
+  drop({waiting.id.entry, waiting.id.entry_boot_id, waiting.id.call, 2});
+  const auto refused = this->Answer();
+  CHECK_TRUE(refused && refused->kind == ResultKind::kNotRun);
+  this->AdvanceTime(Milliseconds(2'350));
+  const auto answers = this->TakeEffects<calls::AnswerCaller>();
+  LONGS_EQUAL(1, answers.size());
+  CHECK_TRUE(answers[0].call == silent && answers[0].answer.kind == ResultKind::kUnknown);
+}
+
 // Guards against a drain that leaves the member record "ready" in the register.
 TEST(RegisterNode, DrainIsWrittenToRegister) {
   this->Configure(3);
--- a/libs/runtime/src/observability/node_metrics.cc
+++ b/libs/runtime/src/observability/node_metrics.cc
@@ -50,6 +50,7 @@
   text.Counter("call_fences_not_run_total", calls.fences_not_run);
   text.Counter("call_fences_unanswered_total", calls.fences_unanswered);
   text.Counter("call_replies_ignored_total", calls.ignored_replies);
+  text.Counter("calls_cut_by_shutdown_total", calls.cut_by_shutdown);
   text.Counter("permits_asked_total", calls.permits_asked);
   text.Counter("gate_admitted_total", calls.admitted);
   text.Counter("gate_queued_total", calls.queued);
@@ -57,6 +58,7 @@
   text.Counter("gate_refused_total", calls.refused);
   text.Counter("gate_refused_link_busy_total", calls.refused_link_busy);
   text.Counter("gate_dropped_from_queue_total", calls.dropped_from_queue);
+  text.Counter("gate_withdrawn_total", calls.withdrawn);
   text.Counter("gate_runs_cancelled_total", calls.cancelled_runs);
   text.Counter("gate_duplicates_total", calls.duplicates);
   text.Counter("gate_fenced_total", calls.fenced);
--- a/libs/runtime/src/register_host.cc
+++ b/libs/runtime/src/register_host.cc
@@ -41,10 +41,6 @@
 // The register may be in another region, behind a link that loses packets.
 constexpr utils::Duration kRegisterAcknowledgeLimit = utils::Milliseconds(2000);
 constexpr utils::Duration kConnectLimit = utils::Milliseconds(500);
-// Time after the last answer in which it leaves the process.
-constexpr utils::Duration kFlushTime = utils::Milliseconds(100);
-// Left over from the shutdown limit for the end of the process itself.
-constexpr utils::Duration kExitTime = utils::Milliseconds(300);
 
 }  // namespace
 
@@ -111,7 +107,8 @@
       return;
     }
     this->draining = true;
-    this->timers.StopAfter(this->settings.shutdown_limit - kExitTime, StopReason::kDrainTimedOut);
+    this->timers.StopAfter(this->settings.shutdown_limit - details::kExitTime,
+                           StopReason::kDrainTimedOut);
     LogLine("drain-started").Add("open_calls", this->gateway.OpenCalls()).Info();
     this->servers.Data().AskToClose();
     this->Apply(node::DrainRequested{});
@@ -317,7 +314,7 @@
 
   void Perform(const calls::DrainFinished& /*effect*/) {
     LogLine("drain-finished").Info();
-    this->timers.StopAfter(kFlushTime, StopReason::kDrained);
+    this->timers.StopAfter(details::kFlushTime, StopReason::kDrained);
   }
 
   void Perform(const calls::QuarantineChanged& effect) { details::LogEffect(effect); }
--- a/libs/runtime/src/settings/register_options.cc
+++ b/libs/runtime/src/settings/register_options.cc
@@ -81,6 +81,7 @@
                                                   std::uint64_t seed, std::uint64_t boot_id) {
   node::RegisterNodeOptions options;
   options.secret = settings.secret;
+  options.shutdown_time = settings.shutdown_limit - kExitTime - kFlushTime;
   options.directory.id = settings.node_address;
   options.directory.region = settings.region;
   options.directory.zone = settings.zone;
--- a/libs/runtime/src/settings/register_options.h
+++ b/libs/runtime/src/settings/register_options.h
@@ -11,6 +11,11 @@
 
 namespace amaranthlatch::runtime::details {
 
+// Time after the last answer in which it leaves the process.
+inline constexpr utils::Duration kFlushTime = utils::Milliseconds(100);
+// Left over from the shutdown limit for the end of the process itself.
+inline constexpr utils::Duration kExitTime = utils::Milliseconds(300);
+
 node::RegisterNodeOptions MakeRegisterNodeOptions(const RegisterSettings& settings,
                                                   std::uint64_t seed, std::uint64_t boot_id);
 
