stops_test: a request that lasts until its route's timeout is not lost

The users' rule does not count requests whose timeout is reached, and the node ends them without a stop as well.

--- a/tests/store_faults/stops.py
+++ b/tests/store_faults/stops.py
@@ -22,7 +22,7 @@
 LAST_PART_S = GRACE_S * 5 / 6
 LOSS_SLACK_S = 0.2
 DEADLINE_MS = 20000
-TIMEOUT = "12500ms"
+TIMEOUT_S = 12.5
 TARGET_LATENCY = "4000ms"
 SLOTS = 6
 WORK_S = (1.2, 1.6)
@@ -135,6 +135,8 @@
 def is_lost(outcome, times, term):
     if outcome.status not in OWN_FAILURES or outcome.ended > term + GRACE_S + 1:
         return False
+    if outcome.ended - outcome.sent >= TIMEOUT_S:
+        return False  # The timeout of its route ends a request whatever its server does.
     at_work = [(begun, ended) for begun, ended in times if begun < outcome.ended < ended]
     if outcome.status != 0:
         # An answer of the node's own is a loss only if it breaks off the work of a server.
@@ -156,7 +158,8 @@
     stops = Stops(mesh, chance)
     outcomes = []
     # Calls of the highest priority may wait until their deadlines, so that queues are long.
-    row = ["ledger", m.HOST, "/ledger/", "unsafe", TIMEOUT, TARGET_LATENCY, 0, None, 2, "ledger"]
+    row = ["ledger", m.HOST, "/ledger/", "unsafe", "%dms" % (1000 * TIMEOUT_S), TARGET_LATENCY, 0,
+           None, 2, "ledger"]
     try:
         await mesh.start(m.make_config(1, [row], ["ledger"]))
         end = record.now() + options.seconds
