--- a/libs/calls/tests/shutdown_test.cc
+++ b/libs/calls/tests/shutdown_test.cc
@@ -39,6 +39,7 @@
   }
   std::vector<std::uint64_t> CallMany(const std::string& path, int count) {
     std::vector<std::uint64_t> calls;
+    calls.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
       calls.push_back(this->mesh.Call(kEntry, path, "body " + std::to_string(++this->bodies)));
     }
